--- a/src/traffic/router_core.cpp
+++ b/src/traffic/router_core.cpp
@@ -17,79 +17,115 @@
 } // namespace
 
 RouterCore::RouterCore(VmId self, std::uint64_t seed)
-    : Self(std::move(self)), Random(seed) {}
+    : Dispatch(std::move(self), seed) {}
 
 std::vector<RouterAction> RouterCore::handle(RouterEvent event, Time now) {
   std::visit([&](auto &it) { on(it, now); }, event);
+  carryOutDecisions();
   return std::exchange(Actions, {});
 }
 
 void RouterCore::on(CallerRequest &event, Time now) {
   const RequestId id = event.Id;
-  Requests[id] = {event, event.Deadline.value_or(now), AttemptId()};
+  const auto admission = admit(event);
+  RequestState &request = Requests[id];
+  request.Request = std::move(event);
+  if (const Reason *why = std::get_if<Reason>(&admission))
+    return refuse(id, *why);
+  const CallerRequest &caller = request.Request;
+  const ServiceConfig &service =
+      findTeam(caller.Team)->Services.at(caller.Service);
+  request.Deadline = caller.Deadline.value_or(now + service.Timeout);
+  Dispatch.submit({id,
+                   caller.Team,
+                   caller.Service,
+                   std::get<TierId>(admission),
+                   hashKey(caller.Key),
+                   caller.IsIdempotent,
+                   caller.ForwardedTier.has_value(),
+                   request.Deadline,
+                   {}},
+                  now);
+}
+
+std::variant<TierId, Reason>
+RouterCore::admit(const CallerRequest &request) const {
   if (IsDraining)
-    return refuse(id, Reason::Draining);
+    return Reason::Draining;
   if (!Config || Config->isEmpty())
-    return refuse(id, Reason::NoConfiguration);
-  const TeamConfig *team = findTeam(event.Team);
-  if (team == nullptr || !team->Services.contains(event.Service))
-    return refuse(id, Reason::UnknownService);
-  const ServiceConfig &service = team->Services.at(event.Service);
-  const bool isKnown =
-      std::ranges::any_of(team->Callers, [&](const auto &caller) {
-        return caller.second.KeySha256 == event.CallerKeySha256;
+    return Reason::NoConfiguration;
+  const TeamConfig *team = findTeam(request.Team);
+  if (team == nullptr || !team->Services.contains(request.Service))
+    return Reason::UnknownService;
+  if (request.ForwardedTier)
+    return *request.ForwardedTier;
+  const auto caller =
+      std::ranges::find_if(team->Callers, [&](const auto &entry) {
+        return entry.second.KeySha256 == request.CallerKeySha256;
       });
-  if (!isKnown)
-    return refuse(id, Reason::UnknownCaller);
-  RequestState &request = Requests[id];
-  request.Deadline = event.Deadline.value_or(now + service.Timeout);
-  auto choice = chooseUpstream(event);
-  if (const Reason *why = std::get_if<Reason>(&choice))
-    return refuse(id, *why);
-  auto &target = std::get<UpstreamTarget>(choice);
-  request.Attempt = AttemptId(NextAttempt++);
-  Attempts[request.Attempt] = {id, target.Upstream};
-  ++InFlight[target.Upstream];
-  Actions.emplace_back(StartAttempt{request.Attempt, id, std::move(target),
-                                    request.Deadline, event.Message});
+  if (caller == team->Callers.end())
+    return Reason::UnknownCaller;
+  return caller->second.Tier;
 }
 
-void RouterCore::on(CallerLost &event, Time) {
+void RouterCore::on(CallerLost &event, Time now) {
   const auto it = Requests.find(event.Request);
-  if (it != Requests.end())
+  if (it == Requests.end())
+    return;
+  Dispatch.withdraw(event.Request, now);
+  if (it->second.Attempt != AttemptId())
     Actions.emplace_back(CancelAttempt{it->second.Attempt});
+  else
+    refuse(event.Request, Reason::Cancelled);
 }
 
-void RouterCore::on(AttemptEnded &event, Time) {
+void RouterCore::on(AttemptEnded &event, Time now) {
   AttemptEnds.add(event.Why);
+  Dispatch.endAttempt(event.Attempt, event.Why, now);
   const auto it = Attempts.find(event.Attempt);
   if (it == Attempts.end())
     return;
-  const AttemptState attempt = it->second;
+  const RequestId request = it->second;
   Attempts.erase(it);
-  --InFlight[attempt.Upstream];
   if (event.Why != Reason::None)
-    return refuse(attempt.Request, event.Why);
+    return refuse(request, event.Why);
   Answers.add(Reason::None);
-  Requests.erase(attempt.Request);
-  Actions.emplace_back(AnswerCaller{attempt.Request, Reason::None, Verdict::Ran,
+  Requests.erase(request);
+  Actions.emplace_back(AnswerCaller{request, Reason::None, Verdict::Ran,
                                     Duration(), std::move(event.Answer)});
 }
 
-void RouterCore::on(ConfigurationChanged &event, Time) {
-  Config = std::move(event.Config);
+void RouterCore::on(ConfigurationChanged &event, Time now) {
+  Config = event.Config;
+  Dispatch.configure(std::move(event.Config), now);
 }
 
-void RouterCore::on(OwnersChanged &event, Time) {
-  auto &owners = Owners[event.Record->Service];
-  if (!owners || owners->Rev < event.Record->Rev)
-    owners = std::move(event.Record);
+void RouterCore::on(OwnersChanged &event, Time now) {
+  Dispatch.setOwners(std::move(event.Record), now);
 }
 
-void RouterCore::on(RouterTick &, Time) {}
+void RouterCore::on(RouterTick &, Time now) { Dispatch.tick(now); }
 
 void RouterCore::on(DrainStarted &, Time) { IsDraining = true; }
 
+void RouterCore::carryOutDecisions() {
+  for (DispatchDecision &decision : Dispatch.takeDecisions())
+    std::visit([this](auto &it) { carryOut(it); }, decision);
+}
+
+void RouterCore::carryOut(DispatchStart &decision) {
+  RequestState &request = Requests.at(decision.Request);
+  request.Attempt = decision.Attempt;
+  Attempts[decision.Attempt] = decision.Request;
+  Actions.emplace_back(StartAttempt{
+      decision.Attempt, decision.Request, std::move(decision.Target),
+      decision.Deadline, request.Request.Message});
+}
+
+void RouterCore::carryOut(DispatchRefuse &decision) {
+  refuse(decision.Request, decision.Why);
+}
+
 void RouterCore::refuse(const RequestId &request, Reason why) {
   Answers.add(why);
   Requests.erase(request);
@@ -100,43 +136,6 @@
   Actions.emplace_back(std::move(answer));
 }
 
-std::variant<UpstreamTarget, Reason>
-RouterCore::chooseUpstream(const CallerRequest &request) {
-  const TeamConfig &team = *findTeam(request.Team);
-  const KeyHash key = hashKey(request.Key);
-  if (team.Services.at(request.Service).IsDividedByKey) {
-    const auto owners = Owners.find(request.Service);
-    if (owners == Owners.end() || owners->second->Shards.empty())
-      return Reason::NoOwner;
-    const OwnershipRecord &record = *owners->second;
-    const auto split = record.Splits.find(key);
-    const bool isSplit = split != record.Splits.end();
-    const ShardId shard = shardOf(key, record.Shards.size());
-    const UnitOwner &owner =
-        isSplit ? split->second : record.Shards[shard.Value];
-    const auto upstream = team.Upstreams.find(owner.Owner);
-    if (upstream == team.Upstreams.end())
-      return Reason::NoOwner;
-    const OwnedUnit unit = isSplit ? OwnedUnit(key) : OwnedUnit(shard);
-    return UpstreamTarget{owner.Owner, upstream->second.Address,
-                          GrantedUnit{unit, owner.Fence}, key};
-  }
-  const UpstreamConfig *best = nullptr;
-  UpstreamId bestId;
-  for (const auto &[id, upstream] : team.Upstreams) {
-    if (upstream.Service != request.Service || upstream.IsDrained ||
-        team.Domains.at(upstream.Domain).IsTakenOut)
-      continue;
-    if (best == nullptr || InFlight[id] < InFlight[bestId]) {
-      best = &upstream;
-      bestId = id;
-    }
-  }
-  if (best == nullptr)
-    return Reason::NoUpstream;
-  return UpstreamTarget{bestId, best->Address, std::nullopt, key};
-}
-
 const TeamConfig *RouterCore::findTeam(const TeamId &team) const {
   const auto it = Config->teams().find(team);
   return it == Config->teams().end() ? nullptr : &it->second;
--- a/src/traffic/router_core_base.h
+++ b/src/traffic/router_core_base.h
@@ -6,10 +6,10 @@
 #define WAXWING_TRAFFIC_ROUTER_CORE_BASE_H
 
 #include "metrics/reason_counters.h"
+#include "traffic/dispatcher_base.h"
 #include "traffic/router_core_type.h"
 
 #include <absl/container/flat_hash_map.h>
-#include <random>
 
 namespace waxwing {
 
@@ -38,11 +38,6 @@
     Time Deadline;
     AttemptId Attempt;
   };
-  struct AttemptState {
-    RequestId Request;
-    UpstreamId Upstream;
-  };
-
   void on(CallerRequest &event, Time now);
   void on(CallerLost &event, Time now);
   void on(AttemptEnded &event, Time now);
@@ -51,19 +46,19 @@
   void on(RouterTick &event, Time now);
   void on(DrainStarted &event, Time now);
 
+  /// @return the caller's tier, or the reason of the refusal
+  std::variant<TierId, Reason> admit(const CallerRequest &request) const;
   void refuse(const RequestId &request, Reason why);
-  std::variant<UpstreamTarget, Reason> chooseUpstream(const CallerRequest &);
+  void carryOutDecisions();
+  void carryOut(DispatchStart &decision);
+  void carryOut(DispatchRefuse &decision);
   const TeamConfig *findTeam(const TeamId &team) const;
 
-  VmId Self;
-  std::mt19937_64 Random;
+  Dispatcher Dispatch;
   bool IsDraining = false;
   std::shared_ptr<const Configuration> Config;
-  absl::flat_hash_map<ServiceId, std::shared_ptr<const OwnershipRecord>> Owners;
   absl::flat_hash_map<RequestId, RequestState> Requests;
-  absl::flat_hash_map<AttemptId, AttemptState> Attempts;
-  absl::flat_hash_map<UpstreamId, int> InFlight;
-  std::uint64_t NextAttempt = 1;
+  absl::flat_hash_map<AttemptId, RequestId> Attempts;
   ReasonCounters Answers;
   ReasonCounters AttemptEnds;
   std::vector<RouterAction> Actions;
