Add: [Router] Retries, verdicts over attempts and a guarded HTTP exchange

Cause: an attempt's failure ended its request, a forwarded router's verdict was lost, and several ends of an exchange could be misread (1xx, HEAD, an answer delimited by the end of the connection, a crossed answer whose connection was used again).

Change: RouterCore composes the verdict over all attempts, retries within a budget and the deadline, pauses for owners; judgeRouter passes a router's verdict on; http_client skips interim answers, refuses unframed ones, ages idle connections and lets the kernel end unacknowledged ones; draining serves open connections for a grace time.

--- a/src/core/time_type.h
+++ b/src/core/time_type.h
@@ -28,9 +28,20 @@
   static constexpr bool is_steady = true;
 };
 
+/// Civil time as this VM knows it; may step. Only idempotency keys, whose
+/// time of issue comes from callers, are compared with it.
+struct WallClock {
+  using duration = std::chrono::microseconds;
+  using rep = duration::rep;
+  using period = duration::period;
+  using time_point = std::chrono::time_point<WallClock>;
+  static constexpr bool is_steady = false;
+};
+
 using Duration = std::chrono::microseconds;
 using Time = ProcessClock::time_point;          ///< this process's clock
 using UpstreamTime = UpstreamClock::time_point; ///< one upstream's clock
+using WallTime = WallClock::time_point;         ///< since the Unix epoch
 
 using std::chrono::microseconds;
 using std::chrono::milliseconds;
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -9,6 +9,7 @@
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 #include <map>
+#include <netinet/tcp.h>
 #include <optional>
 #include <unordered_map>
 
@@ -55,6 +56,7 @@
       : Socket(context), Id(id) {}
   Tcp::socket Socket;
   std::uint64_t Id;
+  Time LastAnswer; ///< valid while idle
   beast::flat_buffer Buffer;
 };
 
@@ -64,6 +66,24 @@
   std::size_t OpenCount = 0; ///< idle and used
 };
 
+/// Lets the kernel notice a path that lost track of the connection.
+void setOptions(Tcp::socket &socket) {
+  beast::error_code ec;
+  socket.set_option(Tcp::no_delay(true), ec);
+  using UserTimeout =
+      asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>;
+  const auto limit =
+      std::chrono::duration_cast<milliseconds>(UnacknowledgedLimit);
+  socket.set_option(UserTimeout(static_cast<int>(limit.count())), ec);
+}
+
+/// @return whether a cut-off answer could be told from a whole one
+bool isFramed(const http::response<http::string_body> &message, bool isHead) {
+  const auto status = message.result_int();
+  const bool hasNoBody = isHead || status == 204 || status == 304;
+  return hasNoBody || message.has_content_length() || message.chunked();
+}
+
 /// Longest body that an answer may have.
 constexpr std::uint64_t AnswerBodyBytes = 64u << 20;
 
@@ -77,23 +97,22 @@
   struct Exchange {
     Endpoint To;
     http::request<http::string_body> Request;
-    http::response_parser<http::string_body> Response;
+    std::optional<http::response_parser<http::string_body>> Response;
     HttpCompletion Completion;
     std::shared_ptr<Connection> Channel;
     std::optional<asio::steady_timer> Timer;
     HttpProgress Progress = HttpProgress::NotConnected;
-    bool WasIdle = false; ///< Channel was kept alive from an earlier exchange
-    bool IsReadStarted = false;
+    bool IsAlone = false; ///< Channel does not belong to a pool
   };
   using ExchangeRef = std::shared_ptr<Exchange>;
 
   std::uint64_t send(const Endpoint &endpoint, HttpRequest request,
-                     Time deadline, HttpCompletion completion) {
+                     Time deadline, bool isAlone, HttpCompletion completion) {
     const std::uint64_t id = NextExchange++;
     auto exchange = std::make_shared<Exchange>();
     exchange->To = endpoint;
     exchange->Request = toBeast(std::move(request), endpoint);
-    exchange->Response.body_limit(AnswerBodyBytes);
+    exchange->IsAlone = isAlone;
     exchange->Completion = std::move(completion);
     Exchanges[id] = exchange;
     exchange->Timer.emplace(Io.context());
@@ -113,16 +132,32 @@
     if (it == Exchanges.end())
       return;
     const bool isUnsent = it->second->Progress <= HttpProgress::NotSent;
-    finish(id, isUnsent ? HttpProgress::NotSent : HttpProgress::Cancelled);
+    finish(id, isUnsent ? HttpProgress::Withdrawn : HttpProgress::Cancelled);
+  }
+
+  void closeIdle(const Endpoint &endpoint, Time lastAnswer) {
+    closeIdleIf(endpoint, [lastAnswer](const Connection &it) {
+      return it.LastAnswer < lastAnswer;
+    });
   }
 
-  void closeIdle(const Endpoint &endpoint) {
-    Pool &pool = Pools[endpoint];
-    pool.OpenCount -= pool.Idle.size();
-    pool.Idle.clear();
+  void closeConnection(const Endpoint &endpoint, std::uint64_t connection) {
+    closeIdleIf(endpoint, [connection](const Connection &it) {
+      return it.Id == connection;
+    });
   }
 
 private:
+  template <class F> void closeIdleIf(const Endpoint &endpoint, F &&isChosen) {
+    const auto it = Pools.find(endpoint);
+    if (it == Pools.end())
+      return;
+    it->second.OpenCount -=
+        std::erase_if(it->second.Idle, [&](const auto &connection) {
+          return isChosen(*connection);
+        });
+  }
+
   void expire(std::uint64_t id) {
     const auto it = Exchanges.find(id);
     if (it == Exchanges.end())
@@ -132,13 +167,14 @@
   }
 
   void open(std::uint64_t id, const ExchangeRef &exchange) {
+    if (exchange->IsAlone)
+      return connect(id, exchange);
     Pool &pool = Pools[exchange->To];
     while (!pool.Idle.empty()) {
       auto connection = std::move(pool.Idle.back());
       pool.Idle.pop_back();
       if (isUsable(*connection)) {
         exchange->Channel = std::move(connection);
-        exchange->WasIdle = true;
         write(id, exchange);
         return;
       }
@@ -151,6 +187,10 @@
       return;
     }
     ++pool.OpenCount;
+    connect(id, exchange);
+  }
+
+  void connect(std::uint64_t id, const ExchangeRef &exchange) {
     exchange->Channel =
         std::make_shared<Connection>(Io.context(), NextConnection++);
     beast::error_code ec;
@@ -162,8 +202,11 @@
         });
   }
 
-  /// @return whether an idle connection is open and has no stray bytes
+  /// @return whether an idle connection is recent, open and without stray
+  ///   bytes
   static bool isUsable(Connection &connection) {
+    if (readClock() > connection.LastAnswer + IdleConnectionLimit)
+      return false;
     beast::error_code ec;
     char byte = 0;
     connection.Socket.non_blocking(true, ec);
@@ -180,7 +223,7 @@
       finish(id, HttpProgress::NotConnected);
       return;
     }
-    exchange->Channel->Socket.set_option(Tcp::no_delay(true), ec);
+    setOptions(exchange->Channel->Socket);
     write(id, exchange);
   }
 
@@ -202,22 +245,42 @@
       finish(id, written == 0 ? HttpProgress::NotSent : HttpProgress::Sent);
       return;
     }
+    read(id, exchange);
+  }
+
+  void read(std::uint64_t id, const ExchangeRef &exchange) {
+    exchange->Response.emplace();
+    exchange->Response->body_limit(AnswerBodyBytes);
+    exchange->Response->skip(exchange->Request.method() == http::verb::head);
     auto &channel = *exchange->Channel;
-    http::async_read(channel.Socket, channel.Buffer, exchange->Response,
+    http::async_read(channel.Socket, channel.Buffer, *exchange->Response,
                      [self = shared_from_this(), id,
                       exchange](beast::error_code error, std::size_t n) {
-                       self->onRead(id, error, n);
+                       self->onRead(id, exchange, error, n);
                      });
   }
 
-  void onRead(std::uint64_t id, beast::error_code ec, std::size_t bytes) {
+  void onRead(std::uint64_t id, const ExchangeRef &exchange,
+              beast::error_code ec, std::size_t bytes) {
     if (!Exchanges.contains(id))
       return;
+    const bool isStarted = bytes > 0 || exchange->Channel->Buffer.size() > 0;
     if (ec) {
-      finish(id, bytes == 0 ? HttpProgress::Sent : HttpProgress::CutOff);
+      finish(id, isStarted ? HttpProgress::CutOff : HttpProgress::Sent);
+      return;
+    }
+    const auto &message = exchange->Response->get();
+    const bool isInterim =
+        http::to_status_class(message.result()) ==
+            http::status_class::informational &&
+        message.result() != http::status::switching_protocols;
+    if (isInterim) {
+      read(id, exchange);
       return;
     }
-    finish(id, HttpProgress::Answered);
+    const bool isHead = exchange->Request.method() == http::verb::head;
+    finish(id, isFramed(message, isHead) ? HttpProgress::Answered
+                                         : HttpProgress::CutOff);
   }
 
   void finish(std::uint64_t id, HttpProgress progress) {
@@ -233,22 +296,25 @@
       release(*exchange, progress);
     }
     if (progress == HttpProgress::Answered)
-      outcome.Response = toPlain(exchange->Response.release());
+      outcome.Response = toPlain(exchange->Response->release());
     exchange->Completion(std::move(outcome));
   }
 
   void release(Exchange &exchange, HttpProgress progress) {
-    Pool &pool = Pools[exchange.To];
     const bool isReusable = progress == HttpProgress::Answered &&
-                            exchange.Response.get().keep_alive() &&
+                            !exchange.IsAlone &&
+                            exchange.Response->get().keep_alive() &&
                             exchange.Channel->Buffer.size() == 0;
+    Pool &pool = Pools[exchange.To];
     if (isReusable) {
+      exchange.Channel->LastAnswer = readClock();
       pool.Idle.push_back(exchange.Channel);
       return;
     }
     beast::error_code ec;
     exchange.Channel->Socket.close(ec);
-    --pool.OpenCount;
+    if (!exchange.IsAlone)
+      --pool.OpenCount;
   }
 
   IoThread &Io;
@@ -266,14 +332,26 @@
 
 std::uint64_t HttpClient::send(const Endpoint &endpoint, HttpRequest request,
                                Time deadline, HttpCompletion completion) {
-  return Impl->send(endpoint, std::move(request), deadline,
+  return Impl->send(endpoint, std::move(request), deadline, false,
+                    std::move(completion));
+}
+
+std::uint64_t HttpClient::sendAlone(const Endpoint &endpoint,
+                                    HttpRequest request, Time deadline,
+                                    HttpCompletion completion) {
+  return Impl->send(endpoint, std::move(request), deadline, true,
                     std::move(completion));
 }
 
 void HttpClient::cancel(std::uint64_t exchange) { Impl->cancel(exchange); }
 
-void HttpClient::closeIdle(const Endpoint &endpoint) {
-  Impl->closeIdle(endpoint);
+void HttpClient::closeIdle(const Endpoint &endpoint, Time lastAnswer) {
+  Impl->closeIdle(endpoint, lastAnswer);
+}
+
+void HttpClient::closeConnection(const Endpoint &endpoint,
+                                 std::uint64_t connection) {
+  Impl->closeConnection(endpoint, connection);
 }
 
 } // namespace waxwing
--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -15,6 +15,11 @@
 
 namespace waxwing {
 
+/// An idle connection is not used again after this.
+constexpr Duration IdleConnectionLimit = seconds(10);
+/// The kernel gives a connection up when sent bytes stay unacknowledged.
+constexpr Duration UnacknowledgedLimit = milliseconds(700);
+
 /// Called once, on the client's thread.
 using HttpCompletion = std::function<void(HttpOutcome)>;
 
@@ -37,8 +42,17 @@
   /// called with Cancelled.
   void cancel(std::uint64_t exchange);
 
-  /// Closes all idle connections to @p endpoint.
-  void closeIdle(const Endpoint &endpoint);
+  /// As send(), but over a connection of its own that is closed afterwards;
+  /// not counted against the pool's limit.
+  std::uint64_t sendAlone(const Endpoint &endpoint, HttpRequest request,
+                          Time deadline, HttpCompletion completion);
+
+  /// Closes idle connections to @p endpoint whose last answer came before
+  /// @p lastAnswer.
+  void closeIdle(const Endpoint &endpoint, Time lastAnswer);
+
+  /// Closes one connection if it is idle.
+  void closeConnection(const Endpoint &endpoint, std::uint64_t connection);
 
 private:
   std::shared_ptr<HttpClientImpl> Impl;
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -101,6 +101,7 @@
     }
     Stream.expires_never();
     IsKeptAlive = Request->get().keep_alive();
+    IsHead = Request->get().method() == http::verb::head;
     IsAnswerDue = true;
     HttpExchange exchange{toPlain(Request->release()), {}, Id};
     exchange.Reply = [self = shared_from_this()](HttpResponse response) {
@@ -144,9 +145,8 @@
     Response->result(static_cast<unsigned>(response.Status));
     for (const HttpHeader &header : response.Headers.rows())
       Response->insert(header.Name, header.Value);
-    Response->body() = std::move(response.Body);
     Response->keep_alive(IsKeptAlive && !Server->IsDraining);
-    Response->prepare_payload();
+    setBody(std::move(response.Body));
     Stream.expires_after(Server->Limits.IdleTimeout);
     http::async_write(
         Stream, *Response,
@@ -158,6 +158,20 @@
         });
   }
 
+  /// Frames the answer; HEAD keeps the length that the answer states.
+  void setBody(std::string body) {
+    const auto status = Response->result_int();
+    const bool hasNoBody = status == 204 || status == 304;
+    if (IsHead || hasNoBody) {
+      if (!hasNoBody && !Response->has_content_length())
+        Response->content_length(body.size());
+      return;
+    }
+    Response->erase(http::field::content_length);
+    Response->body() = std::move(body);
+    Response->prepare_payload();
+  }
+
   void close() {
     beast::error_code ec;
     Stream.socket().shutdown(Tcp::socket::shutdown_send, ec);
@@ -170,21 +184,38 @@
   std::optional<Parser> Request;
   std::optional<Serializer> Response;
   bool IsKeptAlive = true;
+  bool IsHead = false;
   bool IsAnswerDue = false; ///< a request was read and not answered yet
 };
 
+void serve(const std::shared_ptr<HttpServerImpl> &server, Tcp::socket socket) {
+  if (server->OpenCount >= server->Limits.Connections)
+    return;
+  beast::error_code ec;
+  socket.set_option(Tcp::no_delay(true), ec);
+  std::make_shared<Session>(std::move(socket), server, server->NextConnection++)
+      ->read();
+}
+
+/// Serves the connections that were complete before the port closes.
+void acceptWaiting(const std::shared_ptr<HttpServerImpl> &server) {
+  beast::error_code ec;
+  server->Acceptor.non_blocking(true, ec);
+  while (!ec) {
+    Tcp::socket socket(server->Io.context());
+    server->Acceptor.accept(socket, ec);
+    if (!ec)
+      serve(server, std::move(socket));
+  }
+}
+
 void accept(const std::shared_ptr<HttpServerImpl> &server) {
   server->Acceptor.async_accept(
       [server](beast::error_code ec, Tcp::socket socket) {
         if (ec == asio::error::operation_aborted)
           return;
-        if (!ec && server->OpenCount < server->Limits.Connections) {
-          beast::error_code optionError;
-          socket.set_option(Tcp::no_delay(true), optionError);
-          std::make_shared<Session>(std::move(socket), server,
-                                    server->NextConnection++)
-              ->read();
-        }
+        if (!ec)
+          serve(server, std::move(socket));
         accept(server);
       });
 }
@@ -225,6 +256,7 @@
 void HttpServer::drain() {
   Impl->Io.post([impl = Impl] {
     impl->IsDraining = true;
+    acceptWaiting(impl);
     beast::error_code ec;
     impl->Acceptor.close(ec);
   });
--- a/src/net/http_type.h
+++ b/src/net/http_type.h
@@ -55,8 +55,9 @@
   Sent,         ///< bytes were sent; no answer came
   CutOff,       ///< the answer began and did not end
   Answered,     ///< the whole answer is here
-  Cancelled,    ///< given up by the caller of send()
+  Cancelled,    ///< given up by the caller of send(), bytes were sent
   TimedOut,     ///< sent; no whole answer before the deadline
+  Withdrawn,    ///< given up by the caller of send(); no byte was sent
 };
 
 /// End of an exchange.
--- a/src/net/io_thread.cpp
+++ b/src/net/io_thread.cpp
@@ -44,6 +44,11 @@
       std::chrono::steady_clock::now().time_since_epoch()));
 }
 
+WallTime readWallClock() {
+  return WallTime(std::chrono::duration_cast<Duration>(
+      std::chrono::system_clock::now().time_since_epoch()));
+}
+
 IoThread::IoThread(const std::string &name)
     : Work(Context.get_executor()), Thread([this] { Context.run(); }) {
   pthread_setname_np(Thread.native_handle(), name.substr(0, 15).c_str());
--- a/src/net/io_thread.h
+++ b/src/net/io_thread.h
@@ -18,6 +18,9 @@
 /// @return this process's monotonic clock
 Time readClock();
 
+/// @return this VM's civil time
+WallTime readWallClock();
+
 /// Runs handlers on a thread of its own until destroyed.
 class IoThread {
 public:
--- a/src/router/caller_edge.cpp
+++ b/src/router/caller_edge.cpp
@@ -9,9 +9,12 @@
 #include "table/reasons.h"
 #include "upstream/upstream_protocol.h"
 
+#include <absl/strings/match.h>
 #include <absl/strings/numbers.h>
 #include <algorithm>
 #include <array>
+#include <fmt/format.h>
+#include <xxhash.h>
 
 namespace waxwing {
 namespace {
@@ -22,6 +25,37 @@
 
 constexpr std::string_view BearerPrefix = "Bearer ";
 
+/// Headers of an upstream's answer that concern one connection only.
+constexpr std::array<std::string_view, 8> ConnectionHeaders{
+    "Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Connection",
+    "TE",         "Trailer",    "Transfer-Encoding",  "Upgrade"};
+
+bool isPassedOn(const HttpHeader &header) {
+  if (absl::StartsWithIgnoreCase(header.Name,
+                                 std::string(InternalHeaderPrefix)))
+    return false;
+  return std::ranges::none_of(ConnectionHeaders, [&](std::string_view name) {
+    return absl::EqualsIgnoreCase(header.Name, std::string(name));
+  });
+}
+
+/// @return an upstream's answer as the caller may see it
+HttpResponse passOn(HttpResponse &&answer) {
+  HttpResponse response{answer.Status, {}, std::move(answer.Body)};
+  for (const HttpHeader &header : answer.Headers.rows())
+    if (isPassedOn(header))
+      response.Headers.add(header.Name, header.Value);
+  response.Headers.add(std::string(VerdictHeader),
+                       std::string(verdictName(Verdict::Ran)));
+  return response;
+}
+
+std::uint64_t fingerprintOf(const HttpRequest &message) {
+  const std::string text =
+      fmt::format("{} {}\n{}", message.Method, message.Target, message.Body);
+  return XXH3_64bits(text.data(), text.size());
+}
+
 HttpResponse refusal(Reason why, Verdict proven, Duration retryAfter) {
   const ReasonInfo &info = reasonInfo(why);
   HttpResponse response;
@@ -65,8 +99,15 @@
       return std::nullopt;
     request.Deadline = now + milliseconds(ms);
   }
-  if (isForwarded)
+  request.ArrivedAt = readWallClock();
+  request.Fingerprint = fingerprintOf(message);
+  if (isForwarded) {
     request.ForwardedTier = TierId(std::string(headers.find(TierHeader)));
+    request.ForwardedCaller = CallerId(std::string(headers.find(CallerHeader)));
+    request.ForwardedFor = headers.find(PurposeHeader) == IdempotencyPurpose
+                               ? ForwardPurpose::IdempotencyHome
+                               : ForwardPurpose::UpstreamHome;
+  }
   return request;
 }
 
@@ -102,7 +143,18 @@
   Forwarded.drain();
 }
 
+HttpReply CallerEdge::echoId(const HttpExchange &exchange) {
+  return [reply = exchange.Reply,
+          id = std::string(exchange.Request.Headers.find(RequestIdHeader))](
+             HttpResponse response) {
+    response.Headers.add(std::string(RequestIdHeader), id);
+    reply(std::move(response));
+  };
+}
+
 void CallerEdge::take(HttpExchange exchange, bool isForwarded) {
+  if (isForwarded)
+    exchange.Reply = echoId(exchange);
   auto request = readRequest(exchange.Request, isForwarded, readClock());
   if (!request) {
     exchange.Reply(refusal(Reason::BadRequest, Verdict::NotRun, Duration()));
@@ -134,7 +186,7 @@
     reply(refusal(answer.Why, answer.Proven, answer.RetryAfter));
     return;
   }
-  reply(std::move(answer.Answer));
+  reply(passOn(std::move(answer.Answer)));
 }
 
 void CallerEdge::loseConnection(std::uint64_t connection, bool isForwarded) {
--- a/src/router/caller_edge.h
+++ b/src/router/caller_edge.h
@@ -42,6 +42,10 @@
   std::size_t requestsInFlight() const { return InFlight; }
   /// @return requests refused because the ring was full
   std::uint64_t ringRefusals() const { return RingRefusals; }
+  /// @return callers' connections open now
+  std::size_t openConnections() const {
+    return Callers.openConnections() + Forwarded.openConnections();
+  }
   void stop() { Io.stop(); }
 
 private:
@@ -51,6 +55,8 @@
     bool IsForwarded;
   };
 
+  /// @return the reply with the id that the forwarding router expects
+  static HttpReply echoId(const HttpExchange &exchange);
   void take(HttpExchange exchange, bool isForwarded);
   void answer(AnswerCaller answer);
   void loseConnection(std::uint64_t connection, bool isForwarded);
--- a/src/router/router_metrics.cpp
+++ b/src/router/router_metrics.cpp
@@ -17,6 +17,11 @@
   page.addReasons("waxwing_attempts_total",
                   "Ends of attempts; reason none: a whole answer",
                   core.attempts());
+  page.addReasons("waxwing_retries_total",
+                  "Retries, by the reason that caused them", core.retries());
+  page.addReasons("waxwing_retry_refusals_total",
+                  "Retries not made, by the reason that forbade them",
+                  core.retryRefusals());
   page.addLatency("waxwing_latency_seconds",
                   "Time from a request's arrival to its answer",
                   latency.summary());
--- a/src/router/router_process.cpp
+++ b/src/router/router_process.cpp
@@ -62,8 +62,13 @@
     spdlog::info("draining");
     IsDraining = true;
     Edge.drain();
-    const Time deadline = readClock() + Settings.Router.duration("drain");
-    while (Edge.requestsInFlight() > 0 && readClock() < deadline)
+    const Time start = readClock();
+    const Time deadline = start + Settings.Router.duration("drain");
+    // Requests may still be on their way on connections that are kept alive.
+    const Time quiet = std::min(deadline, start + DrainGrace);
+    while (readClock() < deadline &&
+           (Edge.requestsInFlight() > 0 ||
+            (Edge.openConnections() > 0 && readClock() < quiet)))
       std::this_thread::sleep_for(DrainPollPeriod);
     spdlog::info("stopped with {} requests in flight", Edge.requestsInFlight());
     Decisions->stop();
@@ -122,7 +127,7 @@
   void carryOut(StartAttempt &action, Time now) {
     const AttemptId attempt = action.Attempt;
     if (!Port.commands().push(std::move(action)))
-      handle(AttemptEnded{attempt, Reason::RingFull, 0, {}}, now);
+      handle(AttemptEnded{attempt, Reason::RingFull, Verdict::NotRun}, now);
   }
 
   void carryOut(CancelAttempt &action, Time) { Port.commands().push(action); }
--- a/src/router/upstream_port.cpp
+++ b/src/router/upstream_port.cpp
@@ -13,6 +13,9 @@
 namespace waxwing {
 namespace {
 
+constexpr Duration CancelTimeout = milliseconds(500);
+constexpr Duration ReportRetryPeriod = milliseconds(1);
+
 /// Headers of the caller that must not reach upstreams as they are.
 bool isForwardedHeader(const HttpHeader &header) {
   static const std::vector<std::string_view> kept{
@@ -48,7 +51,13 @@
     }
   } else {
     const auto &router = std::get<RouterTarget>(attempt.Target);
+    const bool isIdempotency =
+        router.Purpose == ForwardPurpose::IdempotencyHome;
     request.Headers.add(std::string(TierHeader), router.Tier.Value);
+    request.Headers.add(std::string(CallerHeader), attempt.Caller.Value);
+    request.Headers.add(
+        std::string(PurposeHeader),
+        std::string(isIdempotency ? IdempotencyPurpose : UpstreamPurpose));
   }
   return request;
 }
@@ -83,25 +92,59 @@
       fmt::format("{}-{}", WirePrefix, attempt.Attempt.Value);
   HttpRequest request = prepareRequest(attempt, wireId, readClock());
   const AttemptId id = attempt.Attempt;
-  Exchanges[id] =
-      Client.send(addressOf(attempt.Target), std::move(request),
-                  attempt.Deadline, [this, id, wireId](HttpOutcome outcome) {
-                    finish(id, wireId, std::move(outcome));
-                  });
+  Exchange &exchange = Exchanges[id];
+  exchange.To = addressOf(attempt.Target);
+  exchange.WireId = wireId;
+  exchange.IsForwarded = std::holds_alternative<RouterTarget>(attempt.Target);
+  exchange.ClientId = Client.send(
+      exchange.To, std::move(request), attempt.Deadline,
+      [this, id](HttpOutcome outcome) { finish(id, std::move(outcome)); });
 }
 
 void UpstreamPort::carryOut(const CancelAttempt &attempt) {
   const auto it = Exchanges.find(attempt.Attempt);
   if (it != Exchanges.end())
-    Client.cancel(it->second);
+    Client.cancel(it->second.ClientId);
+}
+
+void UpstreamPort::finish(AttemptId attempt, HttpOutcome outcome) {
+  const auto it = Exchanges.find(attempt);
+  const Exchange exchange = std::move(it->second);
+  Exchanges.erase(it);
+  const AttemptJudgement end = exchange.IsForwarded
+                                   ? judgeRouter(outcome, exchange.WireId)
+                                   : judgeUpstream(outcome, exchange.WireId);
+  // Whatever else this connection brings belongs to another request.
+  if (end.Why == Reason::CrossedAnswer)
+    Client.closeConnection(exchange.To, outcome.ConnectionId);
+  if (outcome.Progress == HttpProgress::Cancelled && !exchange.IsForwarded)
+    tellCancelled(exchange);
+  report({attempt, end.Why, end.Proven, end.RetryAfter, outcome.ConnectionId,
+          std::move(outcome.Response)});
+}
+
+void UpstreamPort::tellCancelled(const Exchange &exchange) {
+  HttpRequest request;
+  request.Method = "POST";
+  request.Target = std::string(CancelPath);
+  request.Headers.add(std::string(RequestIdHeader), exchange.WireId);
+  Client.send(exchange.To, std::move(request), readClock() + CancelTimeout,
+              [](const HttpOutcome &) {});
+}
+
+void UpstreamPort::report(AttemptEnded end) {
+  UnreportedEnds.push_back(std::move(end));
+  reportWaiting();
 }
 
-void UpstreamPort::finish(AttemptId attempt, const std::string &wireId,
-                          HttpOutcome outcome) {
-  Exchanges.erase(attempt);
-  AttemptEnded end{attempt, judgeOutcome(outcome, wireId), outcome.ConnectionId,
-                   std::move(outcome.Response)};
-  Ends.push(std::move(end));
+void UpstreamPort::reportWaiting() {
+  while (!UnreportedEnds.empty()) {
+    if (!Ends.push(std::move(UnreportedEnds.front()))) {
+      Io.runAt(readClock() + ReportRetryPeriod, [this] { reportWaiting(); });
+      return;
+    }
+    UnreportedEnds.pop_front();
+  }
 }
 
 } // namespace waxwing
--- a/src/router/upstream_port.h
+++ b/src/router/upstream_port.h
@@ -11,6 +11,7 @@
 #include "traffic/router_core_type.h"
 
 #include <absl/container/flat_hash_map.h>
+#include <deque>
 
 namespace waxwing {
 
@@ -34,16 +35,28 @@
   void stop() { Io.stop(); }
 
 private:
+  /// An attempt in flight.
+  struct Exchange {
+    std::uint64_t ClientId = 0;
+    Endpoint To;
+    std::string WireId; ///< that the answer must echo
+    bool IsForwarded = false;
+  };
+
   void carryOut(StartAttempt attempt);
   void carryOut(const CancelAttempt &attempt);
-  void finish(AttemptId attempt, const std::string &wireId,
-              HttpOutcome outcome);
+  void finish(AttemptId attempt, HttpOutcome outcome);
+  /// Asks the upstream to drop a request that nobody waits for.
+  void tellCancelled(const Exchange &exchange);
+  void report(AttemptEnded end);
+  void reportWaiting();
 
   IoThread Io{"upstreams"};
   HttpClient Client;
   BoundedRing<PortCommand> Commands;
   BoundedRing<AttemptEnded> Ends;
-  absl::flat_hash_map<AttemptId, std::uint64_t> Exchanges;
+  absl::flat_hash_map<AttemptId, Exchange> Exchanges;
+  std::deque<AttemptEnded> UnreportedEnds; ///< that found the ring full
   std::string WirePrefix; ///< makes wire ids unique among routers
 };
 
--- a/src/traffic/router_core.cpp
+++ b/src/traffic/router_core.cpp
@@ -1,6 +1,6 @@
 /**
  * @file router_core.cpp
- * Admission, choice of upstream and end of attempts.
+ * Admission, dispatch and settlement of requests.
  */
 #include "traffic/router_core_base.h"
 
@@ -21,36 +21,32 @@
 
 std::vector<RouterAction> RouterCore::handle(RouterEvent event, Time now) {
   std::visit([&](auto &it) { on(it, now); }, event);
-  carryOutDecisions();
+  carryOutDecisions(now);
   return std::exchange(Actions, {});
 }
 
 void RouterCore::on(CallerRequest &event, Time now) {
-  const RequestId id = event.Id;
-  const auto admission = admit(event);
-  RequestState &request = Requests[id];
+  const auto admission = admit(event, now);
+  auto &slot = Requests[event.Id];
+  slot = std::make_unique<RequestState>();
+  RequestState &request = *slot;
   request.Request = std::move(event);
   if (const Reason *why = std::get_if<Reason>(&admission))
-    return refuse(id, *why);
+    return refuse(request, *why, Duration(), now);
   const CallerRequest &caller = request.Request;
   const ServiceConfig &service =
       findTeam(caller.Team)->Services.at(caller.Service);
+  request.Caller = std::get<Admission>(admission).Caller;
+  request.Tier = std::get<Admission>(admission).Tier;
   request.Deadline = caller.Deadline.value_or(now + service.Timeout);
-  Dispatch.submit({id,
-                   caller.Team,
-                   caller.Service,
-                   std::get<TierId>(admission),
-                   hashKey(caller.Key),
-                   caller.IsIdempotent,
-                   caller.ForwardedTier.has_value(),
-                   request.Deadline,
-                   {}},
-                  now);
+  request.IsOwned = service.IsDividedByKey;
+  Budget.addRequest();
+  submit(request, now);
 }
 
-std::variant<TierId, Reason>
-RouterCore::admit(const CallerRequest &request) const {
-  if (IsDraining)
+std::variant<RouterCore::Admission, Reason>
+RouterCore::admit(const CallerRequest &request, Time now) const {
+  if (RefuseFrom && now >= *RefuseFrom)
     return Reason::Draining;
   if (!Config || Config->isEmpty())
     return Reason::NoConfiguration;
@@ -58,41 +54,20 @@
   if (team == nullptr || !team->Services.contains(request.Service))
     return Reason::UnknownService;
   if (request.ForwardedTier)
-    return *request.ForwardedTier;
+    return Admission{request.ForwardedCaller, *request.ForwardedTier};
   const auto caller =
       std::ranges::find_if(team->Callers, [&](const auto &entry) {
         return entry.second.KeySha256 == request.CallerKeySha256;
       });
   if (caller == team->Callers.end())
     return Reason::UnknownCaller;
-  return caller->second.Tier;
+  return Admission{caller->first, caller->second.Tier};
 }
 
 void RouterCore::on(CallerLost &event, Time now) {
   const auto it = Requests.find(event.Request);
-  if (it == Requests.end())
-    return;
-  Dispatch.withdraw(event.Request, now);
-  if (it->second.Attempt != AttemptId())
-    Actions.emplace_back(CancelAttempt{it->second.Attempt});
-  else
-    refuse(event.Request, Reason::Cancelled);
-}
-
-void RouterCore::on(AttemptEnded &event, Time now) {
-  AttemptEnds.add(event.Why);
-  Dispatch.endAttempt(event.Attempt, event.Why, now);
-  const auto it = Attempts.find(event.Attempt);
-  if (it == Attempts.end())
-    return;
-  const RequestId request = it->second;
-  Attempts.erase(it);
-  if (event.Why != Reason::None)
-    return refuse(request, event.Why);
-  Answers.add(Reason::None);
-  Requests.erase(request);
-  Actions.emplace_back(AnswerCaller{request, Reason::None, Verdict::Ran,
-                                    Duration(), std::move(event.Answer)});
+  if (it != Requests.end())
+    refuse(*it->second, Reason::Cancelled, Duration(), now);
 }
 
 void RouterCore::on(ConfigurationChanged &event, Time now) {
@@ -101,38 +76,90 @@
 }
 
 void RouterCore::on(OwnersChanged &event, Time now) {
+  const ServiceId service = event.Record->Service;
   Dispatch.setOwners(std::move(event.Record), now);
+  resumeAfterOwners(service, now);
 }
 
-void RouterCore::on(RouterTick &, Time now) { Dispatch.tick(now); }
+void RouterCore::on(RouterTick &, Time now) {
+  Dispatch.tick(now);
+  while (!Paused.empty() && Paused.begin()->first <= now)
+    resume(*Requests.at(Paused.begin()->second), now);
+}
+
+void RouterCore::on(DrainStarted &, Time now) { RefuseFrom = now + DrainGrace; }
+
+void RouterCore::submit(RequestState &request, Time now) {
+  const CallerRequest &caller = request.Request;
+  Dispatch.submit({caller.Id, caller.Team, caller.Service, request.Tier,
+                   hashKey(caller.Key), caller.IsIdempotent,
+                   isForwardedHere(request), request.Deadline, request.Avoid},
+                  now);
+}
 
-void RouterCore::on(DrainStarted &, Time) { IsDraining = true; }
+bool RouterCore::isForwardedHere(const RequestState &request) {
+  return request.Request.ForwardedTier &&
+         request.Request.ForwardedFor == ForwardPurpose::UpstreamHome;
+}
 
-void RouterCore::carryOutDecisions() {
-  for (DispatchDecision &decision : Dispatch.takeDecisions())
-    std::visit([this](auto &it) { carryOut(it); }, decision);
+void RouterCore::carryOutDecisions(Time now) {
+  // A decision's consequence may lead to further decisions.
+  for (auto decisions = Dispatch.takeDecisions(); !decisions.empty();
+       decisions = Dispatch.takeDecisions())
+    for (DispatchDecision &decision : decisions)
+      std::visit([&](auto &it) { carryOut(it, now); }, decision);
 }
 
-void RouterCore::carryOut(DispatchStart &decision) {
-  RequestState &request = Requests.at(decision.Request);
-  request.Attempt = decision.Attempt;
-  Attempts[decision.Attempt] = decision.Request;
+void RouterCore::carryOut(DispatchStart &decision, Time now) {
+  const auto it = Requests.find(decision.Request);
+  const bool isAllowed =
+      it != Requests.end() &&
+      (it->second->Live.empty() || it->second->Request.IsIdempotent);
+  if (!isAllowed)
+    return Dispatch.endAttempt(decision.Attempt, Reason::Cancelled, now);
+  RequestState &request = *it->second;
+  request.Live.push_back(decision.Attempt);
+  request.AttemptsMade += decision.IsHedge ? 0 : 1;
+  AttemptState &attempt = Attempts[decision.Attempt];
+  attempt = {decision.Request, std::nullopt, now};
+  if (const auto *target = std::get_if<UpstreamTarget>(&decision.Target))
+    attempt.Upstream = target->Upstream;
   Actions.emplace_back(StartAttempt{
       decision.Attempt, decision.Request, std::move(decision.Target),
-      decision.Deadline, request.Request.Message});
+      std::min(decision.Deadline, request.Deadline), request.Caller,
+      request.Request.Message});
 }
 
-void RouterCore::carryOut(DispatchRefuse &decision) {
-  refuse(decision.Request, decision.Why);
+void RouterCore::carryOut(DispatchRefuse &decision, Time now) {
+  const auto it = Requests.find(decision.Request);
+  if (it != Requests.end())
+    fail(*it->second, decision.Why, decision.RetryAfter, now);
 }
 
-void RouterCore::refuse(const RequestId &request, Reason why) {
-  Answers.add(why);
-  Requests.erase(request);
-  const ReasonInfo &info = reasonInfo(why);
-  AnswerCaller answer{request, why, info.Proven, Duration(), {}};
-  if (info.Proven == Verdict::NotRun)
+void RouterCore::refuse(RequestState &request, Reason why, Duration retryAfter,
+                        Time now) {
+  // An attempt in flight may run until its end says otherwise.
+  const bool isUnknown =
+      request.MayHaveRunBy != Reason::None || !request.Live.empty();
+  AnswerCaller answer{request.Request.Id, why, Verdict::NotRun, retryAfter, {}};
+  if (request.MayHaveRunBy != Reason::None && why != Reason::Cancelled)
+    answer.Why = request.MayHaveRunBy;
+  if (isUnknown)
+    answer.Proven = Verdict::MayHaveRun;
+  if (!isUnknown && answer.RetryAfter == Duration())
     answer.RetryAfter = RefusalRetryAfter;
+  settle(request, std::move(answer), now);
+}
+
+void RouterCore::settle(RequestState &request, AnswerCaller answer, Time now) {
+  Answers.add(answer.Why);
+  const RequestId id = request.Request.Id;
+  Dispatch.withdraw(id, now);
+  for (const AttemptId &attempt : request.Live)
+    Actions.emplace_back(CancelAttempt{attempt});
+  if (request.ResumeAt)
+    Paused.erase({*request.ResumeAt, id});
+  Requests.erase(id);
   Actions.emplace_back(std::move(answer));
 }
 
--- /dev/null
+++ b/src/traffic/router_core_attempts.cpp
@@ -0,0 +1,94 @@
+/**
+ * @file router_core_attempts.cpp
+ * Ends of attempts, and what follows them: the answer, a retry, a pause.
+ */
+#include "table/reasons.h"
+#include "table/retry_rules.h"
+#include "traffic/retry_func.h"
+#include "traffic/router_core_base.h"
+
+#include <algorithm>
+
+namespace waxwing {
+
+void RouterCore::on(AttemptEnded &event, Time now) {
+  AttemptEnds.add(event.Why);
+  Dispatch.endAttempt(event.Attempt, event.Why, now);
+  const auto it = Attempts.find(event.Attempt);
+  if (it == Attempts.end())
+    return;
+  const AttemptState attempt = std::move(it->second);
+  Attempts.erase(it);
+  const auto found = Requests.find(attempt.Request);
+  if (found == Requests.end())
+    return;
+  RequestState &request = *found->second;
+  std::erase(request.Live, event.Attempt);
+  if (event.Why == Reason::None)
+    return settle(request,
+                  {attempt.Request, Reason::None, Verdict::Ran, Duration(),
+                   std::move(event.Answer)},
+                  now);
+  if (event.Proven != Verdict::NotRun && request.MayHaveRunBy == Reason::None)
+    request.MayHaveRunBy = event.Why;
+  if (attempt.Upstream)
+    request.Avoid.push_back(*attempt.Upstream);
+  // A hedge or the attempt beside it may still bring the answer.
+  if (request.Live.empty())
+    fail(request, event.Why, event.RetryAfter, now);
+}
+
+void RouterCore::fail(RequestState &request, Reason why, Duration retryAfter,
+                      Time now) {
+  if (!request.Live.empty())
+    return;
+  const Verdict proven = request.MayHaveRunBy == Reason::None
+                             ? Verdict::NotRun
+                             : Verdict::MayHaveRun;
+  const RetryDecision decision =
+      decideRetry({why, proven, request.Request.IsIdempotent, request.IsOwned,
+                   request.AttemptsMade, request.PausesMade, request.Deadline},
+                  now);
+  // The router that forwarded a request decides on its retries.
+  if (std::holds_alternative<GiveUp>(decision) || isForwardedHere(request))
+    return refuse(request, why, retryAfter, now);
+  // A request that only waits for owners or homes adds no load.
+  const bool isBudgeted = retryRule(why) != RetryRule::AfterOwners;
+  if (isBudgeted && !Budget.take()) {
+    RetryRefusals.add(Reason::RetryBudgetExhausted);
+    return refuse(request, why, retryAfter, now);
+  }
+  if (const auto *later = std::get_if<RetryLater>(&decision)) {
+    if (Paused.size() >= PausedRequestLimit) {
+      RetryRefusals.add(Reason::QueueFull);
+      return refuse(request, why, retryAfter, now);
+    }
+    Retries.add(why);
+    return pause(request, later->At);
+  }
+  Retries.add(why);
+  submit(request, now);
+}
+
+void RouterCore::pause(RequestState &request, Time until) {
+  ++request.PausesMade;
+  request.ResumeAt = until;
+  Paused.emplace(until, request.Request.Id);
+}
+
+void RouterCore::resume(RequestState &request, Time now) {
+  Paused.erase({*request.ResumeAt, request.Request.Id});
+  request.ResumeAt.reset();
+  submit(request, now);
+}
+
+void RouterCore::resumeAfterOwners(const ServiceId &service, Time now) {
+  std::vector<RequestId> waiting;
+  for (const auto &[at, id] : Paused)
+    if (Requests.at(id)->Request.Service == service)
+      waiting.push_back(id);
+  for (const RequestId &id : waiting)
+    resume(*Requests.at(id), now);
+}
+
+} // namespace waxwing
--- a/src/traffic/router_core_base.h
+++ b/src/traffic/router_core_base.h
@@ -7,12 +7,21 @@
 
 #include "metrics/reason_counters.h"
 #include "traffic/dispatcher_base.h"
+#include "traffic/retry_budget_base.h"
+#include "traffic/retry_type.h"
 #include "traffic/router_core_type.h"
 
 #include <absl/container/flat_hash_map.h>
+#include <memory>
+#include <set>
 
 namespace waxwing {
 
+/// Requests that may wait for owners, homes or an upstream's return.
+constexpr std::size_t PausedRequestLimit = 4096;
+/// A draining router serves requests on open connections this long.
+constexpr Duration DrainGrace = seconds(1);
+
 /// Every CallerRequest is followed by exactly one AnswerCaller.
 class RouterCore {
 public:
@@ -31,13 +40,40 @@
   const ReasonCounters &answers() const { return Answers; }
   /// @return ends of attempts, by reason
   const ReasonCounters &attempts() const { return AttemptEnds; }
+  /// @return retries, by the reason that caused them
+  const ReasonCounters &retries() const { return Retries; }
+  /// @return retries that were not made, by the reason that forbade them
+  const ReasonCounters &retryRefusals() const { return RetryRefusals; }
 
 private:
+  /// A caller's request until its answer.
   struct RequestState {
     CallerRequest Request;
+    TierId Tier;
+    CallerId Caller;
     Time Deadline;
-    AttemptId Attempt;
+    bool IsOwned = false;          ///< its service is divided by key
+    std::vector<AttemptId> Live;   ///< attempts that have not ended
+    std::vector<UpstreamId> Avoid; ///< upstreams that failed it
+    int AttemptsMade = 0;          ///< hedges not counted
+    int PausesMade = 0;
+    Reason MayHaveRunBy = Reason::None; ///< first end that proved nothing
+    std::optional<Time> ResumeAt;       ///< paused until then
+  };
+
+  /// An attempt until its end, which may come after its request's answer.
+  struct AttemptState {
+    RequestId Request;
+    std::optional<UpstreamId> Upstream; ///< none when forwarded
+    Time StartedAt;
   };
+
+  /// Who asks, and with which share.
+  struct Admission {
+    CallerId Caller;
+    TierId Tier;
+  };
+
   void on(CallerRequest &event, Time now);
   void on(CallerLost &event, Time now);
   void on(AttemptEnded &event, Time now);
@@ -46,21 +82,40 @@
   void on(RouterTick &event, Time now);
   void on(DrainStarted &event, Time now);
 
-  /// @return the caller's tier, or the reason of the refusal
-  std::variant<TierId, Reason> admit(const CallerRequest &request) const;
-  void refuse(const RequestId &request, Reason why);
-  void carryOutDecisions();
-  void carryOut(DispatchStart &decision);
-  void carryOut(DispatchRefuse &decision);
+  /// @return who asks, or the reason of the refusal
+  std::variant<Admission, Reason> admit(const CallerRequest &request,
+                                        Time now) const;
+  void carryOutDecisions(Time now);
+  void carryOut(DispatchStart &decision, Time now);
+  void carryOut(DispatchRefuse &decision, Time now);
+
+  /// @return whether another router chose this one for the upstream
+  static bool isForwardedHere(const RequestState &request);
+  void submit(RequestState &request, Time now);
+  /// An attempt failed, or no attempt could be started.
+  /// @param retryAfter what a refusal states
+  void fail(RequestState &request, Reason why, Duration retryAfter, Time now);
+  void pause(RequestState &request, Time until);
+  void resume(RequestState &request, Time now);
+  void resumeAfterOwners(const ServiceId &service, Time now);
+  /// Ends the request with a failure; says "not run" only when no attempt
+  /// of it may have run.
+  void refuse(RequestState &request, Reason why, Duration retryAfter, Time now);
+  /// Ends the request: cancels what is left of it and answers.
+  void settle(RequestState &request, AnswerCaller answer, Time now);
   const TeamConfig *findTeam(const TeamId &team) const;
 
   Dispatcher Dispatch;
-  bool IsDraining = false;
+  std::optional<Time> RefuseFrom; ///< set while draining
   std::shared_ptr<const Configuration> Config;
-  absl::flat_hash_map<RequestId, RequestState> Requests;
-  absl::flat_hash_map<AttemptId, RequestId> Attempts;
+  absl::flat_hash_map<RequestId, std::unique_ptr<RequestState>> Requests;
+  absl::flat_hash_map<AttemptId, AttemptState> Attempts;
+  std::set<std::pair<Time, RequestId>> Paused; ///< index of ResumeAt
+  RetryBudget Budget;
   ReasonCounters Answers;
   ReasonCounters AttemptEnds;
+  ReasonCounters Retries;
+  ReasonCounters RetryRefusals;
   std::vector<RouterAction> Actions;
 };
 
--- a/src/traffic/router_core_type.h
+++ b/src/traffic/router_core_type.h
@@ -18,6 +18,12 @@
 
 namespace waxwing {
 
+/// Why a router forwards a request to another one.
+enum class ForwardPurpose : std::uint8_t {
+  UpstreamHome,    ///< the other router is the home of the upstream
+  IdempotencyHome, ///< the other router remembers the idempotency key
+};
+
 /// A request as the edge read it.
 struct CallerRequest {
   RequestId Id;
@@ -31,6 +37,10 @@
   /// Set when another router forwarded the request: the caller's tier, which
   /// that router has checked.
   std::optional<TierId> ForwardedTier;
+  ForwardPurpose ForwardedFor = ForwardPurpose::UpstreamHome;
+  CallerId ForwardedCaller; ///< valid with ForwardedTier
+  WallTime ArrivedAt;
+  std::uint64_t Fingerprint = 0; ///< hash of method, target and body
   std::shared_ptr<const HttpRequest> Message; ///< as sent to upstreams
 };
 
@@ -43,6 +53,8 @@
 struct AttemptEnded {
   AttemptId Attempt;
   Reason Why = Reason::None;      ///< None: an upstream's whole answer
+  Verdict Proven = Verdict::Ran;  ///< of this attempt
+  Duration RetryAfter{};          ///< stated by a refusal
   std::uint64_t ConnectionId = 0; ///< 0: no connection
   HttpResponse Answer;            ///< valid when Why is None
 };
@@ -80,6 +92,7 @@
   VmId Router;
   Endpoint Address;
   TierId Tier;
+  ForwardPurpose Purpose = ForwardPurpose::UpstreamHome;
 };
 
 using AttemptTarget = std::variant<UpstreamTarget, RouterTarget>;
@@ -89,6 +102,7 @@
   RequestId Request;
   AttemptTarget Target;
   Time Deadline;
+  CallerId Caller;
   std::shared_ptr<const HttpRequest> Message;
 };
 
--- a/src/upstream/upstream_protocol.cpp
+++ b/src/upstream/upstream_protocol.cpp
@@ -153,34 +153,77 @@
   });
 }
 
-Reason judgeOutcome(const HttpOutcome &outcome, std::string_view expectedId) {
-  switch (outcome.Progress) {
+namespace {
+
+/// What an exchange without a whole answer proves.
+AttemptJudgement judgeProgress(HttpProgress progress) {
+  switch (progress) {
   case HttpProgress::NotConnected:
-    return Reason::ConnectFailed;
+    return {Reason::ConnectFailed, Verdict::NotRun};
   case HttpProgress::NotSent:
-    return Reason::SendFailed;
+    return {Reason::SendFailed, Verdict::NotRun};
+  case HttpProgress::Withdrawn:
+    return {Reason::Cancelled, Verdict::NotRun};
   case HttpProgress::Sent:
-    return Reason::ConnectionLost;
+    return {Reason::ConnectionLost, Verdict::MayHaveRun};
   case HttpProgress::CutOff:
-    return Reason::CutOffAnswer;
+    return {Reason::CutOffAnswer, Verdict::MayHaveRun};
   case HttpProgress::Cancelled:
-    return Reason::Cancelled;
+    return {Reason::Cancelled, Verdict::MayHaveRun};
   case HttpProgress::TimedOut:
-    return Reason::UpstreamTimeout;
+    return {Reason::UpstreamTimeout, Verdict::MayHaveRun};
   case HttpProgress::Answered:
     break;
   }
+  return {Reason::None, Verdict::Ran};
+}
+
+Duration readRetryAfter(const HttpHeaders &headers) {
+  std::int64_t n = 0;
+  const std::string_view text = headers.find("Retry-After");
+  const auto [end, ec] =
+      std::from_chars(text.data(), text.data() + text.size(), n);
+  return ec == std::errc() && n > 0 ? Duration(seconds(n)) : Duration();
+}
+
+} // namespace
+
+AttemptJudgement judgeUpstream(const HttpOutcome &outcome,
+                               std::string_view expectedId) {
+  if (outcome.Progress != HttpProgress::Answered)
+    return judgeProgress(outcome.Progress);
   const HttpHeaders &headers = outcome.Response.Headers;
   if (headers.find(RequestIdHeader) != expectedId)
-    return Reason::CrossedAnswer;
+    return {Reason::CrossedAnswer, Verdict::MayHaveRun};
   const std::string_view refusal = headers.find(RefusalHeader);
-  if (refusal.empty())
-    return Reason::None;
   const auto *const it =
       std::ranges::find_if(UpstreamRefusals, [&](Reason reason) {
         return reasonInfo(reason).Name == refusal;
       });
-  return it == UpstreamRefusals.end() ? Reason::None : *it;
+  if (it == UpstreamRefusals.end())
+    return {Reason::None, Verdict::Ran};
+  return {*it, Verdict::NotRun};
+}
+
+AttemptJudgement judgeRouter(const HttpOutcome &outcome,
+                             std::string_view expectedId) {
+  if (outcome.Progress != HttpProgress::Answered)
+    return judgeProgress(outcome.Progress);
+  const HttpHeaders &headers = outcome.Response.Headers;
+  if (headers.find(RequestIdHeader) != expectedId)
+    return {Reason::CrossedAnswer, Verdict::MayHaveRun};
+  const auto verdict =
+      std::ranges::find(VerdictNames, headers.find(VerdictHeader));
+  if (verdict == VerdictNames.end())
+    return {Reason::CutOffAnswer, Verdict::MayHaveRun};
+  const auto proven = static_cast<Verdict>(verdict - VerdictNames.begin());
+  if (proven == Verdict::Ran)
+    return {Reason::None, Verdict::Ran};
+  const auto row = std::ranges::find(ReasonTable, headers.find(ReasonHeader),
+                                     &ReasonInfo::Name);
+  const bool isKnown = row != ReasonTable.end() && row->Id != Reason::None;
+  const Reason why = isKnown ? row->Id : Reason::ForwardRefused;
+  return {why, proven, readRetryAfter(headers)};
 }
 
 } // namespace waxwing
--- a/src/upstream/upstream_protocol.h
+++ b/src/upstream/upstream_protocol.h
@@ -6,6 +6,7 @@
 #ifndef WAXWING_UPSTREAM_UPSTREAM_PROTOCOL_H
 #define WAXWING_UPSTREAM_UPSTREAM_PROTOCOL_H
 
+#include "core/time_type.h"
 #include "core/verdict_type.h"
 #include "net/http_type.h"
 #include "ownership/ownership_type.h"
@@ -35,7 +36,15 @@
 constexpr std::string_view ReasonHeader = "X-Waxwing-Reason";
 /// Tier of a forwarded request.
 constexpr std::string_view TierHeader = "X-Waxwing-Tier";
+/// Name of a forwarded request's caller, which the first router checked.
+constexpr std::string_view CallerHeader = "X-Waxwing-Caller";
+/// Why a request was forwarded.
+constexpr std::string_view PurposeHeader = "X-Waxwing-Purpose";
+constexpr std::string_view UpstreamPurpose = "upstream";
+constexpr std::string_view IdempotencyPurpose = "idempotency";
 constexpr std::string_view IdempotencyHeader = "Idempotency-Key";
+/// Start of the names that callers and upstreams may not set.
+constexpr std::string_view InternalHeaderPrefix = "X-Waxwing-";
 /// Paths of an upstream that are the system's own.
 constexpr std::string_view GrantPath = "/waxwing/grant";
 constexpr std::string_view CancelPath = "/waxwing/cancel";
@@ -53,11 +62,22 @@
 std::string encodeGrantAnswer(const GrantAnswer &answer);
 absl::StatusOr<GrantAnswer> decodeGrantAnswer(const std::string &bytes);
 
+/// How an attempt ended.
+struct AttemptJudgement {
+  Reason Why = Reason::None; ///< None for a whole answer
+  Verdict Proven = Verdict::MayHaveRun;
+  Duration RetryAfter{}; ///< stated by a refusing router
+};
+
 /// Reads how an exchange with an upstream ended.
 /// @param expectedId id that the answer must echo
-/// @return None for a whole answer, else the reason whose table row says
-///   what is proven
-Reason judgeOutcome(const HttpOutcome &outcome, std::string_view expectedId);
+AttemptJudgement judgeUpstream(const HttpOutcome &outcome,
+                               std::string_view expectedId);
+
+/// Reads how an exchange with another router ended; what that router proved
+/// is passed on.
+AttemptJudgement judgeRouter(const HttpOutcome &outcome,
+                             std::string_view expectedId);
 
 } // namespace waxwing
 
