Fix: [Net] Stated body length beyond the limit ended the process

Cause: Beast 1.74 reserves the stated Content-Length before it compares it with the body limit; std::bad_alloc ended client and server processes.

Change: client and server read the header first and refuse the length.

--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -253,10 +253,28 @@
     exchange->Response->body_limit(AnswerBodyBytes);
     exchange->Response->skip(exchange->Request.method() == http::verb::head);
     auto &channel = *exchange->Channel;
+    http::async_read_header(channel.Socket, channel.Buffer, *exchange->Response,
+                            [self = shared_from_this(), id,
+                             exchange](beast::error_code error, std::size_t n) {
+                              self->onHeader(id, exchange, error, n);
+                            });
+  }
+
+  void onHeader(std::uint64_t id, const ExchangeRef &exchange,
+                beast::error_code ec, std::size_t bytes) {
+    // Beast reserves the stated length before it compares it with the limit.
+    auto &parser = *exchange->Response;
+    if (!ec && parser.content_length().value_or(0) > AnswerBodyBytes)
+      ec = http::error::body_limit;
+    if (ec || parser.is_done()) {
+      onRead(id, exchange, ec, bytes);
+      return;
+    }
+    auto &channel = *exchange->Channel;
     http::async_read(channel.Socket, channel.Buffer, *exchange->Response,
-                     [self = shared_from_this(), id,
-                      exchange](beast::error_code error, std::size_t n) {
-                       self->onRead(id, exchange, error, n);
+                     [self = shared_from_this(), id, exchange,
+                      bytes](beast::error_code error, std::size_t n) {
+                       self->onRead(id, exchange, error, bytes + n);
                      });
   }
 
@@ -271,8 +289,7 @@
     }
     const auto &message = exchange->Response->get();
     const bool isInterim =
-        http::to_status_class(message.result()) ==
-            http::status_class::informational &&
+        message.result_int() / 100 == 1 &&
         message.result() != http::status::switching_protocols;
     if (isInterim) {
       read(id, exchange);
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -75,14 +75,30 @@
     Request->header_limit(
         static_cast<std::uint32_t>(Server->Limits.HeaderBytes));
     Stream.expires_after(Server->Limits.IdleTimeout);
-    http::async_read(
+    http::async_read_header(
         Stream, Buffer, *Request,
         [self = shared_from_this()](beast::error_code ec, std::size_t) {
-          self->onRead(ec);
+          self->onHeader(ec);
         });
   }
 
 private:
+  void onHeader(beast::error_code ec) {
+    // Beast reserves the stated length before it compares it with the limit.
+    const std::size_t limit = Server->Limits.BodyBytes;
+    if (!ec && Request->content_length().value_or(0) > limit)
+      ec = http::error::body_limit;
+    if (ec || Request->is_done()) {
+      onRead(ec);
+      return;
+    }
+    http::async_read(
+        Stream, Buffer, *Request,
+        [self = shared_from_this()](beast::error_code error, std::size_t) {
+          self->onRead(error);
+        });
+  }
+
   void onRead(beast::error_code ec) {
     if (ec == http::error::body_limit || ec == http::error::header_limit) {
       refuse(413, "request too large\n");
--- /dev/null
+++ b/tests/fake_tcp_upstream.h
@@ -0,0 +1,248 @@
+/**
+ * @file fake_tcp_upstream.h
+ * An upstream on a real socket that does with each request what the
+ * request's target asks for, and records what it received.
+ */
+#ifndef WAXWING_TESTS_FAKE_TCP_UPSTREAM_H
+#define WAXWING_TESTS_FAKE_TCP_UPSTREAM_H
+
+#include <boost/asio/connect.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/write.hpp>
+#include <chrono>
+#include <functional>
+#include <map>
+#include <mutex>
+#include <set>
+#include <string>
+#include <thread>
+#include <vector>
+
+namespace waxwing {
+
+/// Each connection is served by a thread of its own. The last part of a
+/// target is the fault, the part before it names the request.
+class FakeTcpUpstream {
+public:
+  using Tcp = boost::asio::ip::tcp;
+  using Error = boost::system::error_code;
+
+  explicit FakeTcpUpstream(std::uint16_t port)
+      : Acceptor(
+            Context,
+            Tcp::endpoint(boost::asio::ip::make_address("127.0.0.1"), port)),
+        Thread([this] { acceptAll(); }) {}
+
+  ~FakeTcpUpstream() {
+    IsStopping = true;
+    Tcp::socket waker(Context);
+    Error ec;
+    waker.connect(Acceptor.local_endpoint(), ec);
+    Thread.join();
+    {
+      const std::scoped_lock lock(Mutex);
+      for (const auto &socket : Sockets)
+        socket->shutdown(Tcp::socket::shutdown_both, ec);
+    }
+    for (std::thread &thread : Connections)
+      thread.join();
+  }
+  FakeTcpUpstream(const FakeTcpUpstream &) = delete;
+  FakeTcpUpstream &operator=(const FakeTcpUpstream &) = delete;
+
+  /// @return whether the head of a request with @p target was received
+  bool hasReceived(const std::string &target) const {
+    const std::scoped_lock lock(Mutex);
+    return Received.contains(target);
+  }
+  int connections() const {
+    const std::scoped_lock lock(Mutex);
+    return static_cast<int>(Sockets.size());
+  }
+
+private:
+  using Socket = std::shared_ptr<Tcp::socket>;
+
+  void acceptAll() {
+    while (!IsStopping) {
+      auto socket = std::make_shared<Tcp::socket>(Context);
+      Error ec;
+      Acceptor.accept(*socket, ec);
+      if (ec || IsStopping)
+        continue;
+      const std::scoped_lock lock(Mutex);
+      Sockets.push_back(socket);
+      Connections.emplace_back([this, socket] { serve(*socket); });
+    }
+  }
+
+  void serve(Tcp::socket &socket) {
+    std::string buffer;
+    for (;;) {
+      Error ec;
+      const std::size_t head = boost::asio::read_until(
+          socket, boost::asio::dynamic_buffer(buffer), "\r\n\r\n", ec);
+      if (ec)
+        return;
+      const std::string text = buffer.substr(0, head);
+      buffer.erase(0, head);
+      const std::string target = between(text, " ", " ");
+      {
+        const std::scoped_lock lock(Mutex);
+        Received.insert(target);
+      }
+      const std::string id = between(text, "X-Waxwing-Request: ", "\r\n");
+      if (!obey(socket, target, id, buffer, text)) {
+        socket.close(ec);
+        return;
+      }
+    }
+  }
+
+  static std::string between(const std::string &text, const std::string &open,
+                             const std::string &close) {
+    const auto from = text.find(open);
+    if (from == std::string::npos)
+      return "";
+    const auto start = from + open.size();
+    return text.substr(start, text.find(close, start) - start);
+  }
+
+  static std::string answer(const std::string &id, const std::string &body) {
+    return "HTTP/1.1 200 OK\r\nX-Waxwing-Request: " + id +
+           "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" +
+           body;
+  }
+
+  static void write(Tcp::socket &socket, const std::string &text) {
+    Error ec;
+    boost::asio::write(socket, boost::asio::buffer(text), ec);
+  }
+
+  static void pause(int ms) {
+    std::this_thread::sleep_for(std::chrono::milliseconds(ms));
+  }
+
+  /// @return whether the connection stays open
+  bool obey(Tcp::socket &socket, const std::string &target,
+            const std::string &id, std::string &buffer,
+            const std::string &head) {
+    const std::string fault = target.substr(target.rfind('/') + 1);
+    const std::string own = answer(id, target);
+    if (fault == "early-close") {
+      write(socket, own);
+      return false;
+    }
+    const std::string lengthText = between(head, "Content-Length: ", "\r\n");
+    const std::size_t length = lengthText.empty() ? 0 : std::stoul(lengthText);
+    Error ec;
+    if (buffer.size() < length)
+      boost::asio::read(socket, boost::asio::dynamic_buffer(buffer),
+                        boost::asio::transfer_exactly(length - buffer.size()),
+                        ec);
+    buffer.erase(0, length);
+    if (fault == "close")
+      return false;
+    if (fault == "garbage") {
+      write(socket, "\x01\x02 no http\r\n\r\n");
+      return false;
+    }
+    if (fault == "cut-off") {
+      write(socket, own.substr(0, own.size() - 3));
+      return false;
+    }
+    if (fault == "cut-off-head") {
+      write(socket, own.substr(0, 20));
+      return false;
+    }
+    if (fault == "unframed") {
+      write(socket, "HTTP/1.1 200 OK\r\nX-Waxwing-Request: " + id +
+                        "\r\nConnection: close\r\n\r\n" + target);
+      return false;
+    }
+    if (fault == "cut-off-chunk") {
+      write(socket, "HTTP/1.1 200 OK\r\nX-Waxwing-Request: " + id +
+                        "\r\nTransfer-Encoding: chunked\r\n\r\n"
+                        "5\r\nhello\r\n");
+      return false;
+    }
+    if (fault == "crossed") {
+      write(socket, answer("other-7", "another caller's secret"));
+      return true;
+    }
+    if (fault == "crossed-late") {
+      write(socket, answer("other-7", "another caller's secret"));
+      pause(20);
+      write(socket, own);
+      return true;
+    }
+    if (fault == "twice") {
+      write(socket, own + answer("other-7", "another caller's secret"));
+      return true;
+    }
+    if (fault == "stray") {
+      write(socket, own);
+      pause(5);
+      write(socket, answer("other-7", "another caller's secret"));
+      return true;
+    }
+    if (fault == "interim") {
+      write(socket, "HTTP/1.1 100 Continue\r\n\r\n"
+                    "HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n" +
+                        own);
+      return true;
+    }
+    if (fault == "head") {
+      write(socket, own.substr(0, own.size() - target.size()));
+      return true;
+    }
+    if (fault == "late")
+      pause(400);
+    if (fault == "silent")
+      return true;
+    if (fault == "shed") {
+      write(socket, "HTTP/1.1 503 Busy\r\nX-Waxwing-Request: " + id +
+                        "\r\nX-Waxwing-Refusal: upstream_shed\r\n"
+                        "Content-Length: 0\r\n\r\n");
+      return true;
+    }
+    if (fault == "oversize") {
+      write(socket, "HTTP/1.1 200 OK\r\nX-Waxwing-Request: " + id +
+                        "\r\nContent-Length: 999999999999\r\n\r\nabc");
+      return false;
+    }
+    if (fault == "router-refused" || fault == "router-unknown") {
+      const bool isRefused = fault == "router-refused";
+      write(socket, "HTTP/1.1 503 Busy\r\nX-Waxwing-Request: " + id +
+                        "\r\nX-Waxwing-Verdict: " +
+                        (isRefused ? "not-run" : "may-have-run") +
+                        "\r\nX-Waxwing-Reason: " +
+                        (isRefused ? "queue_full" : "upstream_timeout") +
+                        "\r\nRetry-After: 3\r\nContent-Length: 0\r\n\r\n");
+      return true;
+    }
+    if (fault == "said-close") {
+      write(socket, "HTTP/1.1 200 OK\r\nConnection: close\r\n" +
+                        own.substr(own.find("X-Waxwing")));
+      return false;
+    }
+    write(socket, own);
+    return fault != "answer-close";
+  }
+
+  boost::asio::io_context Context;
+  Tcp::acceptor Acceptor;
+  mutable std::mutex Mutex;
+  std::set<std::string> Received;
+  std::vector<Socket> Sockets;
+  std::vector<std::thread> Connections;
+  std::atomic<bool> IsStopping{false};
+  std::thread Thread;
+};
+
+} // namespace waxwing
+
+#endif
