--- /dev/null
+++ b/src/traffic/idempotency_key.cpp
@@ -0,0 +1,78 @@
+/**
+ * @file idempotency_key.cpp
+ * The two forms of idempotency keys.
+ */
+#include "traffic/idempotency_func.h"
+
+#include <absl/status/status.h>
+#include <algorithm>
+#include <cctype>
+#include <charconv>
+#include <fmt/format.h>
+#include <optional>
+#include <xxhash.h>
+
+namespace waxwing {
+namespace {
+
+constexpr std::size_t UuidLength = 36;
+constexpr std::size_t RandomLength = 8; ///< shortest random part
+constexpr std::size_t UuidVersionAt = 14;
+
+std::optional<std::int64_t> parseNumber(std::string_view text, int base) {
+  std::int64_t n = 0;
+  const char *last = text.data() + text.size();
+  const auto [end, ec] = std::from_chars(text.data(), last, n, base);
+  if (ec != std::errc() || end != last || n < 0)
+    return std::nullopt;
+  return n;
+}
+
+/// @return milliseconds of a version 7 UUID
+std::optional<std::int64_t> parseUuid(const std::string &key) {
+  if (key.size() != UuidLength || key[UuidVersionAt] != '7')
+    return std::nullopt;
+  for (std::size_t n = 0; n < key.size(); ++n) {
+    const bool isDash = n == 8 || n == 13 || n == 18 || n == 23;
+    if (isDash ? key[n] != '-'
+               : std::isxdigit(static_cast<unsigned char>(key[n])) == 0)
+      return std::nullopt;
+  }
+  return parseNumber(key.substr(0, 8) + key.substr(9, 4), 16);
+}
+
+/// @return milliseconds of "<unix ms>-<random>"
+std::optional<std::int64_t> parsePlain(const std::string &key) {
+  const auto dash = key.find('-');
+  if (dash == std::string::npos || key.size() - dash - 1 < RandomLength)
+    return std::nullopt;
+  return parseNumber(std::string_view(key).substr(0, dash), 10);
+}
+
+/// Times beyond the year 5138 are no times of issue.
+constexpr std::int64_t LatestMs = 100'000'000'000'000;
+
+} // namespace
+
+absl::StatusOr<WallTime> parseIssueTime(const std::string &key) {
+  const bool isPrintable = std::ranges::all_of(
+      key, [](unsigned char c) { return std::isgraph(c) != 0; });
+  auto ms = parseUuid(key);
+  if (!ms)
+    ms = parsePlain(key);
+  if (!ms || *ms > LatestMs || !isPrintable || key.size() > IdempotencyKeyBytes)
+    return absl::InvalidArgumentError(fmt::format(
+        "Idempotency-Key must be '<unix time in ms>-<at least {} random "
+        "characters>' or a version 7 UUID, at most {} printable characters",
+        RandomLength, IdempotencyKeyBytes));
+  return WallTime(milliseconds(*ms));
+}
+
+PartitionId partitionOf(const IdempotencyKey &key) {
+  const std::string text =
+      fmt::format("{}\n{}\n{}", key.Service.Value, key.Caller.Value, key.Text);
+  return PartitionId(static_cast<std::uint32_t>(
+      XXH3_64bits(text.data(), text.size()) % PartitionCount));
+}
+
+} // namespace waxwing
