--- /dev/null
+++ b/src/core/random.cpp
@@ -0,0 +1,16 @@
+/**
+ * @file random.cpp
+ * Draws numbers from the operating system.
+ */
+#include "core/random_func.h"
+
+#include <random>
+
+namespace waxwing {
+
+std::uint64_t drawNumber() {
+  std::random_device device;
+  return (static_cast<std::uint64_t>(device()) << 32) | device();
+}
+
+} // namespace waxwing
