--- a/src/controller/configuration_host.cpp
+++ b/src/controller/configuration_host.cpp
@@ -1,6 +1,6 @@
 /**
  * @file configuration_host.cpp
- * Passes documents and ownership records on.
+ * Control node's actions to ports.
  */
 #include "controller/configuration_host.h"
 
@@ -8,78 +8,150 @@
 #include <utility>
 
 namespace waxwing {
+namespace {
 
-ConfigurationHost::ConfigurationHost(RecordMember self, LinkPort &links,
-                                     Changed changed)
-    : Self(std::move(self)), Links(links),
-      ConfigurationChanged(std::move(changed)) {}
-
-void ConfigurationHost::apply(const std::vector<TeamDocument> &documents,
-                              Time now) {
-  DocumentsUpdate news;
-  for (const TeamDocument &document : documents) {
-    const auto applied = Config.apply(document);
-    if (!applied.ok()) {
-      spdlog::warn("document of {} at revision {} is faulty: {}",
-                   document.Team.Value, document.Rev.Value,
-                   std::string(applied.status().message()));
-      continue;
-    }
-    if (!*applied)
-      continue;
-    spdlog::info("configuration of {} at revision {} in force",
-                 document.Team.Value, document.Rev.Value);
-    news.Documents.push_back(document);
-  }
-  if (news.Documents.empty())
-    return;
-  send({std::nullopt, ProcessRole::Router, news});
-  send({std::nullopt, ProcessRole::Controller, news});
-  ConfigurationChanged(now);
+constexpr Duration DeadAfter = seconds(2);
+constexpr Duration RetryPeriod = seconds(1);
+constexpr Duration ForgetAfter = std::chrono::minutes(10);
+constexpr Duration PullTimeout = seconds(1);
+constexpr Duration JoinLimit = seconds(2);
+constexpr std::size_t JoinPeers = 3;
+constexpr std::size_t MeshVms = 12;
+/// Controllers named to a router, for the loss of its own.
+constexpr std::size_t ControllersForRouter = 8;
+
+MembershipTerms membershipTerms(const VmSettings &settings) {
+  return {settings.Ownership.duration("heartbeat"),
+          settings.Ownership.duration("suspicion"),
+          DeadAfter,
+          RetryPeriod,
+          ForgetAfter,
+          MeshVms,
+          static_cast<std::size_t>(settings.Controller.integer("links"))};
 }
 
-void ConfigurationHost::takeOwners(const OwnershipRecord &record) {
-  auto &known = Owners[record.Service];
-  if (known.Rev >= record.Rev)
-    return;
-  known = record;
-  send({std::nullopt, ProcessRole::Router, OwnersUpdate{record}});
+MemberEntry entryOf(const RecordMember &self, const VmSettings &settings) {
+  MemberEntry entry;
+  entry.Vm = self.Vm;
+  entry.Process = self.Process;
+  entry.Domain = self.Domain;
+  entry.Region = settings.Vm.text("region");
+  entry.Link = parseEndpoint(settings.Controller.text("link"));
+  return entry;
 }
 
-void ConfigurationHost::publish(const OwnershipRecord &record) {
-  takeOwners(record);
-  send({std::nullopt, ProcessRole::Controller, OwnersUpdate{record}});
+ControllerMember toController(const MemberEntry &it) {
+  // A leaving member is to be replaced like a suspected one.
+  return {{it.Vm, it.Process, it.Domain}, it.State != MemberState::Live};
 }
 
-void ConfigurationHost::on(const VmListRead &read, Time) {
-  if (std::exchange(Vms, read.Vms) == read.Vms)
-    return;
-  LinkTargets targets;
-  for (const ListedVm &vm : Vms)
-    if (vm.Vm < Self.Vm)
-      targets.Controllers[vm.Vm] = vm.Link;
-  Links.commands().push(std::move(targets));
+} // namespace
+
+ConfigurationHost::ConfigurationHost(const RecordMember &self,
+                                     const VmSettings &settings,
+                                     StorePort &store, LinkPort &links,
+                                     ConfigurationHandlers handlers, Time now)
+    : Self(self), Store(store), Links(links), Handlers(std::move(handlers)),
+      Node(entryOf(self, settings), membershipTerms(settings),
+           {PullTimeout, JoinLimit, JoinPeers, MeshVms}, now) {}
+
+void ConfigurationHost::on(DocumentsRead &read, Time now) {
+  handle(DocumentsWatched{read.IsAnswered, std::move(read.Documents)}, now);
 }
 
 void ConfigurationHost::on(const LinkReceived &received, Time now) {
-  if (std::holds_alternative<LinkHello>(received.Message))
-    greet(received.From);
-  if (const auto *update = std::get_if<DocumentsUpdate>(&received.Message))
-    apply(update->Documents, now);
-  if (const auto *update = std::get_if<OwnersUpdate>(&received.Message))
-    takeOwners(update->Record);
+  const bool isHello = std::holds_alternative<LinkHello>(received.Message);
+  if (received.From.Role == ProcessRole::Router) {
+    if (isHello)
+      greetRouter();
+    return;
+  }
+  if (isHello)
+    handle(PeerLinked{received.From.Self}, now);
+  else
+    handle(PeerMessage{received.From.Self, received.Message}, now);
+}
+
+void ConfigurationHost::on(const LinkLost &lost, Time now) {
+  if (lost.From.Role == ProcessRole::Controller)
+    handle(PeerUnlinked{lost.From.Self}, now);
+}
+
+void ConfigurationHost::handle(const ControlEvent &event, Time now) {
+  for (ControlAction &action : Node.handle(event, now))
+    std::visit([&](auto &it) { carryOut(it, now); }, action);
+}
+
+void ConfigurationHost::carryOut(SendControl &action, Time) {
+  send({action.To, std::nullopt, std::move(action.Message), false});
 }
 
-void ConfigurationHost::on(const LinkLost &, Time) {}
+void ConfigurationHost::carryOut(ChooseLinks &action, Time) {
+  Targets = std::move(action.Targets);
+  LinkTargets command{Targets, {}};
+  for (const MemberEntry &it : members())
+    command.Known[it.Vm] = it.Link;
+  Links.commands().push(std::move(command));
+}
+
+void ConfigurationHost::carryOut(DropLink &action, Time) {
+  Links.commands().push(LinkDrop{action.To});
+}
+
+void ConfigurationHost::carryOut(MembersChanged &, Time now) {
+  std::vector<ControllerMember> members{toController(Node.membership().self())};
+  for (const MemberEntry &it : Node.membership().others())
+    if (it.State != MemberState::New && it.State != MemberState::Dead)
+      members.push_back(toController(it));
+  Handlers.OnMembers(std::move(members), now);
+  send({std::nullopt, ProcessRole::Router,
+        MembershipEnvelope{controllersForRouters()}});
+}
 
-/// Tells a process that has just linked all that this one knows.
-void ConfigurationHost::greet(const LinkHello &peer) {
+void ConfigurationHost::carryOut(WatchStore &action, Time) {
+  spdlog::info("{} the store", action.IsWanted ? "watches" : "stops watching");
+  Store.watching().push(WatchRequest{action.IsWanted});
+}
+
+void ConfigurationHost::carryOut(DocumentsInForce &action, Time now) {
+  for (const TeamDocument &document : action.Documents)
+    spdlog::info("configuration of {} at revision {} in force",
+                 document.Team.Value, document.Rev.Value);
+  send({std::nullopt, ProcessRole::Router,
+        DocumentsUpdate{std::move(action.Documents)}});
+  Handlers.OnConfiguration(now);
+}
+
+void ConfigurationHost::carryOut(DocumentRefused &action, Time) {
+  spdlog::warn("document of {} at revision {} is faulty: {}",
+               action.Document.Team.Value, action.Document.Rev.Value,
+               action.Error);
+}
+
+void ConfigurationHost::carryOut(RecordKnown &action, Time) {
+  send({std::nullopt, ProcessRole::Router,
+        OwnersUpdate{std::move(action.Record)}});
+}
+
+/// Tells all routers what this VM knows; one of them has just linked.
+void ConfigurationHost::greetRouter() {
   DocumentsUpdate update;
-  for (const auto &[team, document] : Config.documents())
+  for (const auto &[team, document] : configuration().documents())
     update.Documents.push_back(document);
-  send({std::nullopt, peer.Role, update});
-  for (const auto &[service, record] : Owners)
-    send({std::nullopt, peer.Role, OwnersUpdate{record}});
+  send({std::nullopt, ProcessRole::Router, std::move(update)});
+  for (OwnershipRecord &record : Node.records())
+    send({std::nullopt, ProcessRole::Router, OwnersUpdate{std::move(record)}});
+  send({std::nullopt, ProcessRole::Router,
+        MembershipEnvelope{controllersForRouters()}});
+}
+
+MembersUpdate ConfigurationHost::controllersForRouters() const {
+  MembersUpdate update;
+  for (const MemberEntry &it : members())
+    if (Targets.contains(it.Vm) && it.State == MemberState::Live &&
+        update.Entries.size() < ControllersForRouter)
+      update.Entries.push_back(it);
+  return update;
 }
 
 } // namespace waxwing
--- a/src/controller/configuration_host.h
+++ b/src/controller/configuration_host.h
@@ -1,52 +1,88 @@
 /**
  * @file configuration_host.h
- * Membership and the relay: which controllers are linked, which documents
- * and ownership records are passed on to them and to routers.
+ * Carries out what the control node asks for: links, watching the store,
+ * and news for routers.
  */
 #ifndef WAXWING_CONTROLLER_CONFIGURATION_HOST_H
 #define WAXWING_CONTROLLER_CONFIGURATION_HOST_H
 
 #include "controller/link_port.h"
 #include "controller/store_port.h"
+#include "ownership/ownership_leader_type.h"
+#include "relay/control_node_base.h"
+#include "settings/vm_settings_base.h"
 
 #include <functional>
-#include <map>
 #include <vector>
 
 namespace waxwing {
 
+/// Called on the decision thread.
+struct ConfigurationHandlers {
+  /// Documents came into force.
+  std::function<void(Time now)> OnConfiguration;
+  /// Membership's view changed.
+  std::function<void(std::vector<ControllerMember> members, Time now)>
+      OnMembers;
+};
+
 /// Used on the decision thread only.
 class ConfigurationHost {
 public:
-  /// Called after documents came into force.
-  using Changed = std::function<void(Time now)>;
-
-  ConfigurationHost(RecordMember self, LinkPort &links, Changed changed);
+  ConfigurationHost(const RecordMember &self, const VmSettings &settings,
+                    StorePort &store, LinkPort &links,
+                    ConfigurationHandlers handlers, Time now);
 
   /// @return the documents in force on this VM
-  const Configuration &configuration() const { return Config; }
+  const Configuration &configuration() const { return Node.configuration(); }
+  /// @return which VM has which revisions in force, as far as known
+  std::vector<RevisionInForce> revisionsInForce() const {
+    return Node.revisionsInForce();
+  }
+  /// @return members that are known, dead ones included, without this VM
+  std::vector<MemberEntry> members() const {
+    return Node.membership().others();
+  }
 
-  /// Puts documents into force that are newer, and passes them on.
-  void apply(const std::vector<TeamDocument> &documents, Time now);
-  /// Keeps a newer record and tells the routers linked to this VM.
-  void takeOwners(const OwnershipRecord &record);
+  void tick(Time now) { handle(ControlTick(), now); }
+  /// This process is shutting down.
+  void leave(Time now) { handle(LeaveStarted(), now); }
+  /// Puts a document into force whose write is known to have taken effect.
+  void apply(const TeamDocument &document, Time now) {
+    handle(DocumentWritten{document}, now);
+  }
   /// Passes on a record that this VM's state machine published.
-  void publish(const OwnershipRecord &record);
+  void publish(const OwnershipRecord &record, Time now) {
+    handle(RecordPublished{record}, now);
+  }
 
-  void on(const VmListRead &read, Time now);
+  void on(DocumentsRead &read, Time now);
+  void on(const VmListRead &read, Time now) {
+    handle(VmsListed{read.Vms}, now);
+  }
   void on(const LinkReceived &received, Time now);
   void on(const LinkLost &lost, Time now);
 
 private:
-  void greet(const LinkHello &peer);
+  void handle(const ControlEvent &event, Time now);
+  void carryOut(SendControl &action, Time now);
+  void carryOut(ChooseLinks &action, Time now);
+  void carryOut(DropLink &action, Time now);
+  void carryOut(MembersChanged &action, Time now);
+  void carryOut(WatchStore &action, Time now);
+  void carryOut(DocumentsInForce &action, Time now);
+  void carryOut(DocumentRefused &action, Time now);
+  void carryOut(RecordKnown &action, Time now);
+  void greetRouter();
+  MembersUpdate controllersForRouters() const;
   void send(LinkSend message) { Links.commands().push(std::move(message)); }
 
   RecordMember Self;
+  StorePort &Store;
   LinkPort &Links;
-  Changed ConfigurationChanged;
-  Configuration Config;
-  std::vector<ListedVm> Vms;
-  std::map<ServiceId, OwnershipRecord> Owners;
+  ConfigurationHandlers Handlers;
+  ControlNode Node;
+  std::map<VmId, Endpoint> Targets;
 };
 
 } // namespace waxwing
--- a/src/controller/controller_process.cpp
+++ b/src/controller/controller_process.cpp
@@ -14,6 +14,8 @@
 
 #include <atomic>
 #include <optional>
+#include <thread>
+#include <utility>
 
 namespace waxwing {
 namespace {
@@ -23,6 +25,9 @@
           DomainId(settings.Vm.text("domain"))};
 }
 
+/// Peers are told in this time that this process leaves.
+constexpr Duration LeaveTime = milliseconds(200);
+
 OwnershipTerms termsOf(const SettingSection &settings) {
   return {settings.duration("heartbeat"), settings.duration("grant_term"),
           settings.duration("confirmation_term"),
@@ -42,13 +47,18 @@
               parseEndpoint(Settings.Store.text("vm_list")),
               [this] { wake(); }),
         Orders([this] { wake(); }), Links(Self, [this] { wake(); }),
-        Configurations(Self, Links,
-                       [this](Time now) {
-                         Ownership.define(Configurations.configuration(), now);
-                       }),
+        Configurations(
+            Self, Settings, Store, Links,
+            {[this](Time now) {
+               Ownership.define(Configurations.configuration(), now);
+             },
+             [this](std::vector<ControllerMember> members, Time now) {
+               Ownership.setMembers(std::move(members), now);
+             }},
+            readClock()),
         Ownership(Self, Terms, Store, Orders, Links,
-                  [this](const OwnershipRecord &record, Time) {
-                    Configurations.publish(record);
+                  [this](const OwnershipRecord &record, Time now) {
+                    Configurations.publish(record, now);
                   }) {}
 
   absl::Status start() {
@@ -60,6 +70,8 @@
   }
 
   void stop() {
+    IsLeaving = true;
+    std::this_thread::sleep_for(LeaveTime);
     Decisions->stop();
     Store.stop();
     Orders.stop();
@@ -81,15 +93,17 @@
       std::visit([&](auto &it) { on(it, now); }, event);
     });
     Orders.answers().drain([&](OrderAnswered &&it) { Ownership.on(it, now); });
-    if (call == DutyCall::Tick)
+    if (call == DutyCall::Tick) {
+      if (IsLeaving && !std::exchange(IsLeaveTold, true))
+        Configurations.leave(now);
+      Configurations.tick(now);
       Ownership.tick(now);
+    }
   }
 
   void on(RecordResult &result, Time now) { Ownership.on(result, now); }
 
-  void on(DocumentsRead &read, Time now) {
-    Configurations.apply(read.Documents, now);
-  }
+  void on(DocumentsRead &read, Time now) { Configurations.on(read, now); }
 
   void on(VmListRead &read, Time now) { Configurations.on(read, now); }
 
@@ -105,6 +119,8 @@
   RecordMember Self;
   OwnershipTerms Terms;
   std::atomic<bool> IsReady{false};
+  std::atomic<bool> IsLeaving{false};
+  bool IsLeaveTold = false;
   DutySystem System;
   StorePort Store;
   OrderPort Orders;
--- a/src/controller/link_port.cpp
+++ b/src/controller/link_port.cpp
@@ -8,11 +8,16 @@
 
 #include <algorithm>
 #include <future>
+#include <ranges>
 
 namespace waxwing {
 namespace {
 
 constexpr Duration ReconnectPeriod = milliseconds(200);
+/// A link on demand is closed when unused for this long.
+constexpr Duration DemandIdle = seconds(10);
+/// Messages that wait for a link on demand.
+constexpr std::size_t DemandMessages = 16;
 
 } // namespace
 
@@ -33,7 +38,7 @@
                  });
                }),
       Events(LinkPortRingCapacity, std::move(wakeDecisions)) {
-  Io.runEvery(ReconnectPeriod, [this] { connectMissing(); });
+  Io.runEvery(ReconnectPeriod, [this] { maintain(); });
 }
 
 LinkPort::~LinkPort() { stop(); }
@@ -53,22 +58,37 @@
 
 void LinkPort::carryOut(const LinkSend &command) {
   const std::string bytes = encodeLinkMessage(command.Message);
-  for (const auto &[link, peer] : Peers) {
-    const bool isAddressed =
-        (command.To && peer.Role == ProcessRole::Controller &&
-         peer.Self.Vm == *command.To) ||
-        (command.Everyone && peer.Role == *command.Everyone);
-    if (!isAddressed)
-      continue;
-    Host.send(link, bytes);
-    if (command.To)
-      return;
-  }
+  if (command.Everyone)
+    for (const auto &[link, peer] : Peers)
+      if (peer.Role == *command.Everyone)
+        Host.send(link, bytes);
+  if (!command.To)
+    return;
+  if (const auto it = Demands.find(*command.To);
+      it != Demands.end() && command.OpensLink)
+    it->second.Until = readClock() + DemandIdle;
+  if (const auto link = linkTo(*command.To))
+    Host.send(*link, bytes);
+  else if (command.OpensLink)
+    demand(*command.To, bytes);
 }
 
 void LinkPort::carryOut(const LinkTargets &command) {
   Targets = command.Controllers;
-  connectMissing();
+  Known = command.Known;
+  maintain();
+}
+
+void LinkPort::carryOut(const LinkDrop &command) {
+  std::vector<LinkId> links;
+  for (const auto &[link, peer] : Peers)
+    if (peer.Role == ProcessRole::Controller && peer.Self.Vm == command.To)
+      links.push_back(link);
+  // A peer that went silent does not answer the closing either.
+  for (const LinkId link : links) {
+    Host.close(link);
+    onClose(link);
+  }
 }
 
 void LinkPort::onOpen(LinkId link) {
@@ -80,11 +100,51 @@
   if (!message.ok())
     return Host.close(link);
   if (const auto *hello = std::get_if<LinkHello>(&*message))
-    Peers[link] = *hello;
+    if (!greet(link, *hello))
+      return Host.close(link);
   const auto it = Peers.find(link);
   if (it == Peers.end())
     return Host.close(link);
-  Events.push(LinkReceived{it->second, *std::move(message)});
+  const bool isHello = std::holds_alternative<LinkHello>(*message);
+  // A lost hello would leave a link that the decisions do not know.
+  if (!Events.push(LinkReceived{it->second, *std::move(message)}) && isHello)
+    Host.close(link);
+}
+
+/// Admits a link.
+/// @return false when the link is to be closed
+bool LinkPort::greet(LinkId link, const LinkHello &hello) {
+  const bool isController = hello.Role == ProcessRole::Controller;
+  if (isController && hello.Self.Vm == Self.Vm)
+    return false;
+  const auto accepted = std::ranges::count_if(
+      Peers | std::views::keys, [&](LinkId id) { return !isOpenedHere(id); });
+  if (!isOpenedHere(link) && hello.Self.Vm != Self.Vm &&
+      static_cast<std::size_t>(accepted) >= AcceptedLinksLimit)
+    return false;
+  Peers[link] = hello;
+  if (!isController)
+    return true;
+  if (const auto it = Demands.find(hello.Self.Vm); it != Demands.end())
+    for (const std::string &bytes : std::exchange(it->second.Messages, {}))
+      Host.send(link, bytes);
+  closeSurplus(hello.Self.Vm);
+  return true;
+}
+
+/// Both sides may have opened a link; the opener of the surplus closes it.
+void LinkPort::closeSurplus(const VmId &vm) {
+  const auto own = Opening.find(vm);
+  if (own == Opening.end() || !Peers.contains(own->second) || Self.Vm < vm)
+    return;
+  const LinkHello &peer = Peers.at(own->second);
+  const bool isSurplus = std::ranges::any_of(Peers, [&](const auto &entry) {
+    return entry.first != own->second &&
+           entry.second.Role == ProcessRole::Controller &&
+           entry.second.Self == peer.Self;
+  });
+  if (isSurplus)
+    Host.close(own->second);
 }
 
 void LinkPort::onClose(LinkId link) {
@@ -93,14 +153,56 @@
   const auto it = Peers.find(link);
   if (it == Peers.end())
     return;
-  Events.push(LinkLost{it->second});
+  const LinkHello peer = it->second;
   Peers.erase(it);
+  const bool hasOther =
+      peer.Role == ProcessRole::Controller && linkTo(peer.Self.Vm).has_value();
+  if (!hasOther)
+    Events.push(LinkLost{peer});
 }
 
-void LinkPort::connectMissing() {
+bool LinkPort::isOpenedHere(LinkId link) const {
+  return std::ranges::any_of(
+      Opening, [link](const auto &entry) { return entry.second == link; });
+}
+
+/// @return the newest link to this controller
+std::optional<LinkId> LinkPort::linkTo(const VmId &vm) const {
+  for (const auto &[link, peer] : Peers | std::views::reverse)
+    if (peer.Role == ProcessRole::Controller && peer.Self.Vm == vm)
+      return link;
+  return std::nullopt;
+}
+
+void LinkPort::demand(const VmId &vm, const std::string &bytes) {
+  if (vm == Self.Vm || !Known.contains(vm) ||
+      (!Demands.contains(vm) && Demands.size() >= DemandedLinksLimit))
+    return;
+  Demand &demand = Demands[vm];
+  demand.Until = readClock() + DemandIdle;
+  if (demand.Messages.size() < DemandMessages)
+    demand.Messages.push_back(bytes);
+  connect(vm, Known.at(vm));
+}
+
+/// Opens links that are missing and closes those no longer wanted.
+void LinkPort::maintain() {
+  const Time now = readClock();
+  std::erase_if(Demands,
+                [&](const auto &entry) { return now >= entry.second.Until; });
   for (const auto &[vm, endpoint] : Targets)
-    if (!Opening.contains(vm))
-      Opening[vm] = Host.connect(endpoint.Address, endpoint.Port);
+    connect(vm, endpoint);
+  std::vector<LinkId> unwanted;
+  for (const auto &[vm, link] : Opening)
+    if (!Targets.contains(vm) && !Demands.contains(vm))
+      unwanted.push_back(link);
+  for (const LinkId link : unwanted)
+    Host.close(link);
+}
+
+void LinkPort::connect(const VmId &vm, const Endpoint &endpoint) {
+  if (!Opening.contains(vm) && !linkTo(vm))
+    Opening[vm] = Host.connect(endpoint.Address, endpoint.Port);
 }
 
 } // namespace waxwing
--- a/src/controller/link_port.h
+++ b/src/controller/link_port.h
@@ -22,14 +22,21 @@
   std::optional<VmId> To;              ///< a controller
   std::optional<ProcessRole> Everyone; ///< all links of this role
   LinkMessage Message;
+  bool OpensLink = true; ///< a link to To is opened when there is none
 };
 
 /// Keep links open to these controllers.
 struct LinkTargets {
   std::map<VmId, Endpoint> Controllers;
+  std::map<VmId, Endpoint> Known; ///< all addresses, for links on demand
 };
 
-using LinkCommand = std::variant<LinkSend, LinkTargets>;
+/// Close all links to this controller.
+struct LinkDrop {
+  VmId To;
+};
+
+using LinkCommand = std::variant<LinkSend, LinkTargets, LinkDrop>;
 
 /// A message with its sender.
 struct LinkReceived {
@@ -46,7 +53,14 @@
 
 constexpr std::size_t LinkPortRingCapacity = 8192;
 
+/// Links from other VMs' processes that one controller takes.
+constexpr std::size_t AcceptedLinksLimit = 64;
+/// Links on demand that one controller opens.
+constexpr std::size_t DemandedLinksLimit = 64;
+
 /// Used on its own thread, but for commands().
+/// Invariant: at most one link to a controller is used; of two that were
+/// opened from both sides, the one that the smaller VM id opened remains.
 class LinkPort {
 public:
   LinkPort(RecordMember self, std::function<void()> wakeDecisions);
@@ -62,10 +76,23 @@
 private:
   void carryOut(const LinkSend &command);
   void carryOut(const LinkTargets &command);
+  void carryOut(const LinkDrop &command);
+  /// A link that was asked for by a message.
+  struct Demand {
+    Time Until;                        ///< closed when idle until then
+    std::vector<std::string> Messages; ///< wait for the hello
+  };
+
   void onOpen(LinkId link);
   void onMessage(LinkId link, const std::string &bytes);
   void onClose(LinkId link);
-  void connectMissing();
+  bool greet(LinkId link, const LinkHello &hello);
+  void closeSurplus(const VmId &vm);
+  void demand(const VmId &vm, const std::string &bytes);
+  std::optional<LinkId> linkTo(const VmId &vm) const;
+  bool isOpenedHere(LinkId link) const;
+  void maintain();
+  void connect(const VmId &vm, const Endpoint &endpoint);
 
   IoThread Io{"links"};
   RecordMember Self;
@@ -73,6 +100,8 @@
   BoundedRing<LinkCommand> Commands;
   BoundedRing<LinkEvent> Events;
   std::map<VmId, Endpoint> Targets;
+  std::map<VmId, Endpoint> Known;
+  std::map<VmId, Demand> Demands;
   std::map<VmId, LinkId> Opening; ///< links that this side opened
   std::map<LinkId, LinkHello> Peers;
 };
--- a/src/controller/store_port.cpp
+++ b/src/controller/store_port.cpp
@@ -4,6 +4,7 @@
  */
 #include "controller/store_port.h"
 
+#include <algorithm>
 #include <spdlog/spdlog.h>
 
 namespace waxwing {
@@ -13,7 +14,10 @@
 constexpr std::string_view RecordPrefix = "/ownership/";
 constexpr Duration WatchWait = seconds(10);
 constexpr Duration WatchRetryPeriod = milliseconds(500);
+/// The list is polled by each VM, the more rarely the more VMs there are.
 constexpr Duration VmListPeriod = seconds(1);
+constexpr Duration VmListPeriodPerVm = milliseconds(50);
+constexpr std::size_t WatchRingCapacity = 64;
 
 std::string recordKey(const ServiceId &service) {
   return std::string(RecordPrefix) + service.Value;
@@ -61,16 +65,17 @@
                                      });
                                    });
                                  }),
+      Watching(WatchRingCapacity,
+               [this] {
+                 Io.post([this] {
+                   Watching.drain([this](WatchRequest &&it) { carryOut(it); });
+                 });
+               }),
       Events(StoreRingCapacity, std::move(wakeDecisions)) {}
 
 void StorePort::start() {
-  Io.post([this] {
-    Store.list(std::string(DocumentPrefix), [this](StoreListResult result) {
-      takeDocuments(std::move(result));
-    });
-  });
   if (VmList.Port != 0)
-    Io.runEvery(VmListPeriod, [this] { pollVmList(); });
+    Io.post([this] { pollVmList(); });
 }
 
 void StorePort::carryOut(const ServiceId &service, const ReadRecord &action) {
@@ -89,36 +94,68 @@
       });
 }
 
+void StorePort::carryOut(const WatchRequest &request) {
+  if (IsWatching == request.IsWanted)
+    return;
+  IsWatching = request.IsWanted;
+  ++Watch;
+  if (IsWatching)
+    listDocuments();
+}
+
+void StorePort::listDocuments() {
+  SeenUpto = Revision();
+  Store.list(std::string(DocumentPrefix),
+             [this, watch = Watch](StoreListResult result) {
+               takeDocuments(watch, std::move(result));
+             });
+}
+
 void StorePort::watchDocuments() {
-  Store.watch(
-      std::string(DocumentPrefix), SeenUpto, WatchWait,
-      [this](StoreListResult result) { takeDocuments(std::move(result)); });
+  Store.watch(std::string(DocumentPrefix), SeenUpto, WatchWait,
+              [this, watch = Watch](StoreListResult result) {
+                takeDocuments(watch, std::move(result));
+              });
 }
 
-void StorePort::takeDocuments(StoreListResult result) {
-  if (result.Status != StoreStatus::Done) {
-    Io.runAt(readClock() + WatchRetryPeriod, [this] { watchDocuments(); });
-    return;
-  }
-  DocumentsRead read;
+void StorePort::takeDocuments(std::uint64_t watch, StoreListResult result) {
+  if (watch != Watch || !IsWatching)
+    return; // the watch has ended
+  DocumentsRead read{result.Status == StoreStatus::Done, {}};
   for (StoreValue &entry : result.Entries)
     read.Documents.push_back({TeamId(entry.Key.substr(DocumentPrefix.size())),
                               entry.Rev, std::move(entry.Value)});
+  const bool isAnswered = read.IsAnswered;
   // A full ring leaves SeenUpto behind, so the documents come again.
-  if (read.Documents.empty() || Events.push(std::move(read)))
+  const bool isTaken = Events.push(std::move(read));
+  if (isAnswered && isTaken) {
     SeenUpto = result.Upto;
-  watchDocuments();
+    return watchDocuments();
+  }
+  Io.runAt(readClock() + WatchRetryPeriod, [this, watch] {
+    if (watch != Watch || !IsWatching)
+      return;
+    if (SeenUpto == Revision())
+      listDocuments();
+    else
+      watchDocuments();
+  });
 }
 
 void StorePort::pollVmList() {
-  VmListClient.send(VmList, {}, readClock() + Timeout,
-                    [this](const HttpOutcome &outcome) {
-                      if (outcome.Progress != HttpProgress::Answered)
-                        return;
-                      auto vms = parseVmList(outcome.Response.Body);
-                      if (vms.ok())
-                        Events.push(VmListRead{*std::move(vms)});
-                    });
+  VmListClient.send(
+      VmList, {}, readClock() + Timeout, [this](const HttpOutcome &outcome) {
+        Duration period = VmListPeriod;
+        if (outcome.Progress == HttpProgress::Answered) {
+          auto vms = parseVmList(outcome.Response.Body);
+          if (vms.ok()) {
+            const auto count = static_cast<std::int64_t>(vms->size());
+            period = std::max(period, VmListPeriodPerVm * count);
+            Events.push(VmListRead{*std::move(vms)});
+          }
+        }
+        Io.runAt(readClock() + period, [this] { pollVmList(); });
+      });
 }
 
 } // namespace waxwing
--- a/src/controller/store_port.h
+++ b/src/controller/store_port.h
@@ -26,8 +26,9 @@
   std::variant<RecordRead, RecordWritten> Event;
 };
 
-/// Newer documents.
+/// A list of all documents, or a wait for changes, ended.
 struct DocumentsRead {
+  bool IsAnswered = false; ///< false: the store did not answer
   std::vector<TeamDocument> Documents;
 };
 
@@ -36,22 +37,29 @@
   std::vector<ListedVm> Vms;
 };
 
+/// Begin or end to watch documents.
+struct WatchRequest {
+  bool IsWanted = false;
+};
+
 using StoreEvent = std::variant<RecordResult, DocumentsRead, VmListRead>;
 
 /// Waiting events and requests at most.
 constexpr std::size_t StoreRingCapacity = 4096;
 
-/// Used on its own thread, but for requests().
+/// Used on its own thread, but for requests() and watching().
 class StorePort {
 public:
   /// @param wakeDecisions called when events wait
   StorePort(const Endpoint &store, Duration timeout, Endpoint vmList,
             std::function<void()> wakeDecisions);
 
-  /// Begins to watch documents and to poll the VM list.
+  /// Begins to poll the VM list.
   void start();
   /// Filled by the decisions.
   BoundedRing<RecordRequest> &requests() { return Requests; }
+  /// Filled by the decisions.
+  BoundedRing<WatchRequest> &watching() { return Watching; }
   /// Consumed by the decisions.
   BoundedRing<StoreEvent> &events() { return Events; }
   void stop() { Io.stop(); }
@@ -59,8 +67,10 @@
 private:
   void carryOut(const ServiceId &service, const ReadRecord &action);
   void carryOut(const ServiceId &service, const WriteRecord &action);
+  void carryOut(const WatchRequest &request);
+  void listDocuments();
   void watchDocuments();
-  void takeDocuments(StoreListResult result);
+  void takeDocuments(std::uint64_t watch, StoreListResult result);
   void pollVmList();
 
   IoThread Io{"store"};
@@ -69,8 +79,11 @@
   Endpoint VmList;
   Duration Timeout;
   BoundedRing<RecordRequest> Requests;
+  BoundedRing<WatchRequest> Watching;
   BoundedRing<StoreEvent> Events;
-  Revision SeenUpto; ///< documents up to this revision were taken
+  bool IsWatching = false;
+  std::uint64_t Watch = 0; ///< number of the present watch
+  Revision SeenUpto;       ///< documents up to this revision were taken
 };
 
 } // namespace waxwing
--- /dev/null
+++ b/src/link/control_codec.cpp
@@ -0,0 +1,156 @@
+/**
+ * @file control_codec.cpp
+ * Arrays in the order of the structs' members.
+ */
+#include "link/control_codec.h"
+
+#include <stdexcept>
+
+namespace waxwing {
+namespace {
+
+using Json = nlohmann::json;
+
+Json encodeEntry(const MemberEntry &it) {
+  return {it.Vm.Value,      it.Process.Value,
+          it.Version,       static_cast<int>(it.State),
+          it.Domain.Value,  it.Region,
+          it.Link.Address,  it.Link.Port,
+          it.IsStoreFailing};
+}
+
+MemberEntry decodeEntry(const Json &body) {
+  const int state = body.at(3).get<int>();
+  if (state < 0 || state > static_cast<int>(MemberState::Dead))
+    throw std::invalid_argument("member state " + std::to_string(state));
+  return {VmId(body.at(0).get<std::string>()),
+          Incarnation(body.at(1).get<std::uint64_t>()),
+          body.at(2).get<std::uint64_t>(),
+          static_cast<MemberState>(state),
+          DomainId(body.at(4).get<std::string>()),
+          body.at(5).get<std::string>(),
+          {body.at(6).get<std::string>(), body.at(7).get<std::uint16_t>()},
+          body.at(8).get<bool>()};
+}
+
+Json encodeBuckets(const BucketDigests &buckets) { return Json(buckets); }
+
+BucketDigests decodeBuckets(const Json &body) {
+  return body.get<BucketDigests>();
+}
+
+Json encodeItems(const std::vector<ItemVersion> &items) {
+  Json body = Json::array();
+  for (const ItemVersion &it : items)
+    body.push_back({static_cast<int>(it.Key.Kind), it.Key.Name, it.Rev.Value});
+  return body;
+}
+
+std::vector<ItemVersion> decodeItems(const Json &body) {
+  std::vector<ItemVersion> items;
+  for (const Json &it : body) {
+    const int kind = it.at(0).get<int>();
+    if (kind < 0 || kind > static_cast<int>(ItemKind::Record))
+      throw std::invalid_argument("item kind " + std::to_string(kind));
+    items.push_back({{static_cast<ItemKind>(kind), it.at(1).get<std::string>()},
+                     Revision(it.at(2).get<std::uint64_t>())});
+  }
+  return items;
+}
+
+} // namespace
+
+Json encodeControl(const Heartbeat &message) {
+  return {"beat", {message.Period.count(), message.Members, message.Items}};
+}
+
+Json encodeControl(const MembersUpdate &message) {
+  Json body = Json::array();
+  for (const MemberEntry &it : message.Entries)
+    body.push_back(encodeEntry(it));
+  return {"members", body};
+}
+
+Json encodeControl(const MembersCompare &message) {
+  return {"members?", encodeBuckets(message.Buckets)};
+}
+
+Json encodeControl(const ItemsAnnounce &message) {
+  return {"have", encodeItems(message.Items)};
+}
+
+Json encodeControl(const ItemsPull &message) {
+  return {"pull", encodeItems(message.Items)};
+}
+
+Json encodeControl(const ItemsCompare &message) {
+  return {"items?", encodeBuckets(message.Buckets)};
+}
+
+Json encodeControl(const ItemsVector &message) {
+  return {"items", {message.Parts, encodeItems(message.Items)}};
+}
+
+Json encodeControl(const RevisionReportsUpdate &message) {
+  Json body = Json::array();
+  for (const RevisionReport &it : message.Reports) {
+    Json recent = Json::array();
+    for (const TeamRevision &row : it.Recent)
+      recent.push_back({row.Team.Value, row.Rev.Value});
+    body.push_back(
+        {it.Vm.Value, it.Process.Value, it.Version, it.Digest, recent});
+  }
+  return {"reports", body};
+}
+
+LinkMessage decodeHeartbeat(const Json &body) {
+  return MembershipEnvelope{Heartbeat{Duration(body.at(0).get<std::int64_t>()),
+                                      body.at(1).get<std::uint64_t>(),
+                                      body.at(2).get<std::uint64_t>()}};
+}
+
+LinkMessage decodeMembersUpdate(const Json &body) {
+  MembersUpdate message;
+  for (const Json &it : body)
+    message.Entries.push_back(decodeEntry(it));
+  return MembershipEnvelope{std::move(message)};
+}
+
+LinkMessage decodeMembersCompare(const Json &body) {
+  return MembershipEnvelope{MembersCompare{decodeBuckets(body)}};
+}
+
+LinkMessage decodeItemsAnnounce(const Json &body) {
+  return RelayEnvelope{ItemsAnnounce{decodeItems(body)}};
+}
+
+LinkMessage decodeItemsPull(const Json &body) {
+  return RelayEnvelope{ItemsPull{decodeItems(body)}};
+}
+
+LinkMessage decodeItemsCompare(const Json &body) {
+  return RelayEnvelope{ItemsCompare{decodeBuckets(body)}};
+}
+
+LinkMessage decodeItemsVector(const Json &body) {
+  return RelayEnvelope{
+      ItemsVector{decodeItems(body.at(1)), body.at(0).get<std::uint32_t>()}};
+}
+
+LinkMessage decodeRevisionReports(const Json &body) {
+  RevisionReportsUpdate message;
+  for (const Json &it : body) {
+    RevisionReport report{VmId(it.at(0).get<std::string>()),
+                          Incarnation(it.at(1).get<std::uint64_t>()),
+                          it.at(2).get<std::uint64_t>(),
+                          it.at(3).get<std::uint64_t>(),
+                          {}};
+    for (const Json &row : it.at(4))
+      report.Recent.push_back({TeamId(row.at(0).get<std::string>()),
+                               Revision(row.at(1).get<std::uint64_t>())});
+    message.Reports.push_back(std::move(report));
+  }
+  return message;
+}
+
+} // namespace waxwing
--- a/src/link/link_message.cpp
+++ b/src/link/link_message.cpp
@@ -4,6 +4,8 @@
  */
 #include "link/link_message_func.h"
 
+#include "link/control_codec.h"
+
 #include <absl/status/status.h>
 #include <array>
 #include <nlohmann/json.hpp>
@@ -42,6 +44,29 @@
   Json operator()(const OwnershipEnvelope &envelope) const {
     return std::visit(*this, envelope.Message);
   }
+  Json operator()(const MembershipEnvelope &envelope) const {
+    return std::visit([](const auto &it) { return encodeControl(it); },
+                      envelope.Message);
+  }
+  Json operator()(const RelayEnvelope &envelope) const {
+    return std::visit(*this, envelope.Message);
+  }
+  Json operator()(const ItemContent &it) const {
+    return std::visit(*this, it.Content);
+  }
+  Json operator()(const TeamDocument &it) const {
+    return (*this)(DocumentsUpdate{{it}});
+  }
+  Json operator()(const OwnershipRecord &it) const {
+    return (*this)(OwnersUpdate{it});
+  }
+  Json operator()(const ItemsAnnounce &it) const { return encodeControl(it); }
+  Json operator()(const ItemsPull &it) const { return encodeControl(it); }
+  Json operator()(const ItemsCompare &it) const { return encodeControl(it); }
+  Json operator()(const ItemsVector &it) const { return encodeControl(it); }
+  Json operator()(const RevisionReportsUpdate &it) const {
+    return encodeControl(it);
+  }
   Json operator()(const ConfirmRequest &it) const {
     return {"confirm", {it.Service.Value, it.Record.Value, it.Round}};
   }
@@ -122,6 +147,14 @@
     DecoderRow{"confirmed", decodeConfirmed},
     DecoderRow{"fence", decodeFence},
     DecoderRow{"fenced", decodeFenced},
+    DecoderRow{"beat", decodeHeartbeat},
+    DecoderRow{"members", decodeMembersUpdate},
+    DecoderRow{"members?", decodeMembersCompare},
+    DecoderRow{"have", decodeItemsAnnounce},
+    DecoderRow{"pull", decodeItemsPull},
+    DecoderRow{"items?", decodeItemsCompare},
+    DecoderRow{"items", decodeItemsVector},
+    DecoderRow{"reports", decodeRevisionReports},
 };
 
 } // namespace
--- a/src/link/link_message_type.h
+++ b/src/link/link_message_type.h
@@ -7,7 +7,10 @@
 #define WAXWING_LINK_LINK_MESSAGE_TYPE_H
 
 #include "config/team_config_base.h"
+#include "membership/membership_type.h"
 #include "ownership/ownership_record_base.h"
+#include "relay/relay_type.h"
+#include "relay/revision_reports_type.h"
 
 #include <variant>
 #include <vector>
@@ -38,8 +41,20 @@
   OwnershipMessage Message;
 };
 
+/// A message between membership state machines.
+struct MembershipEnvelope {
+  MembershipMessage Message;
+};
+
+/// A message between relays; contents travel as DocumentsUpdate and
+/// OwnersUpdate.
+struct RelayEnvelope {
+  RelayMessage Message;
+};
+
 using LinkMessage =
-    std::variant<LinkHello, DocumentsUpdate, OwnersUpdate, OwnershipEnvelope>;
+    std::variant<LinkHello, DocumentsUpdate, OwnersUpdate, OwnershipEnvelope,
+                 MembershipEnvelope, RelayEnvelope, RevisionReportsUpdate>;
 
 } // namespace waxwing
 
--- /dev/null
+++ b/src/membership/member_choice.cpp
@@ -0,0 +1,118 @@
+/**
+ * @file member_choice.cpp
+ * Ring successors, rendezvous choices and their spread.
+ */
+#include "membership/member_choice_func.h"
+
+#include "core/hash_func.h"
+
+#include <algorithm>
+#include <set>
+#include <tuple>
+
+namespace waxwing {
+namespace {
+
+constexpr std::uint64_t RingSeed = 0x52494e47;
+constexpr std::uint64_t WatchSeed = 0x57415443;
+/// Links of one process to its successors on the ring.
+constexpr std::size_t RingSuccessors = 2;
+/// Watchers passed over because their watches fail; more at once show that
+/// the store itself is down.
+constexpr std::size_t FailingPassedOver = WatcherCount;
+
+std::uint64_t ringPlace(const VmId &vm) { return hashText(vm.Value, RingSeed); }
+
+/// Adds the members that follow @p self on the ring.
+void addSuccessors(const VmId &self, std::span<const MemberEntry> others,
+                   std::set<VmId> &chosen) {
+  const std::uint64_t origin = ringPlace(self);
+  std::vector<std::pair<std::uint64_t, const VmId *>> ring;
+  ring.reserve(others.size());
+  for (const MemberEntry &member : others)
+    ring.emplace_back(ringPlace(member.Vm) - origin, &member.Vm);
+  const auto count = std::min(RingSuccessors, ring.size());
+  std::partial_sort(
+      ring.begin(), ring.begin() + static_cast<std::ptrdiff_t>(count),
+      ring.end(), [](const auto &a, const auto &b) {
+        return std::tie(a.first, *a.second) < std::tie(b.first, *b.second);
+      });
+  for (std::size_t n = 0; n < count; ++n)
+    chosen.insert(*ring[n].second);
+}
+
+/// A member's place in the pseudo-random order of one chooser.
+struct Candidate {
+  std::size_t Round = 0; ///< members of its domain before it
+  std::uint64_t Weight = 0;
+  const MemberEntry *Member = nullptr;
+};
+
+/// Adds pseudo-random members, each domain's best first, then each domain's
+/// second, until @p limit are chosen.
+void addChords(const VmId &self, std::span<const MemberEntry> others,
+               std::size_t limit, std::set<VmId> &chosen) {
+  const std::uint64_t seed = ringPlace(self);
+  std::vector<Candidate> order;
+  order.reserve(others.size());
+  for (const MemberEntry &member : others)
+    order.push_back({0, hashText(member.Vm.Value, seed), &member});
+  std::ranges::sort(order, [](const Candidate &a, const Candidate &b) {
+    return std::tie(b.Weight, a.Member->Vm) < std::tie(a.Weight, b.Member->Vm);
+  });
+  std::map<DomainId, std::size_t> seen;
+  for (Candidate &it : order)
+    it.Round = seen[it.Member->Domain]++;
+  std::ranges::stable_sort(order, {}, &Candidate::Round);
+  for (const Candidate &it : order) {
+    if (chosen.size() >= limit)
+      return;
+    chosen.insert(it.Member->Vm);
+  }
+}
+
+} // namespace
+
+std::vector<VmId> chooseLinks(const VmId &self,
+                              std::span<const MemberEntry> others,
+                              const MembershipTerms &terms) {
+  std::set<VmId> chosen;
+  if (others.size() < terms.MeshVms) {
+    for (const MemberEntry &member : others)
+      chosen.insert(member.Vm);
+  } else {
+    addSuccessors(self, others, chosen);
+    addChords(self, others, terms.Links, chosen);
+  }
+  return {chosen.begin(), chosen.end()};
+}
+
+std::vector<VmId> chooseWatchers(std::span<const MemberEntry> live) {
+  std::vector<const MemberEntry *> order;
+  for (const MemberEntry &member : live)
+    order.push_back(&member);
+  std::ranges::sort(order, {}, [](const MemberEntry *it) {
+    return std::pair(hashText(it->Vm.Value, WatchSeed), it->Vm);
+  });
+  std::size_t passedOver = 0;
+  std::erase_if(order, [&](const MemberEntry *it) {
+    return it->IsStoreFailing && passedOver++ < FailingPassedOver;
+  });
+  std::vector<VmId> chosen;
+  std::set<std::string> regions;
+  std::set<DomainId> domains;
+  while (chosen.size() < WatcherCount && !order.empty()) {
+    const auto it =
+        std::ranges::min_element(order, {}, [&](const MemberEntry *member) {
+          return std::pair(regions.contains(member->Region),
+                           domains.contains(member->Domain));
+        });
+    chosen.push_back((*it)->Vm);
+    regions.insert((*it)->Region);
+    domains.insert((*it)->Domain);
+    order.erase(it);
+  }
+  return chosen;
+}
+
+} // namespace waxwing
--- /dev/null
+++ b/src/relay/revision_reports.cpp
@@ -0,0 +1,122 @@
+/**
+ * @file revision_reports.cpp
+ * Rounds of reports.
+ */
+#include "relay/revision_reports_base.h"
+
+#include "core/hash_func.h"
+
+#include <algorithm>
+#include <iterator>
+#include <tuple>
+
+namespace waxwing {
+namespace {
+
+std::uint64_t digestOf(const std::map<TeamId, Revision> &revisions) {
+  std::uint64_t digest = 0;
+  for (const auto &[team, rev] : revisions)
+    digest ^= hashText(team.Value, rev.Value);
+  return digest;
+}
+
+bool isNewer(const RevisionReport &a, const RevisionReport &b) {
+  return std::tuple(a.Version, a.Process) > std::tuple(b.Version, b.Process);
+}
+
+} // namespace
+
+RevisionReports::RevisionReports(VmId vm, Incarnation process) {
+  Own.Vm = std::move(vm);
+  Own.Process = process;
+}
+
+void RevisionReports::setOwn(const Configuration &config, Time now) {
+  for (const auto &[team, document] : config.documents()) {
+    Revision &known = OwnRevisions[team];
+    if (known == document.Rev)
+      continue;
+    known = document.Rev;
+    std::erase_if(Own.Recent,
+                  [&](const TeamRevision &it) { return it.Team == team; });
+    Own.Recent.push_back({team, document.Rev});
+  }
+  if (Own.Recent.size() > ReportedTeams)
+    Own.Recent.erase(Own.Recent.begin(),
+                     Own.Recent.end() -
+                         static_cast<std::ptrdiff_t>(ReportedTeams));
+  Own.Digest = digestOf(OwnRevisions);
+  ++Own.Version;
+  Vms[Own.Vm] = {Own, OwnRevisions, now};
+  markUnsent(Own.Vm, Own.Vm);
+  for (auto &[vm, data] : Vms)
+    fillKnown(data);
+}
+
+void RevisionReports::addPeer(const VmId &peer) {
+  std::set<VmId> &unsent = Unsent[peer];
+  for (const auto &[vm, data] : Vms)
+    unsent.insert(vm);
+}
+
+void RevisionReports::take(const VmId &from,
+                           const RevisionReportsUpdate &update, Time now) {
+  for (const RevisionReport &report : update.Reports) {
+    if (report.Vm == Own.Vm) {
+      // A report from before this process started.
+      if (!isNewer(report, Own))
+        continue;
+      Own.Version = report.Version + 1;
+      Vms[Own.Vm] = {Own, OwnRevisions, now};
+      markUnsent(Own.Vm, Own.Vm);
+      continue;
+    }
+    const auto [it, isNew] = Vms.try_emplace(report.Vm);
+    VmData &data = it->second;
+    if (!isNew && !isNewer(report, data.Report))
+      continue;
+    if (report.Process != data.Report.Process)
+      data.Revisions.clear();
+    data.Report = report;
+    data.HeardAt = now;
+    for (const TeamRevision &it2 : report.Recent)
+      data.Revisions[it2.Team] = it2.Rev;
+    fillKnown(data);
+    markUnsent(report.Vm, from);
+  }
+}
+
+std::map<VmId, RevisionReportsUpdate> RevisionReports::nextRound() {
+  std::map<VmId, RevisionReportsUpdate> round;
+  for (auto &[peer, unsent] : Unsent) {
+    RevisionReportsUpdate update;
+    while (!unsent.empty() && update.Reports.size() < ReportsPerRound)
+      update.Reports.push_back(
+          Vms.at(unsent.extract(unsent.begin()).value()).Report);
+    if (!update.Reports.empty())
+      round[peer] = std::move(update);
+  }
+  return round;
+}
+
+std::vector<RevisionInForce> RevisionReports::rows() const {
+  std::vector<RevisionInForce> rows;
+  for (const auto &[vm, data] : Vms)
+    for (const auto &[team, rev] : data.Revisions)
+      rows.push_back({vm, team, rev, data.HeardAt});
+  return rows;
+}
+
+void RevisionReports::markUnsent(const VmId &vm, const VmId &except) {
+  for (auto &[peer, unsent] : Unsent)
+    if (peer != except)
+      unsent.insert(vm);
+}
+
+/// An equal digest means equal revisions of all teams.
+void RevisionReports::fillKnown(VmData &data) const {
+  if (data.Report.Digest == Own.Digest)
+    data.Revisions = OwnRevisions;
+}
+
+} // namespace waxwing
--- a/src/table/vm_settings.h
+++ b/src/table/vm_settings.h
@@ -39,6 +39,8 @@
      "administration API"},
     {"controller", "metrics", SettingType::Address, "", "127.0.0.1:8092", 1, 64,
      "metrics page of the controller"},
+    {"controller", "links", SettingType::Integer, "links", "8", 4, 64,
+     "links that this controller opens to others among more than 12 VMs"},
     {"ownership", "heartbeat", SettingType::Integer, "ms", "100", 10, 10000,
      "time between renewals of a grant and between heartbeats"},
     {"ownership", "grant_term", SettingType::Integer, "ms", "300", 30, 60000,
