Add: [Standins] Faults, load plan and the oracle over upstream records

The load tool runs streams from an INI plan (tiers, surges, moving hot keys, resends with the same idempotency key) and compares upstreams' records with what callers were told. Upstreams cancel, keep deadlines, tell lagging load, cross answers, silence connections and crash on a marked request.

Fix: inih splits lines longer than its buffer into wrong keys; such a line is refused now, and indented lines continue a value. Test: vm_settings_test.

--- a/scripts/deployment.sh
+++ b/scripts/deployment.sh
@@ -1,30 +1,38 @@
 # Functions that start one deployment of the brief on the stand-ins.
 # Sourced by scripts/demo; everything listens on 127.0.0.1.
+#
+# Variables that the caller sets: bin (programs), run (folder for settings
+# and logs), team, domains (array), next_port (of upstreams).
 
-readonly CallerKey="demo-key"
-Pids=()
+Pids=()        # of all processes started
+declare -A PidOf=() # of one process, by its log's name
+Records=""     # admin ports of the upstreams, for the load tool
 
-# start_process LOGFILE COMMAND...: starts a program and notes its id.
+# start_process NAME COMMAND...: starts a program and notes its id.
 start_process() {
-  local log=$1
+  local name=$1
   shift
-  "$@" >"$log" 2>&1 &
+  "$@" >"$run/$name.log" 2>&1 &
   Pids+=($!)
+  PidOf[$name]=$!
 }
 
 # stop_all: ends what start_process started, and waits for it.
 stop_all() {
   if [ ${#Pids[@]} -gt 0 ]; then
+    kill -CONT "${Pids[@]}" 2>/dev/null || true
     kill -TERM "${Pids[@]}" 2>/dev/null || true
     wait "${Pids[@]}" 2>/dev/null || true
   fi
   Pids=()
+  PidOf=()
+  Records=""
 }
 
-# wait_for_port PORT: returns when something listens on it, at most 10 s.
+# wait_for_port PORT: returns when something listens on it, at most 20 s.
 wait_for_port() {
   local n
-  for n in $(seq 100); do
+  for n in $(seq 200); do
     if (exec 3<>"/dev/tcp/127.0.0.1/$1") 2>/dev/null; then return 0; fi
     sleep 0.1
   done
@@ -32,9 +40,28 @@
   return 1
 }
 
+# add_caller TIER KEY: lets callers with this key into the tier.
+add_caller() {
+  printf '[caller %s]\ntier = %s\nkey_sha256 = %s\n' "$1" "$1" \
+    "$(printf %s "$2" | sha256sum | cut -d' ' -f1)" >>"$run/$team.ini"
+}
+
+# begin_document: starts the team's document with domains, tiers and callers.
+begin_document() {
+  mkdir -p "$run"
+  local domain
+  : >"$run/$team.ini"
+  for domain in "${domains[@]}"; do
+    printf '[domain %s]\ntaken_out = false\n' "$domain" >>"$run/$team.ini"
+  done
+  printf '[tier paying]\nweight = 8\n[tier free]\nweight = 1\n' \
+    >>"$run/$team.ini"
+  add_caller paying paying-key
+  add_caller free free-key
+}
+
 # add_service NAME COUNT DIVIDED SLOTS CONNECTIONS: starts the upstreams of a
 # service and appends it to the team's document.
-# Uses: bin, run, team, next_port, domains.
 add_service() {
   local name=$1 count=$2 divided=$3 slots=$4 connections=$5 n
   printf '[service %s]\ndivided_by_key = %s\nshards = 256\nslots = %s\nwarm_up = 1000\n' \
@@ -44,39 +71,32 @@
     next_port=$((next_port + 2))
     printf '[upstream %s-%s]\nservice = %s\naddress = 127.0.0.1:%s\ndomain = %s\n' \
       "$name" "$n" "$name" "$port" "$domain" >>"$run/$team.ini"
-    start_process "$run/upstream-$name-$n.log" "$bin/standin-upstream" \
+    Records+="127.0.0.1:$((port + 1)) "
+    start_process "upstream-$name-$n" "$bin/standin-upstream" \
       --id "$team/$name-$n" --listen "127.0.0.1:$port" \
       --admin "127.0.0.1:$((port + 1))" --slots "$slots" \
-      --connections "$connections" --warm-up-ms 1000 \
-      --divided-by-key="$divided"
+      --connections "$connections" --warm-up-ms 1000 --latency-us 1000 \
+      --report-lag-ms 1000 --divided-by-key="$divided"
   done
 }
 
-# start_deployment TEAM BASE_PORT VMS DOMAINS...: starts store, VM list,
-# routers and controllers; the document must have been put together before.
-# Sets: routers (IP:port,...), store_port.
+# start_platform BASE_PORT: starts the store and the VM list.
 start_platform() {
   store_port=$1
-  start_process "$run/store.log" "$bin/standin-store" \
+  start_process store "$bin/standin-store" \
     --listen "127.0.0.1:$store_port" --admin "127.0.0.1:$((store_port + 1))"
-  start_process "$run/vm-list.log" "$bin/standin-vm-list" \
+  start_process vm-list "$bin/standin-vm-list" \
     --listen "127.0.0.1:$((store_port + 2))" --file "$run/vms.json"
   wait_for_port "$store_port"
 }
 
-# start_vms COUNT BASE_PORT: writes each VM's settings and starts its router
-# and controller.
-start_vms() {
-  local count=$1 base=$2 n rows=""
-  routers=""
-  for n in $(seq "$count"); do
-    local port=$((base + n * 10)) domain=${domains[$((n % ${#domains[@]}))]}
-    rows+="${rows:+,}{\"name\":\"vm$n\",\"domain\":\"$domain\",\"link\":\"127.0.0.1:$((port + 3))\",\"forward\":\"127.0.0.1:$((port + 1))\"}"
-    routers+="${routers:+,}127.0.0.1:$port"
-    cat >"$run/vm$n.ini" <<INI
+# write_vm_settings N PORT: settings of VM N whose ports begin at PORT.
+write_vm_settings() {
+  local n=$1 port=$2
+  cat >"$run/vm$n.ini" <<INI
 [vm]
 name = vm$n
-domain = $domain
+domain = ${domains[$((n % ${#domains[@]}))]}
 [store]
 address = 127.0.0.1:$store_port
 vm_list = 127.0.0.1:$((store_port + 2))
@@ -89,13 +109,62 @@
 admin = 127.0.0.1:$((port + 4))
 metrics = 127.0.0.1:$((port + 5))
 INI
+}
+
+start_router() {
+  start_process "router-vm$1" "$bin/waxwing-router" --settings "$run/vm$1.ini"
+}
+
+start_controller() {
+  start_process "controller-vm$1" "$bin/waxwing-controller" \
+    --settings "$run/vm$1.ini"
+}
+
+# start_vms COUNT BASE_PORT: writes each VM's settings and starts its router
+# and controller. Sets: routers (IP:port ...), vm_base.
+start_vms() {
+  local count=$1 n rows=""
+  vm_base=$2
+  routers=""
+  for n in $(seq "$count"); do
+    local port=$((vm_base + n * 10))
+    rows+="${rows:+,}{\"name\":\"vm$n\",\"domain\":\"${domains[$((n % ${#domains[@]}))]}\",\"link\":\"127.0.0.1:$((port + 3))\",\"forward\":\"127.0.0.1:$((port + 1))\"}"
+    routers+="127.0.0.1:$port "
+    write_vm_settings "$n" "$port"
   done
   echo "[$rows]" >"$run/vms.json"
   for n in $(seq "$count"); do
-    start_process "$run/controller-vm$n.log" "$bin/waxwing-controller" \
-      --settings "$run/vm$n.ini"
-    start_process "$run/router-vm$n.log" "$bin/waxwing-router" \
-      --settings "$run/vm$n.ini"
+    start_controller "$n"
+    start_router "$n"
   done
-  for n in $(seq "$count"); do wait_for_port $((base + n * 10)); done
+  for n in $(seq "$count"); do wait_for_port $((vm_base + n * 10)); done
+}
+
+# put_document: puts the team's document into force.
+put_document() {
+  curl -sf -X PUT --data-binary "@$run/$team.ini" \
+    "http://127.0.0.1:$store_port/kv?key=%2Fteams%2F$team&expect=0" >/dev/null
+}
+
+# list_values VALUE...: one value on an indented line each.
+list_values() { printf '  %s\n' "$@"; }
+
+# write_plan FILE ROUTERS CLIENT_LATENCY_MS: begins a load plan.
+write_plan() {
+  cat >"$1" <<INI
+[load]
+routers =
+$(list_values $2)
+upstream_records =
+$(list_values $Records)
+length = ${LENGTH_MS:-6000}
+client_latency = $3
+min_right = ${MIN_RIGHT:-990}
+INI
+}
+
+# add_stream FILE NAME KEY RATE SERVICES [MORE_LINES]
+add_stream() {
+  printf '[stream %s]\ncaller_key = %s\nrate = %s\nservices =\n%s\nhot_keys = 11\nhot_share = 30\nhot_period = 3000\nresend_share = 100\n%s\n' \
+    "$2" "$3" "$4" "$(list_values $5)" "${6:-}" >>"$1"
 }
--- a/src/settings/ini.cpp
+++ b/src/settings/ini.cpp
@@ -15,8 +15,9 @@
 /// State of one parse; inih calls back with a pointer to it.
 struct IniParse {
   const std::string &Text;
-  std::size_t Offset = 0; ///< first byte not yet given to inih
-  int Line = 0;           ///< number of the line given last
+  std::size_t Offset = 0;      ///< first byte not yet given to inih
+  int Line = 0;                ///< number of the line given last
+  bool IsContinuation = false; ///< the line is indented
   IniDocument Result;
   std::string Error; ///< first error, "" while none
 };
@@ -37,12 +38,19 @@
     return nullptr;
   const auto end = parse.Text.find('\n', parse.Offset);
   const auto stop = end == std::string::npos ? parse.Text.size() : end + 1;
-  const auto length =
-      std::min(stop - parse.Offset, static_cast<std::size_t>(size) - 1);
+  const auto length = stop - parse.Offset;
+  ++parse.Line;
+  if (length >= static_cast<std::size_t>(size)) {
+    parse.Error =
+        fmt::format("{}:{}: line has {} characters; allowed are {}, continue "
+                    "a value on indented lines",
+                    parse.Result.Source, parse.Line, length, size - 1);
+    return nullptr;
+  }
   std::copy_n(parse.Text.data() + parse.Offset, length, buf);
   buf[length] = '\0';
   parse.Offset += length;
-  ++parse.Line;
+  parse.IsContinuation = *buf == ' ' || *buf == '\t';
   noteSection(parse, buf);
   return buf;
 }
@@ -54,6 +62,10 @@
   const auto twin = std::ranges::find_if(entries, [&](const IniEntry &entry) {
     return entry.Section == section && entry.Key == key;
   });
+  if (twin != entries.end() && parse.IsContinuation) {
+    twin->Value += (twin->Value.empty() ? "" : " ") + std::string(value);
+    return 1;
+  }
   if (twin != entries.end()) {
     parse.Error = fmt::format(
         "{}:{}: key '{}' stands twice in section [{}], first in line {}",
--- a/src/standin/upstream_base.h
+++ b/src/standin/upstream_base.h
@@ -18,13 +18,17 @@
 /// How the upstream is built.
 struct UpstreamTraits {
   UpstreamId Id;
-  int Slots = 4;          ///< requests executed at a time when warm
-  int ColdSlots = 1;      ///< when just started
-  int QueueLimit = 16;    ///< requests that wait for a slot
-  Duration ServiceTime{}; ///< of one request
-  Duration WarmUp{};      ///< from cold to warm
+  int Slots = 4;             ///< requests executed at a time when warm
+  int ColdSlots = 1;         ///< when just started
+  int QueueLimit = 16;       ///< requests that wait for a slot
+  Duration ServiceTime{};    ///< of one request when warm
+  int ColdFactor = 1;        ///< multiplies ServiceTime while cold
+  Duration WarmUp{};         ///< from cold to warm
+  Duration NetworkLatency{}; ///< one way, added to each answer twice
+  Duration ReportLag{};      ///< age of the load that /waxwing/status tells
   bool ChecksOrders = true;
   bool IsDividedByKey = false;
+  std::string CrashMarker; ///< a target that contains it ends the process
 };
 
 /// Holds the fenced grant of one upstream.
@@ -50,13 +54,21 @@
   std::map<OwnedUnit, Token> Fences; ///< index of Set.Units
 };
 
+/// First and last acceptance of a request for a unit under one token.
+struct Tenure {
+  Time First;
+  Time Last;
+};
+
 /// What the upstream did since its start.
 struct UpstreamRecord {
   std::uint64_t Executed = 0;
-  std::uint64_t Shed = 0;
-  int PeakRunning = 0;                   ///< executed or queued at a time
-  int PeakWhileCold = 0;                 ///< the same, while cold
-  std::map<std::string, int> Executions; ///< by idempotency key
+  std::uint64_t Refused = 0;
+  std::uint64_t Cancelled = 0;
+  int PeakLoad = 0;                          ///< executed or queued at a time
+  int PeakWhileCold = 0;                     ///< the same, while cold
+  std::map<std::string, int> Executions;     ///< by idempotency key
+  std::map<GrantedUnit, Tenure> Acceptances; ///< for services divided by key
 };
 
 } // namespace waxwing
--- /dev/null
+++ b/src/standin/upstream_server.cpp
@@ -0,0 +1,275 @@
+/**
+ * @file upstream_server.cpp
+ * Slots, queue, faults and record of the upstream stand-in.
+ */
+#include "standin/upstream_server.h"
+
+#include "standin/standin_func.h"
+#include "table/reasons.h"
+#include "upstream/upstream_protocol.h"
+
+#include <absl/strings/numbers.h>
+#include <algorithm>
+#include <cstdlib>
+#include <fmt/format.h>
+#include <random>
+
+namespace waxwing {
+namespace {
+
+/// Exit code of an upstream that a marked request crashed.
+constexpr int CrashExitCode = 3;
+constexpr Duration ReportPeriod = milliseconds(100);
+
+UpstreamTime upstreamNow() {
+  return UpstreamTime(readClock().time_since_epoch());
+}
+
+void echoId(const HttpRequest &request, HttpResponse &response) {
+  response.Headers.add(std::string(RequestIdHeader),
+                       std::string(request.Headers.find(RequestIdHeader)));
+}
+
+std::optional<std::uint64_t> readNumber(const HttpRequest &request,
+                                        std::string_view header) {
+  std::uint64_t n = 0;
+  if (!absl::SimpleAtoi(std::string(request.Headers.find(header)), &n))
+    return std::nullopt;
+  return n;
+}
+
+} // namespace
+
+UpstreamServer::UpstreamServer(UpstreamTraits traits, std::size_t connections)
+    : Traits(std::move(traits)),
+      Grants(Traits, Incarnation(std::random_device()())),
+      StartedAt(readClock()),
+      Main(Io, HttpServerLimits{connections},
+           [this](HttpExchange it) { take(std::move(it)); }),
+      Admin(Io, {}, [this](const HttpExchange &it) { administer(it); }) {
+  Main.onConnectionLost([this](std::uint64_t id) { loseConnection(id); });
+  Io.runEvery(ReportPeriod, [this] { noteLoad(); });
+}
+
+absl::Status UpstreamServer::listen(const Endpoint &main,
+                                    const Endpoint &admin) {
+  if (absl::Status status = Main.listen(main); !status.ok())
+    return status;
+  return Admin.listen(admin);
+}
+
+void UpstreamServer::take(HttpExchange exchange) {
+  if (isSilenced(exchange)) {
+    Silenced.push_back(std::move(exchange));
+    return;
+  }
+  const std::string path =
+      exchange.Request.Target.substr(0, exchange.Request.Target.find('?'));
+  if (path == GrantPath)
+    return takeOrder(exchange);
+  if (path == CancelPath)
+    return takeCancellation(exchange);
+  if (path == StatusPath)
+    return tellStatus(exchange);
+  const Reason why = admit(exchange.Request);
+  if (why != Reason::None)
+    return refuse(exchange, why);
+  enqueue(std::move(exchange));
+}
+
+void UpstreamServer::takeOrder(const HttpExchange &exchange) {
+  const auto order = decodeOrder(exchange.Request.Body);
+  if (!order.ok())
+    return exchange.Reply(
+        textResponse(400, std::string(order.status().message())));
+  exchange.Reply(textResponse(
+      200, encodeGrantAnswer(Grants.answer(*order, upstreamNow()))));
+}
+
+void UpstreamServer::takeCancellation(const HttpExchange &exchange) {
+  const std::string id(exchange.Request.Headers.find(RequestIdHeader));
+  const auto it = std::ranges::find_if(Queue, [&](const Waiting &waiting) {
+    return waiting.Exchange.Request.Headers.find(RequestIdHeader) == id;
+  });
+  if (it != Queue.end()) {
+    refuse(it->Exchange, Reason::UpstreamShed);
+    Queue.erase(it);
+    ++Record.Cancelled;
+  }
+  exchange.Reply(textResponse(200, ""));
+}
+
+void UpstreamServer::tellStatus(const HttpExchange &exchange) {
+  const Time asOf = readClock() - Traits.ReportLag;
+  const auto newer = std::ranges::find_if(
+      Reports, [asOf](const LoadReport &it) { return it.At > asOf; });
+  const int told = newer == Reports.begin() ? 0 : std::prev(newer)->Load;
+  HttpResponse response =
+      textResponse(200, fmt::format("load {}\nslots {}\n", told, Traits.Slots));
+  echoId(exchange.Request, response);
+  exchange.Reply(std::move(response));
+}
+
+Reason UpstreamServer::admit(const HttpRequest &request) {
+  if (Faults.IsDraining)
+    return Reason::UpstreamDraining;
+  if (Traits.IsDividedByKey) {
+    const Reason why = checkGrant(request);
+    if (why != Reason::None)
+      return why;
+  }
+  if (static_cast<int>(Queue.size()) >= Traits.QueueLimit)
+    return Reason::UpstreamShed;
+  return Reason::None;
+}
+
+Reason UpstreamServer::checkGrant(const HttpRequest &request) {
+  const auto unit = parseUnit(request.Headers.find(UnitHeader));
+  const auto token = readNumber(request, TokenHeader);
+  const auto key = readNumber(request, KeyHashHeader);
+  if (!unit || !token || !key)
+    return Reason::WrongToken;
+  const GrantedUnit granted{*unit, Token(*token)};
+  const Reason why =
+      Grants.check(*unit, granted.Fence, KeyHash(*key), upstreamNow());
+  if (why == Reason::None) {
+    const Time now = readClock();
+    const auto it = Record.Acceptances.try_emplace(granted, Tenure{now, now});
+    it.first->second.Last = now;
+  }
+  return why;
+}
+
+void UpstreamServer::refuse(const HttpExchange &exchange, Reason why) {
+  ++Record.Refused;
+  HttpResponse response = textResponse(503, "");
+  response.Headers.add(std::string(RefusalHeader),
+                       std::string(reasonInfo(why).Name));
+  echoId(exchange.Request, response);
+  exchange.Reply(std::move(response));
+}
+
+void UpstreamServer::enqueue(HttpExchange exchange) {
+  std::optional<Time> deadline;
+  if (const auto ms = readNumber(exchange.Request, DeadlineHeader))
+    deadline = readClock() + milliseconds(*ms);
+  Queue.push_back({std::move(exchange), deadline});
+  Record.PeakLoad = std::max(Record.PeakLoad, load());
+  if (isCold())
+    Record.PeakWhileCold = std::max(Record.PeakWhileCold, load());
+  runQueue();
+}
+
+void UpstreamServer::runQueue() {
+  while (Running < slots() && !Queue.empty()) {
+    Waiting next = std::move(Queue.front());
+    Queue.pop_front();
+    if (next.Deadline && *next.Deadline < readClock())
+      refuse(next.Exchange, Reason::DeadlinePassed);
+    else
+      execute(std::move(next.Exchange));
+  }
+}
+
+void UpstreamServer::execute(HttpExchange exchange) {
+  ++Running;
+  ++Record.Executed;
+  const HttpRequest &request = exchange.Request;
+  const std::string key(request.Headers.find(IdempotencyHeader));
+  if (!key.empty())
+    ++Record.Executions[key];
+  if (!Traits.CrashMarker.empty() &&
+      request.Target.find(Traits.CrashMarker) != std::string::npos)
+    std::_Exit(CrashExitCode);
+  const auto factor = static_cast<Duration::rep>(Faults.SlowFactor) *
+                      (isCold() ? Traits.ColdFactor : 1);
+  Io.runAt(readClock() + Traits.ServiceTime * factor,
+           [this, exchange = std::move(exchange)] { finish(exchange); });
+}
+
+void UpstreamServer::finish(const HttpExchange &exchange) {
+  --Running;
+  HttpResponse response = textResponse(200, exchange.Request.Method + " " +
+                                                exchange.Request.Target + "\n");
+  if (Faults.AnswersToCross > 0) {
+    --Faults.AnswersToCross;
+    response.Headers.add(std::string(RequestIdHeader), "crossed");
+  } else {
+    echoId(exchange.Request, response);
+  }
+  if (Traits.NetworkLatency == Duration())
+    exchange.Reply(std::move(response));
+  else
+    Io.runAt(readClock() + 2 * Traits.NetworkLatency,
+             [reply = exchange.Reply, response = std::move(response)] {
+               reply(response);
+             });
+  runQueue();
+}
+
+bool UpstreamServer::isSilenced(const HttpExchange &exchange) {
+  if (SilentConnections.contains(exchange.ConnectionId))
+    return true;
+  if (Faults.ConnectionsToSilence == 0)
+    return false;
+  --Faults.ConnectionsToSilence;
+  SilentConnections.insert(exchange.ConnectionId);
+  return true;
+}
+
+void UpstreamServer::loseConnection(std::uint64_t connection) {
+  const auto lost = [connection](const Waiting &waiting) {
+    return waiting.Exchange.ConnectionId == connection;
+  };
+  Record.Cancelled += std::erase_if(Queue, lost);
+}
+
+void UpstreamServer::noteLoad() {
+  const Time now = readClock();
+  Reports.push_back({now, load()});
+  while (Reports.size() > 2 &&
+         Reports[1].At + Traits.ReportLag + ReportPeriod < now)
+    Reports.pop_front();
+}
+
+void UpstreamServer::administer(const HttpExchange &exchange) {
+  const auto target = parseTarget(exchange.Request.Target);
+  if (!target || target->Parts.empty())
+    return exchange.Reply(textResponse(400, "malformed target\n"));
+  if (target->Parts[0] == "fault")
+    setFaults(*target);
+  exchange.Reply(textResponse(200, describe(target->Parts[0] == "record")));
+}
+
+void UpstreamServer::setFaults(const UrlTarget &target) {
+  Faults.SlowFactor = target.number("slow_factor", Faults.SlowFactor);
+  Faults.IsDraining = target.number("drain", Faults.IsDraining ? 1 : 0) != 0;
+  Faults.AnswersToCross = target.number("cross", Faults.AnswersToCross);
+  Faults.ConnectionsToSilence =
+      target.number("silence", Faults.ConnectionsToSilence);
+  if (target.number("cold") != 0)
+    StartedAt = readClock();
+}
+
+std::string UpstreamServer::describe(bool withDetails) const {
+  // Upstreams of the stand-ins are called team/service-number.
+  const std::string service =
+      Traits.Id.Value.substr(0, Traits.Id.Value.rfind('-'));
+  std::string text = fmt::format(
+      "service {}\nexecuted {}\nrefused {}\ncancelled {}\npeak_load {}\n"
+      "peak_while_cold {}\n",
+      service, Record.Executed, Record.Refused, Record.Cancelled,
+      Record.PeakLoad, Record.PeakWhileCold);
+  if (!withDetails)
+    return text;
+  for (const auto &[key, count] : Record.Executions)
+    text += fmt::format("key {} {}\n", key, count);
+  for (const auto &[granted, tenure] : Record.Acceptances)
+    text += fmt::format("unit {} {} {} {}\n", formatUnit(granted.Unit),
+                        granted.Fence.Value,
+                        tenure.First.time_since_epoch().count(),
+                        tenure.Last.time_since_epoch().count());
+  return text;
+}
+
+} // namespace waxwing
--- a/tests/vm_settings_test.cpp
+++ b/tests/vm_settings_test.cpp
@@ -51,5 +51,20 @@
             "2");
 }
 
+TEST(VmSettings, IndentedLinesContinueAValue) {
+  const auto settings = parseVmSettings(
+      "[vm]\nname = a\ndomain = d\nregion =\n  b\n  c\n[store]\naddress = "
+      "127.0.0.1:1\n",
+      "f.ini");
+  ASSERT_TRUE(settings.ok());
+  EXPECT_EQ(settings->Vm.text("region"), "b c");
+}
+
+TEST(VmSettings, OverlongLineIsRefusedWhole) {
+  EXPECT_EQ(errorOf("[vm]\nname = " + std::string(250, 'a') + "\n"),
+            "f.ini:2: line has 258 characters; allowed are 199, continue a "
+            "value on indented lines");
+}
+
 } // namespace
 } // namespace waxwing
