--- a/src/relay/control_node.cpp
+++ b/src/relay/control_node.cpp
@@ -4,6 +4,7 @@
  */
 #include "relay/control_node_base.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace waxwing {
@@ -13,6 +14,8 @@
 /// not for that long, so that a passing suspicion moves no watch.
 constexpr Duration WatchStartDelay = milliseconds(500);
 constexpr Duration WatchEndDelay = seconds(5);
+/// A process without links may be alone, or about to find the others.
+constexpr Duration WatchJoinDelay = milliseconds(1500);
 /// A watcher whose store does not answer for longer lets another one watch.
 constexpr Duration StorePatience = seconds(5);
 
@@ -21,7 +24,8 @@
 ControlNode::ControlNode(MemberEntry self, MembershipTerms membership,
                          RelayTerms relay, Time now)
     : Members(self, membership, now), Items(relay, now),
-      Reports(self.Vm, self.Process), NextReports(now) {}
+      Reports(self.Vm, self.Process), JoinUntil(now + WatchJoinDelay),
+      NextReports(now) {}
 
 std::vector<ControlAction> ControlNode::handle(const ControlEvent &event,
                                                Time now) {
@@ -48,6 +52,7 @@
 void ControlNode::on(const VmsListed &event, Time now) { tell(event, now); }
 
 void ControlNode::on(const PeerLinked &event, Time now) {
+  JoinUntil = std::min(JoinUntil, now + WatchStartDelay);
   tell(MemberLinked{event.Peer.Vm, event.Peer.Process}, now);
   tell(RelayPeerUp{event.Peer.Vm}, now);
   Reports.addPeer(event.Peer.Vm);
@@ -182,7 +187,7 @@
     IsChosenWatcher = Members.isWatcher();
   // One whose watches fail goes on trying, so that it learns of their end.
   const bool isWanted = IsChosenWatcher || Members.self().IsStoreFailing;
-  if (isWanted == IsWatchWanted)
+  if (isWanted == IsWatchWanted || now < JoinUntil)
     return WatchChangeAt.reset();
   if (!WatchChangeAt)
     WatchChangeAt = now + (isWanted ? WatchStartDelay : WatchEndDelay);
--- /dev/null
+++ b/tests/control_net.h
@@ -0,0 +1,504 @@
+/**
+ * @file control_net.h
+ * Control nodes on a fake network, with a fake store and VM list, in model
+ * time. For tests and benches.
+ */
+#ifndef WAXWING_TESTS_CONTROL_NET_H
+#define WAXWING_TESTS_CONTROL_NET_H
+
+#include "link/link_message_func.h"
+#include "relay/control_node_base.h"
+
+#include <algorithm>
+#include <fmt/format.h>
+#include <map>
+#include <optional>
+#include <queue>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace waxwing {
+
+inline MembershipTerms testMembershipTerms() {
+  return {milliseconds(100),
+          milliseconds(250),
+          seconds(2),
+          seconds(1),
+          std::chrono::minutes(10),
+          12,
+          8};
+}
+inline RelayTerms testRelayTerms() { return {seconds(1), seconds(2), 3, 12}; }
+
+/// What the fake network and store counted.
+struct NetCounts {
+  std::uint64_t Messages = 0;
+  std::uint64_t Bytes = 0; ///< of encoded messages, when IsEncoding
+  std::uint64_t StoreLists = 0;
+  std::uint64_t StoreWaits = 0;
+};
+
+class ControlNet {
+public:
+  struct Host {
+    VmId Vm;
+    DomainId Domain;
+    std::string Region;
+    std::optional<ControlNode> Node; ///< absent while down
+    Incarnation Process;
+    bool IsPaused = false;
+    bool IsListed = true;
+    bool IsLeaving = false;
+    int Side = 0; ///< of a partition
+    std::set<std::size_t> Targets;
+    bool IsWatching = false;
+    Time NextWatch;
+    Revision SeenUpto;
+    bool HasListed = false;
+    Time StartedAt;
+    Time DisturbedAt; ///< last fault that may have cut it off while joining
+    std::vector<PeerMessage> Backlog; ///< arrived while paused
+    std::map<TeamId, Revision> InForce;
+    std::uint64_t SentBytes = 0;
+    std::size_t MaxLinks = 0;
+  };
+
+  ControlNet(std::size_t count, std::size_t domains, std::size_t regions,
+             std::uint64_t seed)
+      : Random(seed) {
+    for (std::size_t n = 0; n < count; ++n) {
+      Host host;
+      host.Vm = VmId(fmt::format("vm{:03}", n));
+      host.Domain = DomainId(fmt::format("domain{}", n % domains));
+      host.Region = fmt::format("region{}", n % domains % regions);
+      Hosts.push_back(std::move(host));
+      Indices[Hosts.back().Vm] = n;
+    }
+  }
+
+  // Settings of the world.
+  Duration NearDelay = milliseconds(1);
+  Duration FarDelay = milliseconds(40); ///< between regions
+  double DropChance = 0;                ///< of one message
+  bool IsStoreDown = false;
+  bool IsListFrozen = false;
+  bool IsListEmpty = false;
+  std::size_t Ghosts = 0;  ///< VMs that are listed but never were
+  bool IsEncoding = false; ///< messages pass through the codec
+  Time Now{seconds(1)};
+  NetCounts Counts;
+  std::vector<Host> Hosts;
+  std::vector<std::string> Violations;
+
+  void start(std::size_t n) {
+    Host &host = Hosts[n];
+    if (host.Node)
+      return;
+    host.Process = Incarnation(Random());
+    MemberEntry self;
+    self.Vm = host.Vm;
+    self.Process = host.Process;
+    self.Domain = host.Domain;
+    self.Region = host.Region;
+    self.Link = {"10.0.0.1", static_cast<std::uint16_t>(n + 1)};
+    host.Node.emplace(self, testMembershipTerms(), testRelayTerms(), Now);
+    host.InForce.clear();
+    host.IsWatching = host.IsPaused = host.IsLeaving = host.HasListed = false;
+    host.StartedAt = Now;
+    Ticks.push({Now + microseconds(Random() % 50'000), n});
+    Lists.push({Now + microseconds(Random() % 100'000), n});
+  }
+
+  void crash(std::size_t n) {
+    Host &host = Hosts[n];
+    if (!host.Node)
+      return;
+    host.Node.reset();
+    host.Targets.clear();
+    host.Backlog.clear();
+    dropLinksOf(n);
+  }
+
+  void leave(std::size_t n) {
+    if (Hosts[n].Node && !Hosts[n].IsLeaving) {
+      Hosts[n].IsLeaving = true;
+      handle(n, LeaveStarted());
+    }
+  }
+
+  Revision write(const std::string &team) {
+    const Revision rev(++StoreRevision);
+    Documents[team] = {TeamId(team), rev, "[tier t]\nweight = 1\n"};
+    return rev;
+  }
+
+  /// Runs until model time @p until.
+  void run(Time until) {
+    while (Now < until) {
+      const Time next = nextEvent();
+      if (next > until) {
+        Now = until;
+        return;
+      }
+      Now = std::max(Now, next);
+      step();
+    }
+  }
+  void runFor(Duration span) { run(Now + span); }
+
+  bool isReachable(std::size_t a, std::size_t b) const {
+    return Hosts[a].Side == Hosts[b].Side;
+  }
+
+  std::size_t upCount() const {
+    return static_cast<std::size_t>(std::ranges::count_if(
+        Hosts, [](const Host &it) { return it.Node.has_value(); }));
+  }
+
+  /// @return whether links join all hosts that are up
+  bool isConnected() const {
+    std::set<std::size_t> seen;
+    std::vector<std::size_t> open;
+    for (std::size_t n = 0; n < Hosts.size() && open.empty(); ++n)
+      if (Hosts[n].Node)
+        open.push_back(n);
+    while (!open.empty()) {
+      const std::size_t n = open.back();
+      open.pop_back();
+      if (!seen.insert(n).second)
+        continue;
+      for (const auto &[pair, link] : Links)
+        if (pair.first == n || pair.second == n)
+          open.push_back(pair.first == n ? pair.second : pair.first);
+    }
+    return seen.size() == upCount();
+  }
+
+  /// @return whether every host that is up has the store's newest in force
+  bool isConverged() const {
+    return std::ranges::all_of(Hosts, [&](const Host &it) {
+      return !it.Node || std::ranges::all_of(Documents, [&](const auto &entry) {
+        const auto &held = it.Node->configuration().documents();
+        const auto found = held.find(entry.second.Team);
+        return found != held.end() && found->second.Rev == entry.second.Rev;
+      });
+    });
+  }
+
+  /// @return whether every host's view of who lives is right
+  bool areViewsRight() const {
+    std::set<VmId> truth;
+    for (const Host &it : Hosts)
+      if (it.Node && !it.IsLeaving)
+        truth.insert(it.Vm);
+    return std::ranges::all_of(Hosts, [&](const Host &it) {
+      if (!it.Node)
+        return true;
+      std::set<VmId> view;
+      for (const MemberEntry &member : it.Node->membership().live())
+        view.insert(member.Vm);
+      return view == truth;
+    });
+  }
+
+  std::size_t watcherCount() const {
+    return static_cast<std::size_t>(std::ranges::count_if(
+        Hosts, [](const Host &it) { return it.Node && it.IsWatching; }));
+  }
+
+  std::size_t linksOf(std::size_t n) const {
+    return static_cast<std::size_t>(
+        std::ranges::count_if(Links, [n](const auto &entry) {
+          return entry.first.first == n || entry.first.second == n;
+        }));
+  }
+
+private:
+  using Pair = std::pair<std::size_t, std::size_t>;
+  struct LinkState {
+    std::uint64_t Id = 0;
+    Time LastArrival[2]; ///< by direction: in order like TCP
+  };
+  struct Arrival {
+    Time At;
+    std::uint64_t Order;
+    std::uint64_t Link;
+    std::size_t From, To;
+    LinkMessage Message;
+    std::string Bytes;
+    bool operator<(const Arrival &other) const {
+      return std::tie(other.At, other.Order) < std::tie(At, Order);
+    }
+  };
+  struct Timer {
+    Time At;
+    std::size_t Host;
+    bool operator<(const Timer &other) const {
+      return std::tie(other.At, other.Host) < std::tie(At, Host);
+    }
+  };
+
+  Duration delay(std::size_t a, std::size_t b) const {
+    return Hosts[a].Region == Hosts[b].Region ? NearDelay : FarDelay;
+  }
+
+  Time nextEvent() const {
+    Time next = Time::max();
+    if (!Arrivals.empty())
+      next = std::min(next, Arrivals.top().At);
+    if (!Ticks.empty())
+      next = std::min(next, Ticks.top().At);
+    if (!Lists.empty())
+      next = std::min(next, Lists.top().At);
+    return next;
+  }
+
+  void step() {
+    if (!Arrivals.empty() && Arrivals.top().At <= Now) {
+      Arrival it = Arrivals.top();
+      Arrivals.pop();
+      return arrive(it);
+    }
+    if (!Ticks.empty() && Ticks.top().At <= Now) {
+      const std::size_t n = Ticks.top().Host;
+      Ticks.pop();
+      return tick(n);
+    }
+    const std::size_t n = Lists.top().Host;
+    Lists.pop();
+    list(n);
+  }
+
+  void arrive(Arrival &it) {
+    const Pair pair = std::minmax(it.From, it.To);
+    const auto link = Links.find(pair);
+    if (link == Links.end() || link->second.Id != it.Link ||
+        !isReachable(it.From, it.To) || !Hosts[it.To].Node)
+      return;
+    if (IsEncoding) {
+      auto decoded = decodeLinkMessage(it.Bytes);
+      if (!decoded.ok()) {
+        Violations.push_back(std::string(decoded.status().message()));
+        return;
+      }
+      it.Message = *std::move(decoded);
+    }
+    PeerMessage message{memberOf(it.From), std::move(it.Message)};
+    if (Hosts[it.To].IsPaused)
+      Hosts[it.To].Backlog.push_back(std::move(message));
+    else
+      handle(it.To, message);
+  }
+
+  void tick(std::size_t n) {
+    Host &host = Hosts[n];
+    if (!host.Node)
+      return;
+    Ticks.push({Now + milliseconds(50), n});
+    if (host.IsPaused)
+      return;
+    for (const PeerMessage &message : std::exchange(host.Backlog, {}))
+      handle(n, message);
+    for (const std::size_t chooser : std::exchange(Unwanted, {}))
+      closeUnwanted(chooser);
+    openLinks(n);
+    watch(n);
+    handle(n, ControlTick());
+  }
+
+  void list(std::size_t n) {
+    Host &host = Hosts[n];
+    if (!host.Node)
+      return;
+    const auto period = std::max<Duration>(
+        seconds(1), milliseconds(50) * static_cast<int>(Hosts.size()));
+    Lists.push({Now + period, n});
+    if (!host.IsPaused)
+      handle(n, VmsListed{platformList()});
+  }
+
+  std::vector<ListedVm> platformList() {
+    if (IsListFrozen && !Frozen.empty())
+      return Frozen;
+    std::vector<ListedVm> vms;
+    if (!IsListEmpty)
+      for (std::size_t n = 0; n < Hosts.size(); ++n)
+        if (Hosts[n].IsListed)
+          vms.push_back({Hosts[n].Vm,
+                         Hosts[n].Domain,
+                         {"10.0.0.1", static_cast<std::uint16_t>(n + 1)},
+                         {},
+                         Hosts[n].IsLeaving});
+    for (std::size_t n = 0; n < Ghosts; ++n)
+      vms.push_back({VmId(fmt::format("ghost{}", n)),
+                     DomainId("domain0"),
+                     {"10.0.0.9", 1},
+                     {},
+                     false});
+    return Frozen = vms;
+  }
+
+  void openLinks(std::size_t n) {
+    for (const std::size_t other : Hosts[n].Targets) {
+      const Pair pair = std::minmax(n, other);
+      if (other == n || Links.contains(pair) || !Hosts[other].Node ||
+          Hosts[other].IsPaused || !isReachable(n, other))
+        continue;
+      Links[pair] = {++NextLink, {Now, Now}};
+      handle(n, PeerLinked{memberOf(other)});
+      handle(other, PeerLinked{memberOf(n)});
+      for (const std::size_t end : {n, other})
+        Hosts[end].MaxLinks = std::max(Hosts[end].MaxLinks, linksOf(end));
+    }
+  }
+
+  void closeUnwanted(std::size_t n) {
+    std::vector<Pair> unwanted;
+    for (const auto &[pair, link] : Links)
+      if ((pair.first == n || pair.second == n) &&
+          !Hosts[pair.first].Targets.contains(pair.second) &&
+          !Hosts[pair.second].Targets.contains(pair.first))
+        unwanted.push_back(pair);
+    for (const Pair &pair : unwanted)
+      closeLink(pair);
+  }
+
+  void closeLink(Pair pair) {
+    if (Links.erase(pair) == 0)
+      return;
+    tellUnlinked(pair.first, pair.second);
+    tellUnlinked(pair.second, pair.first);
+  }
+
+  void tellUnlinked(std::size_t n, std::size_t other) {
+    if (Hosts[n].Node)
+      handle(n, PeerUnlinked{memberOf(other)});
+  }
+
+  void dropLinksOf(std::size_t n) {
+    std::vector<Pair> gone;
+    for (const auto &[pair, link] : Links)
+      if (pair.first == n || pair.second == n)
+        gone.push_back(pair);
+    for (const Pair &pair : gone)
+      closeLink(pair);
+  }
+
+  void watch(std::size_t n) {
+    Host &host = Hosts[n];
+    if (!host.IsWatching || Now < host.NextWatch)
+      return;
+    if (IsStoreDown) {
+      ++Counts.StoreWaits;
+      host.NextWatch = Now + milliseconds(500);
+      handle(n, DocumentsWatched{false, {}});
+      return;
+    }
+    const bool isDue = !host.HasListed || StoreRevision > host.SeenUpto.Value;
+    if (!isDue && Now < host.NextWatch + seconds(10))
+      return;
+    ++(host.HasListed ? Counts.StoreWaits : Counts.StoreLists);
+    DocumentsWatched event{true, {}};
+    for (const auto &[team, document] : Documents)
+      if (!host.HasListed || document.Rev > host.SeenUpto)
+        event.Documents.push_back(document);
+    host.HasListed = true;
+    host.SeenUpto = Revision(StoreRevision);
+    host.NextWatch = Now;
+    handle(n, event);
+  }
+
+  RecordMember memberOf(std::size_t n) const {
+    return {Hosts[n].Vm, Hosts[n].Process, Hosts[n].Domain};
+  }
+
+  void handle(std::size_t n, const ControlEvent &event) {
+    for (ControlAction &action : Hosts[n].Node->handle(event, Now))
+      std::visit([&](auto &it) { carryOut(n, it); }, action);
+  }
+
+  void carryOut(std::size_t n, SendControl &action) {
+    const auto found = Indices.find(action.To);
+    if (found == Indices.end())
+      return;
+    const std::size_t to = found->second;
+    const auto link = Links.find(std::minmax(n, to));
+    if (link == Links.end())
+      return;
+    ++Counts.Messages;
+    Arrival arrival{{}, ++NextOrder, link->second.Id, n, to, {}, {}};
+    if (IsEncoding) {
+      arrival.Bytes = encodeLinkMessage(action.Message);
+      Counts.Bytes += arrival.Bytes.size();
+      Hosts[n].SentBytes += arrival.Bytes.size();
+    } else {
+      arrival.Message = std::move(action.Message);
+    }
+    if (DropChance > 0 &&
+        std::uniform_real_distribution<>(0, 1)(Random) < DropChance)
+      return;
+    Time &last = link->second.LastArrival[n < to ? 0 : 1];
+    arrival.At = last = std::max(last, Now + delay(n, to));
+    Arrivals.push(std::move(arrival));
+  }
+
+  void carryOut(std::size_t n, ChooseLinks &action) {
+    Hosts[n].Targets.clear();
+    for (const auto &[vm, endpoint] : action.Targets)
+      if (const auto it = Indices.find(vm); it != Indices.end())
+        Hosts[n].Targets.insert(it->second);
+    Unwanted.push_back(n);
+  }
+
+  void carryOut(std::size_t n, DropLink &action) {
+    const std::size_t to = Indices.at(action.To);
+    if (Links.erase(std::minmax(n, to)) == 0)
+      return;
+    tellUnlinked(n, to);
+    tellUnlinked(to, n);
+  }
+
+  void carryOut(std::size_t, MembersChanged &) {}
+
+  void carryOut(std::size_t n, WatchStore &action) {
+    Hosts[n].IsWatching = action.IsWanted;
+    Hosts[n].HasListed = false;
+    Hosts[n].NextWatch = Now;
+  }
+
+  void carryOut(std::size_t n, DocumentsInForce &action) {
+    for (const TeamDocument &document : action.Documents) {
+      Revision &known = Hosts[n].InForce[document.Team];
+      if (document.Rev <= known)
+        Violations.push_back(fmt::format(
+            "{} put revision {} of {} into force after {}", Hosts[n].Vm.Value,
+            document.Rev.Value, document.Team.Value, known.Value));
+      known = document.Rev;
+    }
+  }
+
+  void carryOut(std::size_t n, DocumentRefused &action) {
+    Violations.push_back(Hosts[n].Vm.Value + " refused " + action.Error);
+  }
+
+  void carryOut(std::size_t, RecordKnown &) {}
+
+  std::mt19937_64 Random;
+  std::map<VmId, std::size_t> Indices;
+  std::map<Pair, LinkState> Links;
+  std::priority_queue<Arrival> Arrivals;
+  std::priority_queue<Timer> Ticks;
+  std::priority_queue<Timer> Lists;
+  std::vector<std::size_t> Unwanted;
+  std::map<std::string, TeamDocument> Documents;
+  std::vector<ListedVm> Frozen;
+  std::uint64_t StoreRevision = 0;
+  std::uint64_t NextLink = 0;
+  std::uint64_t NextOrder = 0;
+};
+
+} // namespace waxwing
+
+#endif
