--- a/src/router/caller_edge.cpp
+++ b/src/router/caller_edge.cpp
@@ -183,7 +183,11 @@
   WaitingRequests.erase(it);
   --InFlight;
   if (answer.Why != Reason::None) {
-    reply(refusal(answer.Why, answer.Proven, answer.RetryAfter));
+    HttpResponse response =
+        refusal(answer.Why, answer.Proven, answer.RetryAfter);
+    if (!answer.Detail.empty())
+      response.Body = answer.Detail + "\n";
+    reply(std::move(response));
     return;
   }
   reply(passOn(std::move(answer.Answer)));
--- a/src/router/router_process.cpp
+++ b/src/router/router_process.cpp
@@ -88,7 +88,7 @@
     if (call == DutyCall::Tick) {
       if (IsDraining && !std::exchange(IsDrainTold, true))
         handle(DrainStarted(), now);
-      handle(RouterTick(), now);
+      handle(RouterTick{readWallClock()}, now);
     }
     Link.messages().drain(
         [&](LinkMessage &&it) { handleLink(std::move(it), now); });
--- a/src/traffic/idempotency_memory_base.h
+++ b/src/traffic/idempotency_memory_base.h
@@ -39,6 +39,7 @@
   /// A request that was told WaitForKey waits no longer.
   void stopWaiting(const IdempotencyKey &key, RequestId request);
 
+  WallTime now() const { return Now; }
   std::size_t keys() const { return Entries.size(); }
   std::size_t answerBytes() const { return AnswerBytes; }
 
--- a/src/traffic/router_core.cpp
+++ b/src/traffic/router_core.cpp
@@ -14,6 +14,12 @@
 /// Callers that are refused "not run" are told to come back after this.
 constexpr Duration RefusalRetryAfter = seconds(1);
 
+/// @return whether @p why tells of an earlier request under the same key
+bool isDuplicate(Reason why) {
+  return why == Reason::DuplicateInFlight || why == Reason::DuplicateUnknown ||
+         why == Reason::IdempotencyExpired;
+}
+
 } // namespace
 
 RouterCore::RouterCore(VmId self, std::uint64_t seed)
@@ -41,7 +47,9 @@
   request.Deadline = caller.Deadline.value_or(now + service.Timeout);
   request.IsOwned = service.IsDividedByKey;
   Budget.addRequest();
-  submit(request, now);
+  Memory.advance(caller.ArrivedAt);
+  if (readKey(request, now))
+    proceed(request, now);
 }
 
 std::variant<RouterCore::Admission, Reason>
@@ -66,8 +74,16 @@
 
 void RouterCore::on(CallerLost &event, Time now) {
   const auto it = Requests.find(event.Request);
-  if (it != Requests.end())
-    refuse(*it->second, Reason::Cancelled, Duration(), now);
+  if (it == Requests.end() || it->second->IsAnswered)
+    return;
+  RequestState &request = *it->second;
+  if (request.Role != KeyRole::Runner)
+    return refuse(request, Reason::Cancelled, Duration(), now);
+  // The caller may ask again under the same key, so its run goes on.
+  request.IsAnswered = true;
+  Answers.add(Reason::Cancelled);
+  Actions.emplace_back(AnswerCaller{
+      event.Request, Reason::Cancelled, Verdict::MayHaveRun, Duration(), {}});
 }
 
 void RouterCore::on(ConfigurationChanged &event, Time now) {
@@ -81,7 +97,8 @@
   resumeAfterOwners(service, now);
 }
 
-void RouterCore::on(RouterTick &, Time now) {
+void RouterCore::on(RouterTick &event, Time now) {
+  Memory.advance(event.Wall);
   Dispatch.tick(now);
   while (!Paused.empty() && Paused.begin()->first <= now)
     resume(*Requests.at(Paused.begin()->second), now);
@@ -112,6 +129,7 @@
 
 void RouterCore::carryOut(DispatchStart &decision, Time now) {
   const auto it = Requests.find(decision.Request);
+  // A second attempt beside a first one is for idempotent requests only.
   const bool isAllowed =
       it != Requests.end() &&
       (it->second->Live.empty() || it->second->Request.IsIdempotent);
@@ -139,9 +157,11 @@
 void RouterCore::refuse(RequestState &request, Reason why, Duration retryAfter,
                         Time now) {
   // An attempt in flight may run until its end says otherwise.
-  const bool isUnknown =
-      request.MayHaveRunBy != Reason::None || !request.Live.empty();
-  AnswerCaller answer{request.Request.Id, why, Verdict::NotRun, retryAfter, {}};
+  const bool isUnknown = request.MayHaveRunBy != Reason::None ||
+                         !request.Live.empty() ||
+                         request.Role == KeyRole::Waiter || isDuplicate(why);
+  AnswerCaller answer{request.Request.Id, why, Verdict::NotRun,
+                      retryAfter,         {},  request.Detail};
   if (request.MayHaveRunBy != Reason::None && why != Reason::Cancelled)
     answer.Why = request.MayHaveRunBy;
   if (isUnknown)
@@ -152,14 +172,18 @@
 }
 
 void RouterCore::settle(RequestState &request, AnswerCaller answer, Time now) {
-  Answers.add(answer.Why);
   const RequestId id = request.Request.Id;
   Dispatch.withdraw(id, now);
   for (const AttemptId &attempt : request.Live)
     Actions.emplace_back(CancelAttempt{attempt});
   if (request.ResumeAt)
     Paused.erase({*request.ResumeAt, id});
+  const auto ended = std::move(Requests.at(id));
   Requests.erase(id);
+  finishKey(*ended, answer, now);
+  if (ended->IsAnswered)
+    return;
+  Answers.add(answer.Why);
   Actions.emplace_back(std::move(answer));
 }
 
--- a/src/traffic/router_core_attempts.cpp
+++ b/src/traffic/router_core_attempts.cpp
@@ -13,7 +13,8 @@
 
 void RouterCore::on(AttemptEnded &event, Time now) {
   AttemptEnds.add(event.Why);
-  Dispatch.endAttempt(event.Attempt, event.Why, now);
+  if (!isSend(event.Attempt))
+    Dispatch.endAttempt(event.Attempt, event.Why, now);
   const auto it = Attempts.find(event.Attempt);
   if (it == Attempts.end())
     return;
@@ -45,9 +46,12 @@
   const Verdict proven = request.MayHaveRunBy == Reason::None
                              ? Verdict::NotRun
                              : Verdict::MayHaveRun;
+  // The home of its key runs a request at most once, however often it comes.
+  const bool isSender = request.Role == KeyRole::Sender;
   const RetryDecision decision =
-      decideRetry({why, proven, request.Request.IsIdempotent, request.IsOwned,
-                   request.AttemptsMade, request.PausesMade, request.Deadline},
+      decideRetry({why, proven, request.Request.IsIdempotent || isSender,
+                   request.IsOwned || isSender, request.AttemptsMade,
+                   request.PausesMade, request.Deadline},
                   now);
   // The router that forwarded a request decides on its retries.
   if (std::holds_alternative<GiveUp>(decision) || isForwardedHere(request))
@@ -67,7 +71,7 @@
     return pause(request, later->At);
   }
   Retries.add(why);
-  submit(request, now);
+  proceed(request, now);
 }
 
 void RouterCore::pause(RequestState &request, Time until) {
@@ -79,13 +83,16 @@
 void RouterCore::resume(RequestState &request, Time now) {
   Paused.erase({*request.ResumeAt, request.Request.Id});
   request.ResumeAt.reset();
-  submit(request, now);
+  if (request.Role == KeyRole::Waiter)
+    return refuse(request, Reason::DuplicateInFlight, Duration(), now);
+  proceed(request, now);
 }
 
 void RouterCore::resumeAfterOwners(const ServiceId &service, Time now) {
   std::vector<RequestId> waiting;
   for (const auto &[at, id] : Paused)
-    if (Requests.at(id)->Request.Service == service)
+    if (Requests.at(id)->Request.Service == service &&
+        Requests.at(id)->Role != KeyRole::Waiter)
       waiting.push_back(id);
   for (const RequestId &id : waiting)
     resume(*Requests.at(id), now);
--- a/src/traffic/router_core_base.h
+++ b/src/traffic/router_core_base.h
@@ -7,11 +7,14 @@
 
 #include "metrics/reason_counters.h"
 #include "traffic/dispatcher_base.h"
+#include "traffic/idempotency_home_base.h"
+#include "traffic/idempotency_memory_base.h"
 #include "traffic/retry_budget_base.h"
 #include "traffic/retry_type.h"
 #include "traffic/router_core_type.h"
 
 #include <absl/container/flat_hash_map.h>
+#include <map>
 #include <memory>
 #include <set>
 
@@ -29,6 +32,11 @@
   /// @param seed of all random choices
   RouterCore(VmId self, std::uint64_t seed);
 
+  /// Remembers idempotency keys from now on; without this call none is
+  /// remembered, and each request runs once for each time it is sent.
+  /// @param homes outlives the core
+  void rememberKeys(const IdempotencyHomes &homes) { Homes = &homes; }
+
   /// Takes one event.
   /// @param now this process's clock, never before an earlier now
   /// @return what to do, in this order
@@ -44,8 +52,17 @@
   const ReasonCounters &retries() const { return Retries; }
   /// @return retries that were not made, by the reason that forbade them
   const ReasonCounters &retryRefusals() const { return RetryRefusals; }
+  const IdempotencyMemory &memory() const { return Memory; }
 
 private:
+  /// What a request is to its idempotency key.
+  enum class KeyRole : std::uint8_t {
+    None,   ///< no key, or not decided yet
+    Sender, ///< sends it to the key's home
+    Runner, ///< runs it here, the key's home
+    Waiter, ///< waits for the runner's answer
+  };
+
   /// A caller's request until its answer.
   struct RequestState {
     CallerRequest Request;
@@ -59,6 +76,11 @@
     int PausesMade = 0;
     Reason MayHaveRunBy = Reason::None; ///< first end that proved nothing
     std::optional<Time> ResumeAt;       ///< paused until then
+    std::optional<IdempotencyKey> Key;  ///< when its key is remembered
+    WallTime IssuedAt;                  ///< of Key
+    KeyRole Role = KeyRole::None;
+    std::string Detail;      ///< told with a refusal
+    bool IsAnswered = false; ///< its caller is gone, but its key still runs
   };
 
   /// An attempt until its end, which may come after its request's answer.
@@ -91,6 +113,17 @@
 
   /// @return whether another router chose this one for the upstream
   static bool isForwardedHere(const RequestState &request);
+  /// Takes a request, or takes it up again: at the home of its key, or here.
+  void proceed(RequestState &request, Time now);
+  /// Reads the request's key; refuses it when that is malformed.
+  /// @return whether the request may go on
+  bool readKey(RequestState &request, Time now);
+  void proceedWithKey(RequestState &request, Time now);
+  void beginKey(RequestState &request, WallTime heldSince, Time now);
+  void sendToHome(RequestState &request, RouterTarget home, Time now);
+  /// @return when this router's view of civil time first saw the lease
+  WallTime noteHeldSince(const ServiceId &service, PartitionId partition,
+                         Time since);
   void submit(RequestState &request, Time now);
   /// An attempt failed, or no attempt could be started.
   /// @param retryAfter what a refusal states
@@ -101,6 +134,12 @@
   /// Ends the request with a failure; says "not run" only when no attempt
   /// of it may have run.
   void refuse(RequestState &request, Reason why, Duration retryAfter, Time now);
+  /// As refuse(), saying more to the caller.
+  void refuseKey(RequestState &request, Reason why, std::string_view detail,
+                 Time now);
+  /// The request under its key ended: tells those that wait for it.
+  void finishKey(const RequestState &request, const AnswerCaller &answer,
+                 Time now);
   /// Ends the request: cancels what is left of it and answers.
   void settle(RequestState &request, AnswerCaller answer, Time now);
   const TeamConfig *findTeam(const TeamId &team) const;
@@ -112,6 +151,12 @@
   absl::flat_hash_map<AttemptId, AttemptState> Attempts;
   std::set<std::pair<Time, RequestId>> Paused; ///< index of ResumeAt
   RetryBudget Budget;
+  const IdempotencyHomes *Homes = nullptr;
+  IdempotencyMemory Memory;
+  /// Leases of partitions: their start, and civil time when it was noted.
+  std::map<std::pair<ServiceId, PartitionId>, std::pair<Time, WallTime>>
+      HeldPartitions;
+  std::uint64_t NextSend = 1; ///< counts attempts at homes of keys
   ReasonCounters Answers;
   ReasonCounters AttemptEnds;
   ReasonCounters Retries;
--- a/src/traffic/router_core_type.h
+++ b/src/traffic/router_core_type.h
@@ -70,7 +70,9 @@
 };
 
 /// Time passed.
-struct RouterTick {};
+struct RouterTick {
+  WallTime Wall;
+};
 
 /// This router takes no more requests; those in flight go on.
 struct DrainStarted {};
@@ -79,6 +81,13 @@
     std::variant<CallerRequest, CallerLost, AttemptEnded, ConfigurationChanged,
                  OwnersChanged, RouterTick, DrainStarted>;
 
+/// Attempts at the home of an idempotency key have ids from here on; those
+/// of the dispatcher are below.
+constexpr std::uint64_t FirstSend = 1ull << 63;
+
+/// @return whether the dispatcher does not know @p attempt
+inline bool isSend(AttemptId attempt) { return attempt.Value >= FirstSend; }
+
 /// Send a request to an upstream.
 struct UpstreamTarget {
   UpstreamId Upstream;
@@ -118,6 +127,7 @@
   Verdict Proven = Verdict::Ran;
   Duration RetryAfter{}; ///< stated when Proven is NotRun
   HttpResponse Answer;   ///< the upstream's when Why is None
+  std::string Detail;    ///< told beside the reason; may be empty
 };
 
 using RouterAction = std::variant<StartAttempt, CancelAttempt, AnswerCaller>;
