--- a/scripts/deployment.sh
+++ b/scripts/deployment.sh
@@ -17,6 +17,12 @@
   PidOf[$name]=$!
 }
 
+# lose_process NAME: ends a process without warning.
+lose_process() {
+  kill -KILL "${PidOf[$1]}"
+  wait "${PidOf[$1]}" 2>/dev/null || true
+}
+
 # stop_all: ends what start_process started, and waits for it.
 stop_all() {
   if [ ${#Pids[@]} -gt 0 ]; then
--- a/src/router/router_metrics.h
+++ b/src/router/router_metrics.h
@@ -17,6 +17,8 @@
   RouterMetrics(const RouterCore &core, const LatencyStats &latency);
 
   absl::Status listen(const Endpoint &endpoint);
+  /// Frees the port for the next process.
+  void drain() { Server.drain(); }
 
 private:
   IoThread Io{"metrics"};
--- a/src/router/router_process.cpp
+++ b/src/router/router_process.cpp
@@ -62,6 +62,7 @@
     spdlog::info("draining");
     IsDraining = true;
     Edge.drain();
+    Metrics.drain();
     const Time start = readClock();
     const Time deadline = start + Settings.Router.duration("drain");
     // Requests may still be on their way on connections that are kept alive.
--- a/tests/end_to_end_test.cpp
+++ b/tests/end_to_end_test.cpp
@@ -60,9 +60,12 @@
   ChildProcess load = deployment.startLoad({{.Services = {"keyed", "plain"}}},
                                            2000, ShareUnchecked);
   std::this_thread::sleep_for(milliseconds(800));
-  deployment.router(3).signal(SIGTERM);
-  EXPECT_EQ(deployment.router(3).wait(), 0);
+  ChildProcess drained = deployment.takeRouter(3);
+  drained.signal(SIGTERM);
+  // The successor starts on the same settings while the first still drains.
+  std::this_thread::sleep_for(milliseconds(50));
   deployment.startRouter(3);
+  EXPECT_EQ(drained.wait(), 0);
   EXPECT_EQ(load.wait(), 0) << deployment.loadReport();
   EXPECT_EQ(deployment.loadReport().find("connection_lost"), std::string::npos)
       << deployment.loadReport();
--- a/tests/support/deployment.h
+++ b/tests/support/deployment.h
@@ -12,6 +12,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace waxwing {
@@ -57,6 +58,10 @@
   void startController(int vm);
   ChildProcess &router(int vm) { return Routers.at(vm); }
   ChildProcess &controller(int vm) { return Controllers.at(vm); }
+  /// Hands a router over to the test; startRouter() starts its successor.
+  ChildProcess takeRouter(int vm) {
+    return std::move(Routers.extract(vm).mapped());
+  }
   void endRouter(int vm) { Routers.erase(vm); }
   void endController(int vm) { Controllers.erase(vm); }
 
