--- a/src/controller/configuration_host.cpp
+++ b/src/controller/configuration_host.cpp
@@ -50,8 +50,10 @@
 ConfigurationHost::ConfigurationHost(const RecordMember &self,
                                      const VmSettings &settings,
                                      StorePort &store, LinkPort &links,
+                                     ControlCounters &counters,
                                      ConfigurationHandlers handlers, Time now)
-    : Self(self), Store(store), Links(links), Handlers(std::move(handlers)),
+    : Self(self), Store(store), Links(links), Counters(counters),
+      Handlers(std::move(handlers)),
       Node(entryOf(self, settings), membershipTerms(settings),
            {PullTimeout, JoinLimit, JoinPeers, MeshVms}, now) {}
 
@@ -114,6 +116,7 @@
 }
 
 void ConfigurationHost::carryOut(DocumentsInForce &action, Time now) {
+  Counters.add(ControlCounter::DocumentsInForce, action.Documents.size());
   for (const TeamDocument &document : action.Documents)
     spdlog::info("configuration of {} at revision {} in force",
                  document.Team.Value, document.Rev.Value);
@@ -123,6 +126,7 @@
 }
 
 void ConfigurationHost::carryOut(DocumentRefused &action, Time) {
+  Counters.add(ControlCounter::DocumentsRefused);
   spdlog::warn("document of {} at revision {} is faulty: {}",
                action.Document.Team.Value, action.Document.Rev.Value,
                action.Error);
--- a/src/controller/configuration_host.h
+++ b/src/controller/configuration_host.h
@@ -31,6 +31,7 @@
 public:
   ConfigurationHost(const RecordMember &self, const VmSettings &settings,
                     StorePort &store, LinkPort &links,
+                    ControlCounters &counters,
                     ConfigurationHandlers handlers, Time now);
 
   /// @return the documents in force on this VM
@@ -80,6 +81,7 @@
   RecordMember Self;
   StorePort &Store;
   LinkPort &Links;
+  ControlCounters &Counters;
   ConfigurationHandlers Handlers;
   ControlNode Node;
   std::map<VmId, Endpoint> Targets;
--- a/src/controller/controller_process.cpp
+++ b/src/controller/controller_process.cpp
@@ -5,6 +5,7 @@
 #include "controller/controller_process.h"
 
 #include "controller/configuration_host.h"
+#include "controller/controller_metrics.h"
 #include "controller/link_port.h"
 #include "controller/order_port.h"
 #include "controller/ownership_host.h"
@@ -44,11 +45,12 @@
         Terms(termsOf(Settings.Ownership)),
         Store(parseEndpoint(Settings.Store.text("address")),
               Settings.Store.duration("timeout"),
-              parseEndpoint(Settings.Store.text("vm_list")),
+              parseEndpoint(Settings.Store.text("vm_list")), Counters,
               [this] { wake(); }),
-        Orders([this] { wake(); }), Links(Self, [this] { wake(); }),
+        Orders(Counters, [this] { wake(); }),
+        Links(Self, Counters, [this] { wake(); }),
         Configurations(
-            Self, Settings, Store, Links,
+            Self, Settings, Store, Links, Counters,
             {[this](Time now) {
                Ownership.define(Configurations.configuration(), now);
              },
@@ -65,6 +67,10 @@
     Decisions.emplace(System, Terms.Heartbeat / 2,
                       [this](DutyCall call) { decide(call); });
     IsReady = true;
+    if (absl::Status status =
+            Metrics.listen(parseEndpoint(Settings.Controller.text("metrics")));
+        !status.ok())
+      return status;
     Store.start();
     return Links.listen(parseEndpoint(Settings.Controller.text("link")));
   }
@@ -118,6 +124,7 @@
   VmSettings Settings;
   RecordMember Self;
   OwnershipTerms Terms;
+  ControlCounters Counters;
   std::atomic<bool> IsReady{false};
   std::atomic<bool> IsLeaving{false};
   bool IsLeaveTold = false;
@@ -127,6 +134,7 @@
   LinkPort Links;
   ConfigurationHost Configurations;
   OwnershipHost Ownership;
+  ControllerMetrics Metrics{Counters};
   std::optional<Duty> Decisions;
 };
 
--- a/src/controller/link_port.cpp
+++ b/src/controller/link_port.cpp
@@ -21,8 +21,9 @@
 
 } // namespace
 
-LinkPort::LinkPort(RecordMember self, std::function<void()> wakeDecisions)
-    : Self(std::move(self)),
+LinkPort::LinkPort(RecordMember self, ControlCounters &counters,
+                   std::function<void()> wakeDecisions)
+    : Counters(counters), Self(std::move(self)),
       Host(Io.context(), {[this](LinkId id) { onOpen(id); },
                           [this](LinkId id, const std::string &bytes) {
                             onMessage(id, bytes);
@@ -61,14 +62,14 @@
   if (command.Everyone)
     for (const auto &[link, peer] : Peers)
       if (peer.Role == *command.Everyone)
-        Host.send(link, bytes);
+        send(link, bytes);
   if (!command.To)
     return;
   if (const auto it = Demands.find(*command.To);
       it != Demands.end() && command.OpensLink)
     it->second.Until = readClock() + DemandIdle;
   if (const auto link = linkTo(*command.To))
-    Host.send(*link, bytes);
+    send(*link, bytes);
   else if (command.OpensLink)
     demand(*command.To, bytes);
 }
@@ -91,14 +92,24 @@
   }
 }
 
+void LinkPort::send(LinkId link, const std::string &bytes) {
+  Counters.add(ControlCounter::LinkMessagesSent);
+  Counters.add(ControlCounter::LinkBytesSent, bytes.size());
+  Host.send(link, bytes);
+}
+
 void LinkPort::onOpen(LinkId link) {
-  Host.send(link, encodeLinkMessage(LinkHello{Self, ProcessRole::Controller}));
+  send(link, encodeLinkMessage(LinkHello{Self, ProcessRole::Controller}));
 }
 
 void LinkPort::onMessage(LinkId link, const std::string &bytes) {
+  Counters.add(ControlCounter::LinkMessagesReceived);
+  Counters.add(ControlCounter::LinkBytesReceived, bytes.size());
   auto message = decodeLinkMessage(bytes);
-  if (!message.ok())
+  if (!message.ok()) {
+    Counters.add(ControlCounter::LinkMessagesFaulty);
     return Host.close(link);
+  }
   if (const auto *hello = std::get_if<LinkHello>(&*message))
     if (!greet(link, *hello))
       return Host.close(link);
@@ -107,7 +118,10 @@
     return Host.close(link);
   const bool isHello = std::holds_alternative<LinkHello>(*message);
   // A lost hello would leave a link that the decisions do not know.
-  if (!Events.push(LinkReceived{it->second, *std::move(message)}) && isHello)
+  if (Events.push(LinkReceived{it->second, *std::move(message)}))
+    return;
+  Counters.add(ControlCounter::RingFull);
+  if (isHello)
     Host.close(link);
 }
 
@@ -127,7 +141,7 @@
     return true;
   if (const auto it = Demands.find(hello.Self.Vm); it != Demands.end())
     for (const std::string &bytes : std::exchange(it->second.Messages, {}))
-      Host.send(link, bytes);
+      send(link, bytes);
   closeSurplus(hello.Self.Vm);
   return true;
 }
@@ -153,6 +167,7 @@
   const auto it = Peers.find(link);
   if (it == Peers.end())
     return;
+  Counters.add(ControlCounter::LinksLost);
   const LinkHello peer = it->second;
   Peers.erase(it);
   const bool hasOther =
--- a/src/controller/link_port.h
+++ b/src/controller/link_port.h
@@ -7,6 +7,7 @@
 
 #include "core/bounded_ring.h"
 #include "link/link_message_type.h"
+#include "metrics/control_counters.h"
 #include "net/io_thread.h"
 #include "net/link.h"
 
@@ -63,7 +64,9 @@
 /// opened from both sides, the one that the smaller VM id opened remains.
 class LinkPort {
 public:
-  LinkPort(RecordMember self, std::function<void()> wakeDecisions);
+  /// @param counters outlives this object
+  LinkPort(RecordMember self, ControlCounters &counters,
+           std::function<void()> wakeDecisions);
   ~LinkPort();
 
   absl::Status listen(const Endpoint &endpoint);
@@ -83,6 +86,7 @@
     std::vector<std::string> Messages; ///< wait for the hello
   };
 
+  void send(LinkId link, const std::string &bytes);
   void onOpen(LinkId link);
   void onMessage(LinkId link, const std::string &bytes);
   void onClose(LinkId link);
@@ -94,6 +98,7 @@
   void maintain();
   void connect(const VmId &vm, const Endpoint &endpoint);
 
+  ControlCounters &Counters;
   IoThread Io{"links"};
   RecordMember Self;
   LinkHost Host;
--- a/src/controller/order_port.cpp
+++ b/src/controller/order_port.cpp
@@ -14,8 +14,9 @@
 
 } // namespace
 
-OrderPort::OrderPort(std::function<void()> wakeDecisions)
-    : Client(Io, OrderConnections),
+OrderPort::OrderPort(ControlCounters &counters,
+                     std::function<void()> wakeDecisions)
+    : Counters(counters), Client(Io, OrderConnections),
       Requests(OrderRingCapacity,
                [this] {
                  Io.post([this] {
@@ -29,16 +30,25 @@
   message.Method = "POST";
   message.Target = std::string(GrantPath);
   message.Body = encodeOrder(request.Order);
+  Counters.add(ControlCounter::OrdersSent);
   Client.send(request.Address, std::move(message), request.Deadline,
               [this, service = request.Service,
                to = request.To](const HttpOutcome &outcome) {
-                if (outcome.Progress != HttpProgress::Answered)
-                  return;
-                auto answer = decodeGrantAnswer(outcome.Response.Body);
-                if (!answer.ok() || answer->From != to)
-                  return;
-                Answers.push({service, *std::move(answer)});
+                finish(service, to, outcome);
               });
 }
 
+void OrderPort::finish(const ServiceId &service, const UpstreamId &to,
+                       const HttpOutcome &outcome) {
+  if (outcome.Progress != HttpProgress::Answered)
+    return Counters.add(ControlCounter::OrdersUnanswered);
+  auto answer = decodeGrantAnswer(outcome.Response.Body);
+  if (!answer.ok() || answer->From != to)
+    return Counters.add(ControlCounter::OrdersUnanswered);
+  Counters.add(answer->Accepted ? ControlCounter::OrdersAccepted
+                                : ControlCounter::OrdersRefused);
+  if (!Answers.push({service, *std::move(answer)}))
+    Counters.add(ControlCounter::RingFull);
+}
+
 } // namespace waxwing
--- a/src/controller/order_port.h
+++ b/src/controller/order_port.h
@@ -6,6 +6,7 @@
 #define WAXWING_CONTROLLER_ORDER_PORT_H
 
 #include "core/bounded_ring.h"
+#include "metrics/control_counters.h"
 #include "net/http_client.h"
 #include "ownership/ownership_type.h"
 
@@ -31,7 +32,8 @@
 /// Used on its own thread, but for requests().
 class OrderPort {
 public:
-  explicit OrderPort(std::function<void()> wakeDecisions);
+  /// @param counters outlives this object
+  OrderPort(ControlCounters &counters, std::function<void()> wakeDecisions);
 
   /// Filled by the decisions.
   BoundedRing<OrderRequest> &requests() { return Requests; }
@@ -41,7 +43,10 @@
 
 private:
   void carryOut(const OrderRequest &request);
+  void finish(const ServiceId &service, const UpstreamId &to,
+              const HttpOutcome &outcome);
 
+  ControlCounters &Counters;
   IoThread Io{"orders"};
   HttpClient Client;
   BoundedRing<OrderRequest> Requests;
--- a/src/controller/store_port.cpp
+++ b/src/controller/store_port.cpp
@@ -51,20 +51,21 @@
 } // namespace
 
 StorePort::StorePort(const Endpoint &store, Duration timeout, Endpoint vmList,
+                     ControlCounters &counters,
                      std::function<void()> wakeDecisions)
-    : Store(Io, store, timeout), VmListClient(Io, 1), VmList(std::move(vmList)),
-      Timeout(timeout), Requests(StoreRingCapacity,
-                                 [this] {
-                                   Io.post([this] {
-                                     Requests.drain([this](RecordRequest &&it) {
-                                       std::visit(
-                                           [&](const auto &action) {
-                                             carryOut(it.Service, action);
-                                           },
-                                           it.Action);
-                                     });
-                                   });
-                                 }),
+    : Platform(Io, store, timeout), Store(Platform, counters),
+      VmListClient(Io, 1), VmList(std::move(vmList)), Timeout(timeout),
+      Requests(
+          StoreRingCapacity,
+          [this] {
+            Io.post([this] {
+              Requests.drain([this](RecordRequest &&it) {
+                std::visit(
+                    [&](const auto &action) { carryOut(it.Service, action); },
+                    it.Action);
+              });
+            });
+          }),
       Watching(WatchRingCapacity,
                [this] {
                  Io.post([this] {
--- a/src/controller/store_port.h
+++ b/src/controller/store_port.h
@@ -10,6 +10,7 @@
 #include "core/bounded_ring.h"
 #include "membership/vm_list_type.h"
 #include "ownership/ownership_leader_type.h"
+#include "store/counting_store.h"
 #include "store/http_store.h"
 
 namespace waxwing {
@@ -50,9 +51,10 @@
 /// Used on its own thread, but for requests() and watching().
 class StorePort {
 public:
+  /// @param counters outlives this object
   /// @param wakeDecisions called when events wait
   StorePort(const Endpoint &store, Duration timeout, Endpoint vmList,
-            std::function<void()> wakeDecisions);
+            ControlCounters &counters, std::function<void()> wakeDecisions);
 
   /// Begins to poll the VM list.
   void start();
@@ -74,7 +76,8 @@
   void pollVmList();
 
   IoThread Io{"store"};
-  HttpStore Store;
+  HttpStore Platform;
+  CountingStore Store; ///< Platform, counted
   HttpClient VmListClient;
   Endpoint VmList;
   Duration Timeout;
