--- a/src/controller/configuration_host.cpp
+++ b/src/controller/configuration_host.cpp
@@ -4,6 +4,8 @@
  */
 #include "controller/configuration_host.h"
 
+#include "table/member_states.h"
+
 #include <spdlog/spdlog.h>
 #include <utility>
 
@@ -99,6 +101,7 @@
 }
 
 void ConfigurationHost::carryOut(MembersChanged &, Time now) {
+  logStates();
   std::vector<ControllerMember> members{toController(Node.membership().self())};
   for (const MemberEntry &it : Node.membership().others())
     if (it.State != MemberState::New && it.State != MemberState::Dead)
@@ -108,6 +111,17 @@
         MembershipEnvelope{controllersForRouters()}});
 }
 
+void ConfigurationHost::logStates() {
+  std::map<VmId, MemberState> states;
+  for (const MemberEntry &it : members()) {
+    states[it.Vm] = it.State;
+    const auto known = Logged.find(it.Vm);
+    if (known == Logged.end() || known->second != it.State)
+      spdlog::info("{} is {}", it.Vm.Value, memberStateName(it.State));
+  }
+  Logged = std::move(states);
+}
+
 void ConfigurationHost::carryOut(WatchStore &action, Time) {
   spdlog::info("{} the store", action.IsWanted ? "watches" : "stops watching");
   Store.watching().push(WatchRequest{action.IsWanted});
--- a/src/controller/configuration_host.h
+++ b/src/controller/configuration_host.h
@@ -74,6 +74,7 @@
   void carryOut(DocumentRefused &action, Time now);
   void carryOut(RecordKnown &action, Time now);
   void greetRouter();
+  void logStates();
   MembersUpdate controllersForRouters() const;
   void send(LinkSend message) { Links.commands().push(std::move(message)); }
 
@@ -83,6 +84,7 @@
   ConfigurationHandlers Handlers;
   ControlNode Node;
   std::map<VmId, Endpoint> Targets;
+  std::map<VmId, MemberState> Logged; ///< states that were logged last
 };
 
 } // namespace waxwing
--- /dev/null
+++ b/src/table/member_states.h
@@ -0,0 +1,26 @@
+/**
+ * @file member_states.h
+ * Table of names of member states.
+ */
+#ifndef WAXWING_TABLE_MEMBER_STATES_H
+#define WAXWING_TABLE_MEMBER_STATES_H
+
+#include "membership/membership_type.h"
+
+#include <array>
+#include <string_view>
+
+namespace waxwing {
+
+/// Names of states, indexed by their value.
+constexpr std::array<std::string_view, 5> MemberStateNames{
+    "new", "live", "leaving", "suspected", "dead"};
+
+/// @return the name of @p state
+constexpr std::string_view memberStateName(MemberState state) {
+  return MemberStateNames[static_cast<std::size_t>(state)];
+}
+
+} // namespace waxwing
+
+#endif
