--- a/src/traffic/router_core.cpp
+++ b/src/traffic/router_core.cpp
@@ -100,6 +100,7 @@
 void RouterCore::on(RouterTick &event, Time now) {
   Memory.advance(event.Wall);
   Dispatch.tick(now);
+  notePartitions(now);
   while (!Paused.empty() && Paused.begin()->first <= now)
     resume(*Requests.at(Paused.begin()->second), now);
 }
--- a/src/traffic/router_core_base.h
+++ b/src/traffic/router_core_base.h
@@ -121,7 +121,10 @@
   void proceedWithKey(RequestState &request, Time now);
   void beginKey(RequestState &request, WallTime heldSince, Time now);
   void sendToHome(RequestState &request, RouterTarget home, Time now);
-  /// @return when this router's view of civil time first saw the lease
+  /// Notes leases of partitions soon after they begin, so that few keys are
+  /// too old for them.
+  void notePartitions(Time now);
+  /// @return civil time when this router first noted the lease
   WallTime noteHeldSince(const ServiceId &service, PartitionId partition,
                          Time since);
   void submit(RequestState &request, Time now);
@@ -156,6 +159,7 @@
   /// Leases of partitions: their start, and civil time when it was noted.
   std::map<std::pair<ServiceId, PartitionId>, std::pair<Time, WallTime>>
       HeldPartitions;
+  Time PartitionsNotedAt;
   std::uint64_t NextSend = 1; ///< counts attempts at homes of keys
   ReasonCounters Answers;
   ReasonCounters AttemptEnds;
--- a/src/traffic/router_core_keys.cpp
+++ b/src/traffic/router_core_keys.cpp
@@ -7,6 +7,11 @@
 #include "traffic/router_core_base.h"
 
 namespace waxwing {
+namespace {
+
+constexpr Duration NotePeriod = milliseconds(50);
+
+} // namespace
 
 void RouterCore::proceed(RequestState &request, Time now) {
   if (request.Key && request.Role != KeyRole::Runner)
@@ -47,6 +52,17 @@
   sendToHome(request, *home, now);
 }
 
+void RouterCore::notePartitions(Time now) {
+  if (Homes == nullptr || !Config || now < PartitionsNotedAt + NotePeriod)
+    return;
+  PartitionsNotedAt = now;
+  for (const auto &[team, config] : Config->teams())
+    for (const auto &[service, settings] : config.Services)
+      for (std::uint32_t n = 0; n < PartitionCount; ++n)
+        if (const auto since = Homes->heldSince(service, PartitionId(n), now))
+          noteHeldSince(service, PartitionId(n), *since);
+}
+
 WallTime RouterCore::noteHeldSince(const ServiceId &service,
                                    PartitionId partition, Time since) {
   auto &noted = HeldPartitions[{service, partition}];
