--- a/src/controller/configuration_host.h
+++ b/src/controller/configuration_host.h
@@ -31,8 +31,8 @@
 public:
   ConfigurationHost(const RecordMember &self, const VmSettings &settings,
                     StorePort &store, LinkPort &links,
-                    ControlCounters &counters,
-                    ConfigurationHandlers handlers, Time now);
+                    ControlCounters &counters, ConfigurationHandlers handlers,
+                    Time now);
 
   /// @return the documents in force on this VM
   const Configuration &configuration() const { return Node.configuration(); }
--- a/src/relay/control_node_base.h
+++ b/src/relay/control_node_base.h
@@ -67,8 +67,8 @@
   Relay Items;
   RevisionReports Reports;
   Configuration Config;
-  Time JoinUntil; ///< nothing is decided on watching before
-  bool IsWatchWanted = false; ///< told to watch
+  Time JoinUntil;                    ///< nothing is decided on watching before
+  bool IsWatchWanted = false;        ///< told to watch
   bool IsChosenWatcher = false;      ///< by the present members
   bool IsChoiceStale = true;         ///< members changed since it was made
   std::optional<Time> WatchChangeAt; ///< when the choice takes effect
