--- a/src/link/link_message.cpp
+++ b/src/link/link_message.cpp
@@ -4,6 +4,8 @@
  */
 #include "link/link_message_func.h"
 
+#include "link/home_message_func.h"
+
 #include <absl/status/status.h>
 #include <array>
 #include <nlohmann/json.hpp>
@@ -56,6 +58,15 @@
   Json operator()(const FenceReply &it) const {
     return {"fenced", {it.Service.Value, it.Fence.Value}};
   }
+  Json operator()(const HomeAsk &it) const {
+    return {"home_ask", encodeHomeAsk(it)};
+  }
+  Json operator()(const HomeAnswer &it) const {
+    return {"home_answer", encodeHomeAnswer(it)};
+  }
+  Json operator()(const HomesUpdate &it) const {
+    return {"homes", encodeHomesUpdate(it)};
+  }
 };
 
 LinkMessage decodeHello(const Json &body) {
@@ -122,6 +133,15 @@
     DecoderRow{"confirmed", decodeConfirmed},
     DecoderRow{"fence", decodeFence},
     DecoderRow{"fenced", decodeFenced},
+    DecoderRow{
+        "home_ask",
+        [](const Json &body) { return LinkMessage(decodeHomeAsk(body)); }},
+    DecoderRow{
+        "home_answer",
+        [](const Json &body) { return LinkMessage(decodeHomeAnswer(body)); }},
+    DecoderRow{
+        "homes",
+        [](const Json &body) { return LinkMessage(decodeHomesUpdate(body)); }},
 };
 
 } // namespace
--- a/src/link/link_message_type.h
+++ b/src/link/link_message_type.h
@@ -8,6 +8,7 @@
 
 #include "config/team_config_base.h"
 #include "ownership/ownership_record_base.h"
+#include "traffic/home_type.h"
 
 #include <variant>
 #include <vector>
@@ -39,7 +40,8 @@
 };
 
 using LinkMessage =
-    std::variant<LinkHello, DocumentsUpdate, OwnersUpdate, OwnershipEnvelope>;
+    std::variant<LinkHello, DocumentsUpdate, OwnersUpdate, OwnershipEnvelope,
+                 HomeAsk, HomeAnswer, HomesUpdate>;
 
 } // namespace waxwing
 
--- a/src/router/controller_link.cpp
+++ b/src/router/controller_link.cpp
@@ -16,7 +16,15 @@
 ControllerLink::ControllerLink(RecordMember self, Endpoint controller,
                                std::function<void()> wakeDecisions)
     : Self(std::move(self)), Controller(std::move(controller)),
-      Messages(LinkRingCapacity, std::move(wakeDecisions)) {}
+      Messages(LinkRingCapacity, std::move(wakeDecisions)),
+      Outgoing(LinkRingCapacity, [this] {
+        Io.post([this] {
+          Outgoing.drain([this](LinkMessage &&it) {
+            if (Link)
+              Host->send(*Link, encodeLinkMessage(it));
+          });
+        });
+      }) {}
 
 ControllerLink::~ControllerLink() { stop(); }
 
@@ -36,6 +44,11 @@
   Io.runEvery(ReconnectPeriod, [this] { connect(); });
 }
 
+void ControllerLink::send(LinkMessage message) {
+  // Whoever sends repeats what stays without an answer.
+  Outgoing.push(std::move(message));
+}
+
 void ControllerLink::stop() { Io.stop(); }
 
 void ControllerLink::connect() {
--- a/src/router/controller_link.h
+++ b/src/router/controller_link.h
@@ -27,6 +27,8 @@
   ~ControllerLink();
 
   void start();
+  /// Sends when the link is open; used by the decisions.
+  void send(LinkMessage message);
   /// Consumed by the decisions.
   BoundedRing<LinkMessage> &messages() { return Messages; }
   void stop();
@@ -39,6 +41,7 @@
   RecordMember Self;
   Endpoint Controller;
   BoundedRing<LinkMessage> Messages;
+  BoundedRing<LinkMessage> Outgoing;
   std::optional<LinkHost> Host;
   std::optional<LinkId> Link; ///< opening or open
 };
--- a/src/router/router_process.cpp
+++ b/src/router/router_process.cpp
@@ -46,6 +46,8 @@
         Metrics(Core, Latency) {}
 
   absl::Status start() {
+    Core.leaseHomes(Self.Process,
+                    parseEndpoint(Settings.Router.text("forward")));
     Decisions.emplace(System, DecisionPeriod,
                       [this](DutyCall call) { decide(call); });
     IsReady = true;
@@ -110,6 +112,13 @@
       handle(OwnersChanged{std::make_shared<const OwnershipRecord>(
                  std::move(update->Record))},
              now);
+    if (auto *update = std::get_if<HomesUpdate>(&message))
+      handle(
+          HomesChanged{std::make_shared<const HomesUpdate>(std::move(*update))},
+          now);
+    if (auto *answer = std::get_if<HomeAnswer>(&message))
+      if (answer->Router == Self.Vm && answer->Process == Self.Process)
+        handle(HomesLeased{std::move(*answer)}, now);
   }
 
   void handle(RouterEvent event, Time now) {
@@ -127,6 +136,8 @@
 
   void carryOut(CancelAttempt &action, Time) { Port.commands().push(action); }
 
+  void carryOut(SendHomeAsk &action, Time) { Link.send(std::move(action.Ask)); }
+
   void carryOut(AnswerCaller &action, Time now) {
     if (const auto it = Arrivals.find(action.Request); it != Arrivals.end()) {
       if (action.Why == Reason::None)
--- a/src/traffic/dispatcher.cpp
+++ b/src/traffic/dispatcher.cpp
@@ -20,6 +20,14 @@
     known = std::move(owners);
 }
 
+void Dispatcher::leaseHomes(Incarnation, const Endpoint &) {}
+
+void Dispatcher::setHomes(std::shared_ptr<const HomesUpdate>, Time) {}
+
+void Dispatcher::takeLeases(const HomeAnswer &, Time) {}
+
+void Dispatcher::leaveHomes() {}
+
 void Dispatcher::submit(const DispatchRequest &request, Time now) {
   auto choice = choose(request);
   if (const Reason *why = std::get_if<Reason>(&choice)) {
--- a/src/traffic/dispatcher_base.h
+++ b/src/traffic/dispatcher_base.h
@@ -24,6 +24,13 @@
   void configure(std::shared_ptr<const Configuration> config, Time now);
   void setOwners(std::shared_ptr<const OwnershipRecord> owners, Time now);
 
+  /// See RouterCore::leaseHomes().
+  void leaseHomes(Incarnation process, const Endpoint &forward);
+  void setHomes(std::shared_ptr<const HomesUpdate> homes, Time now);
+  void takeLeases(const HomeAnswer &answer, Time now);
+  /// The router shuts down: its homes are given back as they fall idle.
+  void leaveHomes();
+
   void submit(const DispatchRequest &request, Time now);
   /// The request needs no (further) attempt; does nothing when unknown.
   void withdraw(RequestId request, Time now);
--- a/src/traffic/dispatcher_type.h
+++ b/src/traffic/dispatcher_type.h
@@ -44,7 +44,13 @@
   Duration RetryAfter{};
 };
 
-using DispatchDecision = std::variant<DispatchStart, DispatchRefuse>;
+/// Send this question to the leader of its service.
+struct DispatchAsk {
+  HomeAsk Ask;
+};
+
+using DispatchDecision =
+    std::variant<DispatchStart, DispatchRefuse, DispatchAsk>;
 
 } // namespace waxwing
 
--- a/src/traffic/router_core.cpp
+++ b/src/traffic/router_core.cpp
@@ -104,9 +104,20 @@
   Dispatch.setOwners(std::move(event.Record), now);
 }
 
+void RouterCore::on(HomesChanged &event, Time now) {
+  Dispatch.setHomes(std::move(event.Homes), now);
+}
+
+void RouterCore::on(HomesLeased &event, Time now) {
+  Dispatch.takeLeases(event.Answer, now);
+}
+
 void RouterCore::on(RouterTick &, Time now) { Dispatch.tick(now); }
 
-void RouterCore::on(DrainStarted &, Time) { IsDraining = true; }
+void RouterCore::on(DrainStarted &, Time) {
+  IsDraining = true;
+  Dispatch.leaveHomes();
+}
 
 void RouterCore::carryOutDecisions() {
   for (DispatchDecision &decision : Dispatch.takeDecisions())
@@ -126,6 +137,10 @@
   refuse(decision.Request, decision.Why);
 }
 
+void RouterCore::carryOut(DispatchAsk &decision) {
+  Actions.emplace_back(SendHomeAsk{std::move(decision.Ask)});
+}
+
 void RouterCore::refuse(const RequestId &request, Reason why) {
   Answers.add(why);
   Requests.erase(request);
--- a/src/traffic/router_core_base.h
+++ b/src/traffic/router_core_base.h
@@ -20,6 +20,13 @@
   /// @param seed of all random choices
   RouterCore(VmId self, std::uint64_t seed);
 
+  /// From now on only homes that are leased to this process are its own;
+  /// without this call the router is alone and the home of everything.
+  /// @param forward where this router takes forwarded requests
+  void leaseHomes(Incarnation process, const Endpoint &forward) {
+    Dispatch.leaseHomes(process, forward);
+  }
+
   /// Takes one event.
   /// @param now this process's clock, never before an earlier now
   /// @return what to do, in this order
@@ -43,6 +50,8 @@
   void on(AttemptEnded &event, Time now);
   void on(ConfigurationChanged &event, Time now);
   void on(OwnersChanged &event, Time now);
+  void on(HomesChanged &event, Time now);
+  void on(HomesLeased &event, Time now);
   void on(RouterTick &event, Time now);
   void on(DrainStarted &event, Time now);
 
@@ -52,6 +61,7 @@
   void carryOutDecisions();
   void carryOut(DispatchStart &decision);
   void carryOut(DispatchRefuse &decision);
+  void carryOut(DispatchAsk &decision);
   const TeamConfig *findTeam(const TeamId &team) const;
 
   Dispatcher Dispatch;
--- a/src/traffic/router_core_type.h
+++ b/src/traffic/router_core_type.h
@@ -10,6 +10,7 @@
 #include "core/verdict_type.h"
 #include "net/http_type.h"
 #include "ownership/ownership_record_base.h"
+#include "traffic/home_type.h"
 
 #include <memory>
 #include <optional>
@@ -57,6 +58,16 @@
   std::shared_ptr<const OwnershipRecord> Record;
 };
 
+/// The homes of a service's upstreams and partitions changed.
+struct HomesChanged {
+  std::shared_ptr<const HomesUpdate> Homes;
+};
+
+/// The leader of a service answered this router's question.
+struct HomesLeased {
+  HomeAnswer Answer;
+};
+
 /// Time passed.
 struct RouterTick {};
 
@@ -65,7 +76,8 @@
 
 using RouterEvent =
     std::variant<CallerRequest, CallerLost, AttemptEnded, ConfigurationChanged,
-                 OwnersChanged, RouterTick, DrainStarted>;
+                 OwnersChanged, HomesChanged, HomesLeased, RouterTick,
+                 DrainStarted>;
 
 /// Send a request to an upstream.
 struct UpstreamTarget {
@@ -80,6 +92,7 @@
   VmId Router;
   Endpoint Address;
   TierId Tier;
+  UpstreamId Upstream; ///< that the request is for; empty when any will do
 };
 
 using AttemptTarget = std::variant<UpstreamTarget, RouterTarget>;
@@ -106,7 +119,13 @@
   HttpResponse Answer;   ///< the upstream's when Why is None
 };
 
-using RouterAction = std::variant<StartAttempt, CancelAttempt, AnswerCaller>;
+/// Send a question about home leases to the leader of its service.
+struct SendHomeAsk {
+  HomeAsk Ask;
+};
+
+using RouterAction =
+    std::variant<StartAttempt, CancelAttempt, AnswerCaller, SendHomeAsk>;
 
 } // namespace waxwing
 
