Add: [Traffic] Home leases: lessor and holder, tier queue, warm-up, latency window

A home is leased for a term that the router counts from its question and the leader from its later answer, lengthened by the drift bound. A new lessor adopts for one term what routers report, so a change of leader moves nothing.

--- a/src/link/home_message.cpp
+++ b/src/link/home_message.cpp
@@ -35,7 +35,8 @@
 Json encodeHomeAsk(const HomeAsk &ask) {
   Json held = Json::array();
   for (const HeldHome &row : ask.Held)
-    held.push_back(Json::array({encodeResource(row.Resource), row.IsWarm}));
+    held.push_back(
+        Json::array({encodeResource(row.Resource), row.IsWarm, row.IsEnded}));
   return Json::array({ask.Service.Value, ask.Router.Value, ask.Process.Value,
                       encodeEndpoint(ask.Forward), ask.Round, std::move(held),
                       ask.IsLeaving});
@@ -50,7 +51,8 @@
               {},
               body.at(6).get<bool>()};
   for (const Json &row : body.at(5))
-    ask.Held.push_back({decodeResource(row.at(0)), row.at(1).get<bool>()});
+    ask.Held.push_back({decodeResource(row.at(0)), row.at(1).get<bool>(),
+                        row.at(2).get<bool>()});
   return ask;
 }
 
--- /dev/null
+++ b/src/traffic/home_holder.cpp
@@ -0,0 +1,68 @@
+/**
+ * @file home_holder.cpp
+ * Questions, answers and rights.
+ */
+#include "traffic/home_holder_base.h"
+
+#include <algorithm>
+
+namespace waxwing {
+
+HomeHolder::HomeHolder(ServiceId service, VmId self, Incarnation process,
+                       Endpoint forward, HomeTerms terms)
+    : Service(std::move(service)), Self(std::move(self)), Process(process),
+      Forward(std::move(forward)), Terms(terms) {}
+
+bool HomeHolder::isAskDue(Time now) const {
+  if (Round == 0)
+    return true;
+  return now >= AskedAt + (IsAnswered ? Terms.AskPeriod : Terms.AnswerWait);
+}
+
+HomeAsk HomeHolder::beginAsk(Time now) {
+  AskedAt = now;
+  IsAnswered = false;
+  return {Service, Self, Process, Forward, ++Round, {}, IsLeaving};
+}
+
+std::vector<HomeLease> HomeHolder::take(const HomeAnswer &answer) {
+  if (answer.Process != Process || answer.Round != Round || IsAnswered)
+    return {};
+  IsAnswered = true;
+  const Time end = AskedAt + answer.Term;
+  std::vector<HomeLease> gained;
+  std::map<HomeResource, Lease> next;
+  for (const HomeLease &lease : answer.Leases) {
+    next[lease.Resource] = {end, lease.IsReleasing, false};
+    if (!Leases.contains(lease.Resource))
+      gained.push_back(lease);
+  }
+  // What the answer leaves out is not renewed but still reported, so that
+  // its release is told only when nothing runs there. Ended leases stay as
+  // they are until published homes name another router.
+  for (const auto &[resource, lease] : Leases)
+    if (!next.contains(resource))
+      next[resource] =
+          lease.EndsAt <= AskedAt ? lease : Lease{lease.EndsAt, true, true};
+  Leases = std::move(next);
+  return gained;
+}
+
+void HomeHolder::takeHomes(const HomesUpdate &homes) {
+  for (const HomeRow &row : homes.Rows) {
+    const auto it = Leases.find(row.Resource);
+    if (it != Leases.end())
+      it->second.IsSuperseded = row.Router != Self;
+  }
+}
+
+HomeRight HomeHolder::right(const HomeResource &resource, Time now) const {
+  const auto it = Leases.find(resource);
+  if (it == Leases.end() || it->second.IsReleasing)
+    return HomeRight::None;
+  if (now < it->second.EndsAt)
+    return HomeRight::Full;
+  return it->second.IsSuperseded ? HomeRight::None : HomeRight::Floor;
+}
+
+} // namespace waxwing
--- /dev/null
+++ b/src/traffic/home_holder_base.h
@@ -0,0 +1,88 @@
+/**
+ * @file home_holder_base.h
+ * The router's side of home leases: asks, and knows which homes are its own
+ * now. No I/O, no clock, no threads.
+ */
+#ifndef WAXWING_TRAFFIC_HOME_HOLDER_BASE_H
+#define WAXWING_TRAFFIC_HOME_HOLDER_BASE_H
+
+#include "traffic/home_type.h"
+
+#include <map>
+#include <optional>
+#include <vector>
+
+namespace waxwing {
+
+/// What a router may do as the home of an upstream.
+enum class HomeRight : std::uint8_t {
+  None,  ///< start nothing
+  Floor, ///< the lease ended and no other home is known: a minimum only
+  Full,  ///< the lease runs
+};
+
+/// The leases of one service in one router process.
+/// Invariant: a lease ends at the time of the question plus the term, in the
+/// router's own clock; only the answer to the newest question counts.
+class HomeHolder {
+public:
+  HomeHolder(ServiceId service, VmId self, Incarnation process,
+             Endpoint forward, HomeTerms terms);
+
+  /// @param isIdle whether nothing of the router runs at a resource
+  /// @param isWarm whether an upstream has all its slots
+  /// @return the question to send now, if one is due
+  template <class IsIdle, class IsWarm>
+  std::optional<HomeAsk> poll(Time now, IsIdle &&isIdle, IsWarm &&isWarm) {
+    if (!isAskDue(now))
+      return std::nullopt;
+    dropReleased(now, std::forward<IsIdle>(isIdle));
+    HomeAsk ask = beginAsk(now);
+    for (const auto &[resource, lease] : Leases)
+      ask.Held.push_back({resource, isWarm(resource), now >= lease.EndsAt});
+    return ask;
+  }
+
+  /// @return the leases that are new with this answer
+  std::vector<HomeLease> take(const HomeAnswer &answer);
+  /// Homes that name another router end this router's minimum.
+  void takeHomes(const HomesUpdate &homes);
+  /// The router shuts down.
+  void leave() { IsLeaving = true; }
+
+  HomeRight right(const HomeResource &resource, Time now) const;
+
+private:
+  struct Lease {
+    Time EndsAt;
+    bool IsReleasing = false;
+    bool IsSuperseded = false; ///< published homes name another router
+  };
+
+  bool isAskDue(Time now) const;
+  HomeAsk beginAsk(Time now);
+  template <class IsIdle> void dropReleased(Time now, IsIdle &&isIdle) {
+    std::erase_if(Leases, [&](const auto &entry) {
+      const bool isOver =
+          entry.second.IsReleasing ||
+          (IsLeaving && right(entry.first, now) != HomeRight::Full) ||
+          (entry.second.IsSuperseded && now >= entry.second.EndsAt);
+      return isOver && isIdle(entry.first);
+    });
+  }
+
+  ServiceId Service;
+  VmId Self;
+  Incarnation Process;
+  Endpoint Forward;
+  HomeTerms Terms;
+  std::uint64_t Round = 0;
+  Time AskedAt;
+  bool IsAnswered = true; ///< the newest question, or none was asked
+  bool IsLeaving = false;
+  std::map<HomeResource, Lease> Leases;
+};
+
+} // namespace waxwing
+
+#endif
--- /dev/null
+++ b/src/traffic/home_lessor.cpp
@@ -0,0 +1,240 @@
+/**
+ * @file home_lessor.cpp
+ * Adoption, assignment, renewal and release of home leases.
+ */
+#include "traffic/home_lessor_base.h"
+
+#include <algorithm>
+#include <xxhash.h>
+
+namespace waxwing {
+namespace {
+
+/// A router that asked within this many answer waits is live.
+constexpr int LiveAnswerWaits = 2;
+
+/// Rank of a router for a resource; equal on every controller.
+std::uint64_t rank(const HomeResource &resource, const VmId &router) {
+  const std::string name = std::visit(
+      [](const auto &id) {
+        if constexpr (std::is_same_v<std::decay_t<decltype(id.Value)>,
+                                     std::string>)
+          return id.Value;
+        else
+          return std::to_string(id.Value);
+      },
+      resource);
+  const std::string text = name + "@" + router.Value;
+  return XXH64(text.data(), text.size(), 0);
+}
+
+} // namespace
+
+HomeLessor::HomeLessor(ServiceId service, HomeTerms terms)
+    : Service(std::move(service)), Terms(terms) {}
+
+void HomeLessor::setResources(std::vector<HomeResource> resources) {
+  Resources = std::move(resources);
+  std::ranges::sort(Resources);
+}
+
+void HomeLessor::setLeadership(const HomeLeadership &leadership, Time now) {
+  const bool wasLeading = Leadership.IsLeader && Leadership.IsQuietOver;
+  Leadership = leadership;
+  const bool isLeading = Leadership.IsLeader && Leadership.IsQuietOver;
+  if (!Leadership.IsLeader) {
+    // What was known may be outdated by another lessor's leases.
+    AssignsFrom.reset();
+    Leases.clear();
+    Idles.clear();
+    Claims.clear();
+    Published.clear();
+    return;
+  }
+  // The first lessor waits only until every live router has asked.
+  if (isLeading && !wasLeading)
+    AssignsFrom =
+        now + (Leadership.IsFirst ? Terms.AnswerWait + Terms.AskPeriod
+                                  : withDrift(Terms.Term, Terms.DriftPpm));
+}
+
+std::optional<HomeAnswer> HomeLessor::ask(const HomeAsk &ask, Time now) {
+  if (!Leadership.IsLeader || !Leadership.IsConfirmed || !AssignsFrom)
+    return std::nullopt;
+  Router &router = Routers[ask.Router];
+  if (router.Process == ask.Process && ask.Round <= router.Round)
+    return std::nullopt;
+  router = {ask.Process, ask.Forward, ask.Round, now, ask.IsLeaving};
+  dropEnded(now);
+  forgetSilent(now);
+  dropReleased(ask);
+  takeHeld(ask, now);
+  if (mayAssign(now)) {
+    releaseExcess(ask.Router, now);
+    assignIdle(ask.Router, now);
+  }
+  return makeAnswer(ask, now);
+}
+
+bool HomeLessor::mayAssign(Time now) const {
+  return AssignsFrom && now >= *AssignsFrom;
+}
+
+bool HomeLessor::isLive(const Router &router, Time now) const {
+  return now < router.HeardAt + Terms.AnswerWait * LiveAnswerWaits;
+}
+
+void HomeLessor::takeHeld(const HomeAsk &ask, Time now) {
+  for (const HeldHome &held : ask.Held) {
+    if (!std::ranges::binary_search(Resources, held.Resource))
+      continue;
+    const auto it = Leases.find(held.Resource);
+    if (it == Leases.end()) {
+      if (held.IsEnded)
+        Claims.try_emplace(held.Resource, ask.Router);
+      // Once earlier leases ended, only leases of this lessor are renewed.
+      else if (!mayAssign(now))
+        Leases[held.Resource] = {ask.Router,  ask.Process, now,
+                                 held.IsWarm, true,        false};
+      continue;
+    }
+    if (it->second.Router == ask.Router && it->second.Process == ask.Process)
+      it->second.IsWarm = held.IsWarm;
+  }
+}
+
+void HomeLessor::dropReleased(const HomeAsk &ask) {
+  std::erase_if(Leases, [&](const auto &entry) {
+    const auto &[resource, lease] = entry;
+    const bool isOurs =
+        lease.Router == ask.Router && lease.Process == ask.Process;
+    const bool isHeld = std::ranges::any_of(
+        ask.Held, [&](const HeldHome &it) { return it.Resource == resource; });
+    if (!isOurs || isHeld)
+      return false;
+    Idles[resource] = {lease.IsWarm, true};
+    return true;
+  });
+}
+
+void HomeLessor::dropEnded(Time now) {
+  std::erase_if(Leases, [&](const auto &entry) {
+    const auto &[resource, lease] = entry;
+    if (now < lease.EndsAt || !mayAssign(now))
+      return false;
+    Idles[resource] = {lease.IsWarm, false};
+    return true;
+  });
+  std::erase_if(Leases, [&](const auto &entry) {
+    return now >= entry.second.EndsAt &&
+           !std::ranges::binary_search(Resources, entry.first);
+  });
+}
+
+void HomeLessor::assignIdle(const VmId &to, Time now) {
+  const Router &router = Routers.at(to);
+  LeaseCounts counts = countLeases();
+  for (const HomeResource &resource : Resources) {
+    if (Leases.contains(resource) || chooseRouter(resource, counts, now) != to)
+      continue;
+    const auto idle = Idles.find(resource);
+    const bool isKnown = idle != Idles.end();
+    // Nobody can have held it before when this lessor is the first.
+    const bool isClean = isKnown ? idle->second.IsClean : Leadership.IsFirst;
+    const bool isWarm = isKnown && idle->second.IsWarm;
+    Leases[resource] = {to, router.Process, now, isWarm, isClean, false};
+    ++counts.of(to, resource);
+    Claims.erase(resource);
+    if (isKnown)
+      Idles.erase(idle);
+  }
+}
+
+void HomeLessor::releaseExcess(const VmId &from, Time now) {
+  LeaseCounts counts = countLeases();
+  for (auto &[resource, lease] : Leases) {
+    if (lease.Router != from || lease.IsReleasing)
+      continue;
+    const auto better = chooseRouter(resource, counts, now);
+    if (!better || *better == from)
+      continue;
+    const bool isExcess =
+        counts.of(from, resource) >= counts.of(*better, resource) + 2;
+    if (!isExcess && !Routers.at(from).IsLeaving)
+      continue;
+    lease.IsReleasing = true;
+    --counts.of(from, resource);
+    ++counts.of(*better, resource);
+  }
+}
+
+void HomeLessor::forgetSilent(Time now) {
+  std::erase_if(Routers, [&](const auto &entry) {
+    const bool hasLease = std::ranges::any_of(Leases, [&](const auto &it) {
+      return it.second.Router == entry.first;
+    });
+    return !isLive(entry.second, now) && !hasLease;
+  });
+}
+
+HomeLessor::LeaseCounts HomeLessor::countLeases() const {
+  LeaseCounts counts;
+  for (const auto &[resource, lease] : Leases)
+    if (!lease.IsReleasing)
+      ++counts.of(lease.Router, resource);
+  return counts;
+}
+
+std::optional<VmId> HomeLessor::chooseRouter(const HomeResource &resource,
+                                             LeaseCounts &counts,
+                                             Time now) const {
+  const auto isEligible = [&](const Router &router) {
+    return !router.IsLeaving && isLive(router, now);
+  };
+  if (const auto claim = Claims.find(resource); claim != Claims.end()) {
+    const auto router = Routers.find(claim->second);
+    if (router != Routers.end() && isEligible(router->second))
+      return claim->second;
+  }
+  std::optional<VmId> best;
+  std::pair<std::size_t, std::uint64_t> bestKey;
+  for (const auto &[vm, router] : Routers) {
+    if (!isEligible(router))
+      continue;
+    const std::pair key(counts.of(vm, resource), rank(resource, vm));
+    if (!best || key < bestKey) {
+      best = vm;
+      bestKey = key;
+    }
+  }
+  return best;
+}
+
+HomeAnswer HomeLessor::makeAnswer(const HomeAsk &ask, Time now) {
+  HomeAnswer answer{Service,   ask.Router, ask.Process,
+                    ask.Round, Terms.Term, {}};
+  for (auto &[resource, lease] : Leases) {
+    if (lease.Router != ask.Router || lease.Process != ask.Process)
+      continue;
+    lease.EndsAt = now + withDrift(Terms.Term, Terms.DriftPpm);
+    answer.Leases.push_back(
+        {resource, lease.IsWarm, lease.IsClean, lease.IsReleasing});
+  }
+  return answer;
+}
+
+std::optional<HomesUpdate> HomeLessor::takeUpdate(Time now) {
+  if (!Leadership.IsLeader || !Leadership.IsConfirmed || !mayAssign(now))
+    return std::nullopt;
+  std::vector<HomeRow> rows;
+  for (const auto &[resource, lease] : Leases)
+    if (now < lease.EndsAt)
+      rows.push_back(
+          {resource, lease.Router, Routers.at(lease.Router).Forward});
+  if (rows == Published)
+    return std::nullopt;
+  Published = rows;
+  return HomesUpdate{Service, {Leadership.Record, ++Sequence}, std::move(rows)};
+}
+
+} // namespace waxwing
--- /dev/null
+++ b/src/traffic/home_lessor_base.h
@@ -0,0 +1,112 @@
+/**
+ * @file home_lessor_base.h
+ * The leader's side of home leases: assigns each upstream and each partition
+ * of a service to one live router. No I/O, no clock, no threads.
+ */
+#ifndef WAXWING_TRAFFIC_HOME_LESSOR_BASE_H
+#define WAXWING_TRAFFIC_HOME_LESSOR_BASE_H
+
+#include "traffic/home_type.h"
+
+#include <array>
+#include <map>
+#include <optional>
+#include <vector>
+
+namespace waxwing {
+
+/// What the lessor's controller knows of its own leadership of the service.
+struct HomeLeadership {
+  bool IsLeader = false;    ///< the newest known record names it
+  bool IsConfirmed = false; ///< and is proven to be the newest
+  /// All confirmations of earlier leaders have ended.
+  bool IsQuietOver = false;
+  /// The record never had another leader, so no earlier lease exists.
+  bool IsFirst = false;
+  Revision Record; ///< newest record revision known
+};
+
+/// Invariant: at any moment at most one router, in its own clock, holds a
+/// lease on a resource, over all lessors of the service.
+///
+/// A lease ends for the router at its question plus the term; the lessor
+/// counts from its later answer and lengthens by the drift bound. A new
+/// lessor first learns for one such term what routers report to hold.
+class HomeLessor {
+public:
+  HomeLessor(ServiceId service, HomeTerms terms);
+
+  void setResources(std::vector<HomeResource> resources);
+  void setLeadership(const HomeLeadership &leadership, Time now);
+
+  /// @return the answer, or nothing while this controller may not lease
+  std::optional<HomeAnswer> ask(const HomeAsk &ask, Time now);
+
+  /// @return the homes when they changed since the last call
+  std::optional<HomesUpdate> takeUpdate(Time now);
+
+private:
+  struct Router {
+    Incarnation Process;
+    Endpoint Forward;
+    std::uint64_t Round = 0;
+    Time HeardAt;
+    bool IsLeaving = false;
+  };
+  struct Lease {
+    VmId Router;
+    Incarnation Process;
+    Time EndsAt; ///< in this clock, never before the router's own end
+    bool IsWarm = false;
+    bool IsClean = false;     ///< nothing of an earlier holder ran at its start
+    bool IsReleasing = false; ///< on its way to another router
+  };
+  /// What is known of a resource that nobody holds.
+  struct Idle {
+    bool IsWarm = false;
+    bool IsClean = false;
+  };
+
+  /// Leases by router and kind of resource, but for those being released.
+  class LeaseCounts {
+  public:
+    std::size_t &of(const VmId &router, const HomeResource &like) {
+      return Counts[router][like.index()];
+    }
+
+  private:
+    std::map<VmId, std::array<std::size_t, std::variant_size_v<HomeResource>>>
+        Counts;
+  };
+
+  bool mayAssign(Time now) const;
+  bool isLive(const Router &router, Time now) const;
+  void takeHeld(const HomeAsk &ask, Time now);
+  void dropReleased(const HomeAsk &ask);
+  void dropEnded(Time now);
+  void assignIdle(const VmId &to, Time now);
+  void releaseExcess(const VmId &from, Time now);
+  void forgetSilent(Time now);
+  LeaseCounts countLeases() const;
+  /// @return the live router that should hold @p resource
+  std::optional<VmId> chooseRouter(const HomeResource &resource,
+                                   LeaseCounts &counts, Time now) const;
+  HomeAnswer makeAnswer(const HomeAsk &ask, Time now);
+
+  ServiceId Service;
+  HomeTerms Terms;
+  std::vector<HomeResource> Resources;
+  HomeLeadership Leadership;
+  std::optional<Time> AssignsFrom; ///< earlier lessors' leases ended
+  std::map<VmId, Router> Routers;
+  std::map<HomeResource, Lease> Leases;
+  std::map<HomeResource, Idle> Idles; ///< held before, in this lessor's time
+  /// Routers that still have the state of a home whose lease ended.
+  std::map<HomeResource, VmId> Claims;
+  std::uint64_t Sequence = 0;
+  std::vector<HomeRow> Published;
+};
+
+} // namespace waxwing
+
+#endif
--- a/src/traffic/home_type.h
+++ b/src/traffic/home_type.h
@@ -38,7 +38,8 @@
 /// What a router says of a resource that it holds.
 struct HeldHome {
   HomeResource Resource;
-  bool IsWarm = false; ///< an upstream that has all its slots
+  bool IsWarm = false;  ///< an upstream that has all its slots
+  bool IsEnded = false; ///< the lease ended, but requests may still run
   bool operator==(const HeldHome &) const = default;
 };
 
--- /dev/null
+++ b/src/traffic/tier_queue.cpp
@@ -0,0 +1,64 @@
+/**
+ * @file tier_queue.cpp
+ * Weighted fair sharing between tiers.
+ */
+#include "traffic/tier_queue_base.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace waxwing {
+
+bool TierQueue::push(const TierId &tier, const TierConfig &config,
+                     RequestId request) {
+  Lane &lane = Lanes[tier];
+  if (lane.Requests.size() >= config.QueueLimit)
+    return false;
+  if (lane.Requests.empty())
+    lane.Pass = std::max(lane.Pass, ServedPass);
+  lane.Weight = config.Weight;
+  lane.Requests.push_back(request);
+  ++Size;
+  return true;
+}
+
+std::optional<RequestId> TierQueue::pop() {
+  Lane *next = nullptr;
+  for (auto &[tier, lane] : Lanes)
+    if (!lane.Requests.empty() && (next == nullptr || lane.Pass < next->Pass))
+      next = &lane;
+  if (next == nullptr)
+    return std::nullopt;
+  ServedPass = next->Pass;
+  next->Pass += 1.0 / next->Weight;
+  const RequestId request = next->Requests.front();
+  next->Requests.pop_front();
+  --Size;
+  return request;
+}
+
+void TierQueue::erase(const TierId &tier, RequestId request) {
+  const auto lane = Lanes.find(tier);
+  if (lane != Lanes.end())
+    Size -= std::erase(lane->second.Requests, request);
+}
+
+std::size_t TierQueue::ahead(const TierId &tier,
+                             const TierConfig &config) const {
+  const auto lane = Lanes.find(tier);
+  const std::size_t own =
+      lane == Lanes.end() ? 0 : lane->second.Requests.size();
+  std::size_t total = own;
+  for (const auto &[other, it] : Lanes) {
+    if (other == tier)
+      continue;
+    // Others are served their share while the own requests wait.
+    const double share = static_cast<double>(own + 1) * it.Weight /
+                         static_cast<double>(config.Weight);
+    total += std::min(it.Requests.size(),
+                      static_cast<std::size_t>(std::ceil(share)));
+  }
+  return total;
+}
+
+} // namespace waxwing
--- /dev/null
+++ b/src/traffic/tier_queue_base.h
@@ -0,0 +1,48 @@
+/**
+ * @file tier_queue_base.h
+ * Requests that wait for a slot, in one bounded queue for each tier, served
+ * by weighted fair sharing. Idle share is lent to whoever waits.
+ */
+#ifndef WAXWING_TRAFFIC_TIER_QUEUE_BASE_H
+#define WAXWING_TRAFFIC_TIER_QUEUE_BASE_H
+
+#include "config/team_config_base.h"
+
+#include <deque>
+#include <map>
+#include <optional>
+
+namespace waxwing {
+
+/// Stride scheduling: a tier of weight w advances its pass by 1/w with each
+/// request served, and the lowest pass is served next.
+/// Invariant: the pass of a tier that begins to wait is not below the pass
+/// last served, so idle time earns no credit.
+class TierQueue {
+public:
+  /// @return false when the tier's queue is full
+  bool push(const TierId &tier, const TierConfig &config, RequestId request);
+  /// @return the request to serve next
+  std::optional<RequestId> pop();
+  void erase(const TierId &tier, RequestId request);
+
+  bool isEmpty() const { return Size == 0; }
+  std::size_t size() const { return Size; }
+  /// @return requests served before a new one of the tier, at most
+  std::size_t ahead(const TierId &tier, const TierConfig &config) const;
+
+private:
+  struct Lane {
+    std::deque<RequestId> Requests;
+    int Weight = 1;
+    double Pass = 0;
+  };
+
+  std::map<TierId, Lane> Lanes;
+  double ServedPass = 0;
+  std::size_t Size = 0;
+};
+
+} // namespace waxwing
+
+#endif
--- /dev/null
+++ b/src/traffic/warm_up.cpp
@@ -0,0 +1,46 @@
+/**
+ * @file warm_up.cpp
+ * Phases from cold to warm.
+ */
+#include "traffic/warm_up_base.h"
+
+#include <algorithm>
+
+namespace waxwing {
+namespace {
+
+/// The ramp to all slots takes this part of the warm-up.
+constexpr int RampDivisor = 4;
+
+} // namespace
+
+void WarmUp::startCold() { Phase = WarmPhase::Cold; }
+
+void WarmUp::startCautious(Time now, const ServiceConfig &service) {
+  Phase = WarmPhase::Ramp;
+  RampAt = now;
+  FullAt = now + service.WarmUp / RampDivisor;
+}
+
+void WarmUp::onAnswer(Time now, const ServiceConfig &service) {
+  if (Phase != WarmPhase::Cold)
+    return;
+  Phase = WarmPhase::Ramp;
+  RampAt = now + service.WarmUp;
+  FullAt = RampAt + service.WarmUp / RampDivisor;
+}
+
+int WarmUp::limit(Time now, const ServiceConfig &service) const {
+  if (now < BlockedUntil)
+    return 0;
+  const int cold = std::min(service.ColdSlots, service.Slots);
+  if (isWarm(now))
+    return service.Slots;
+  if (Phase == WarmPhase::Cold || now < RampAt)
+    return cold;
+  const double done = static_cast<double>((now - RampAt).count()) /
+                      static_cast<double>((FullAt - RampAt).count());
+  return cold + static_cast<int>(done * (service.Slots - cold));
+}
+
+} // namespace waxwing
--- /dev/null
+++ b/tests/home_lease_test.cpp
@@ -0,0 +1,251 @@
+/**
+ * @file home_lease_test.cpp
+ * Home leases under lost, late and reordered messages, changes of leader,
+ * clocks that run at different rates, and routers that pause.
+ */
+#include "traffic/home_holder_base.h"
+#include "traffic/home_lessor_base.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include <algorithm>
+#include <deque>
+#include <set>
+
+namespace waxwing {
+namespace {
+
+const ServiceId Service("t/s");
+constexpr Duration Step = milliseconds(10);
+constexpr int RouterCount = 4;
+constexpr int LessorCount = 2;
+
+std::vector<HomeResource> makeResources(std::uint32_t upstreams) {
+  std::vector<HomeResource> resources;
+  for (std::uint32_t n = 0; n < upstreams; ++n)
+    resources.emplace_back(UpstreamId("t/u" + std::to_string(n)));
+  resources.emplace_back(PartitionId(0));
+  return resources;
+}
+
+/// A few routers and controllers, with a leader named by the test.
+class Fleet {
+public:
+  explicit Fleet(std::uint32_t upstreams = 3)
+      : Resources(makeResources(upstreams)) {
+    for (int n = 0; n < RouterCount; ++n)
+      Holders.emplace_back(Service, vm(n), Incarnation(1), Endpoint{"x", 1},
+                           HomeTerms());
+    for (int n = 0; n < LessorCount; ++n) {
+      Lessors.emplace_back(Service, HomeTerms());
+      Lessors.back().setResources(Resources);
+    }
+    lead(0, true);
+  }
+
+  static VmId vm(int n) { return VmId("vm" + std::to_string(n)); }
+
+  /// Router @p n's clock; each runs at its own rate within the drift bound.
+  Time clock(int n) const {
+    const std::int64_t ppm = 4'000 * n - 6'000;
+    return Time(Now.time_since_epoch() +
+                Now.time_since_epoch() * ppm / 1'000'000);
+  }
+
+  void lead(int lessor, bool isFirst = false) {
+    Leader = lessor;
+    ++Rev.Value;
+    for (int n = 0; n < LessorCount; ++n)
+      Lessors[n].setLeadership(
+          {n == lessor, n == lessor, n == lessor, isFirst, Rev}, Now);
+  }
+
+  void noLeader() {
+    for (HomeLessor &lessor : Lessors)
+      lessor.setLeadership({false, false, false, false, Rev}, Now);
+  }
+
+  /// @param keepAsk, keepAnswer whether the network delivers
+  void step(int router, bool keepAsk, bool keepAnswer) {
+    const auto ask = Holders[router].poll(
+        clock(router),
+        [&](const HomeResource &it) { return !Busy.contains({router, it}); },
+        [](const HomeResource &) { return true; });
+    if (ask && keepAsk)
+      Asks.push_back(*ask);
+    if (!keepAnswer)
+      return;
+    for (const HomeAnswer &answer : std::exchange(Answers, {})) {
+      const int to = answer.Router.Value.back() - '0';
+      for (const HomeLease &lease : Holders[to].take(answer))
+        Gained.push_back(lease);
+    }
+  }
+
+  void serve() {
+    while (!Asks.empty()) {
+      if (auto answer = Lessors[Leader].ask(Asks.front(), Now))
+        Answers.push_back(*answer);
+      Asks.pop_front();
+    }
+  }
+
+  /// All messages arrive at once for @p span.
+  void runQuietly(Duration span) {
+    for (const Time end = Now + span; Now < end; Now += Step) {
+      for (int n = 0; n < RouterCount; ++n)
+        if (!Paused.contains(n)) {
+          step(n, true, true);
+          serve();
+          step(n, true, true);
+        }
+    }
+  }
+
+  std::vector<int> fullHolders(const HomeResource &resource) const {
+    std::vector<int> holders;
+    for (int n = 0; n < RouterCount; ++n)
+      if (Holders[n].right(resource, clock(n)) == HomeRight::Full)
+        holders.push_back(n);
+    return holders;
+  }
+
+  std::size_t countOf(int router) const {
+    return static_cast<std::size_t>(
+        std::ranges::count_if(Resources, [&](const HomeResource &it) {
+          return Holders[router].right(it, clock(router)) == HomeRight::Full;
+        }));
+  }
+
+  Time Now{seconds(100)};
+  Revision Rev;
+  int Leader = 0;
+  std::vector<HomeResource> Resources;
+  std::vector<HomeHolder> Holders;
+  std::vector<HomeLessor> Lessors;
+  std::deque<HomeAsk> Asks;
+  std::vector<HomeAnswer> Answers;
+  std::vector<HomeLease> Gained;
+  std::set<std::pair<int, HomeResource>> Busy; ///< where a request runs
+  std::set<int> Paused;
+};
+
+TEST(HomeLease, FirstLessorLeasesEverythingEvenly) {
+  Fleet fleet(8);
+  fleet.runQuietly(seconds(1));
+  for (const HomeResource &resource : fleet.Resources)
+    EXPECT_EQ(fleet.fullHolders(resource).size(), 1u);
+  for (int n = 0; n < RouterCount; ++n)
+    EXPECT_LE(fleet.countOf(n), 3u);
+  EXPECT_TRUE(std::ranges::all_of(fleet.Gained, &HomeLease::IsClean));
+}
+
+TEST(HomeLease, LostRouterIsReplacedOnlyAfterItsLease) {
+  Fleet fleet;
+  fleet.runQuietly(seconds(1));
+  const HomeResource resource = fleet.Resources[0];
+  const int lost = fleet.fullHolders(resource).at(0);
+  fleet.Paused.insert(lost);
+  fleet.Gained.clear();
+  fleet.runQuietly(milliseconds(400));
+  EXPECT_EQ(fleet.fullHolders(resource), std::vector{lost});
+  fleet.runQuietly(milliseconds(550));
+  ASSERT_EQ(fleet.fullHolders(resource).size(), 1u);
+  EXPECT_NE(fleet.fullHolders(resource)[0], lost);
+  const auto it =
+      std::ranges::find(fleet.Gained, resource, &HomeLease::Resource);
+  ASSERT_NE(it, fleet.Gained.end());
+  EXPECT_FALSE(it->IsClean);
+  EXPECT_TRUE(it->IsWarm);
+}
+
+TEST(HomeLease, NewLessorKeepsWhatRoutersHold) {
+  Fleet fleet;
+  fleet.runQuietly(seconds(1));
+  std::vector<std::vector<int>> before;
+  for (const HomeResource &resource : fleet.Resources)
+    before.push_back(fleet.fullHolders(resource));
+  fleet.Gained.clear();
+  fleet.lead(1);
+  fleet.runQuietly(seconds(2));
+  for (std::size_t n = 0; n < before.size(); ++n)
+    EXPECT_EQ(fleet.fullHolders(fleet.Resources[n]), before[n]);
+  EXPECT_TRUE(fleet.Gained.empty());
+}
+
+TEST(HomeLease, WithoutLeaderTheLastHomeKeepsAFloorAndGetsTheLeaseBack) {
+  Fleet fleet;
+  fleet.runQuietly(seconds(1));
+  const HomeResource resource = fleet.Resources[0];
+  const int holder = fleet.fullHolders(resource).at(0);
+  fleet.noLeader();
+  fleet.runQuietly(seconds(30));
+  EXPECT_TRUE(fleet.fullHolders(resource).empty());
+  EXPECT_EQ(fleet.Holders[holder].right(resource, fleet.clock(holder)),
+            HomeRight::Floor);
+  fleet.Gained.clear();
+  fleet.lead(1);
+  fleet.runQuietly(seconds(2));
+  EXPECT_EQ(fleet.fullHolders(resource), std::vector{holder});
+  EXPECT_TRUE(fleet.Gained.empty());
+}
+
+TEST(HomeLease, HomeThatRunsARequestIsNotReleased) {
+  Fleet fleet;
+  fleet.Paused = {1, 2, 3};
+  fleet.runQuietly(seconds(1));
+  ASSERT_EQ(fleet.countOf(0), fleet.Resources.size());
+  for (const HomeResource &resource : fleet.Resources)
+    fleet.Busy.insert({0, resource});
+  fleet.Paused.clear();
+  fleet.Gained.clear();
+  fleet.runQuietly(seconds(2));
+  EXPECT_TRUE(fleet.Gained.empty());
+  fleet.Busy.clear();
+  fleet.runQuietly(seconds(1));
+  EXPECT_FALSE(fleet.Gained.empty());
+  EXPECT_TRUE(std::ranges::all_of(fleet.Gained, &HomeLease::IsClean));
+}
+
+TEST(HomeLease, LeavingRouterGivesEverythingBack) {
+  Fleet fleet;
+  fleet.runQuietly(seconds(1));
+  fleet.Holders[0].leave();
+  fleet.Gained.clear();
+  fleet.runQuietly(milliseconds(500));
+  EXPECT_EQ(fleet.countOf(0), 0u);
+  for (const HomeResource &resource : fleet.Resources)
+    EXPECT_EQ(fleet.fullHolders(resource).size(), 1u);
+  EXPECT_TRUE(std::ranges::all_of(fleet.Gained, &HomeLease::IsClean));
+}
+
+RC_GTEST_PROP(HomeLease, NeverTwoFullHolders, ()) {
+  Fleet fleet;
+  const auto length = *rc::gen::inRange(100, 600);
+  for (int n = 0; n < length; ++n) {
+    const auto router = *rc::gen::inRange(0, RouterCount);
+    const auto chance = *rc::gen::inRange(0, 100);
+    fleet.step(router, chance >= 15, chance % 4 != 0);
+    if (chance % 3 != 0)
+      fleet.serve();
+    if (chance == 99 || chance == 98)
+      fleet.lead(*rc::gen::inRange(0, LessorCount));
+    if (chance == 97)
+      fleet.Now += seconds(1);
+    if (chance == 96 && fleet.Asks.size() > 1)
+      std::swap(fleet.Asks.front(), fleet.Asks.back());
+    const HomeResource &any =
+        fleet.Resources[static_cast<std::size_t>(n) % fleet.Resources.size()];
+    if (chance % 5 == 0)
+      fleet.Busy.insert({router, any});
+    if (chance % 5 == 1)
+      fleet.Busy.erase({router, any});
+    fleet.Now += Step;
+    for (const HomeResource &resource : fleet.Resources)
+      RC_ASSERT(fleet.fullHolders(resource).size() <= 1);
+  }
+}
+
+} // namespace
+} // namespace waxwing
