Add: [Traffic] Dispatcher with homes, slots, tier queues, warm-up, hedges

An attempt starts only at the upstream's home. Entry routers choose between two homes by requests without an answer and latency; homes keep exact slots and weighted fair queues; requests whose key or home is moving are held until their deadline. A router without leases (tests) is the home of everything.

--- a/src/traffic/dispatcher.cpp
+++ b/src/traffic/dispatcher.cpp
@@ -1,103 +1,189 @@
 /**
  * @file dispatcher.cpp
- * Choice of upstream by owner, or by fewest requests in flight.
+ * What the dispatcher knows: configuration, owners, homes, ends of attempts.
  */
 #include "traffic/dispatcher_base.h"
 
+#include <algorithm>
+
 namespace waxwing {
+namespace {
+
+/// A unit whose owner refused it waits this long for news before it is tried
+/// again.
+constexpr Duration RefusedUnitDelay = milliseconds(50);
+
+} // namespace
 
 Dispatcher::Dispatcher(VmId self, std::uint64_t seed)
     : Self(std::move(self)), Random(seed) {}
 
-void Dispatcher::configure(std::shared_ptr<const Configuration> config, Time) {
+void Dispatcher::configure(std::shared_ptr<const Configuration> config,
+                           Time now) {
   Config = std::move(config);
+  for (auto &[id, service] : Services)
+    service.Config = nullptr;
+  for (const auto &[teamId, team] : Config->teams()) {
+    for (const auto &[id, upstream] : team.Upstreams) {
+      if (!isEligible(team, upstream))
+        IneligibleSince.try_emplace(id, now);
+      else if (IneligibleSince.erase(id) > 0)
+        Slots[id].returnCold();
+    }
+    for (const auto &[id, config] : team.Services) {
+      Services[id].Config = &config;
+      rebuild(id, Services[id]);
+    }
+  }
+  pumpAll(now);
+  placeHeld(now);
 }
 
 void Dispatcher::setOwners(std::shared_ptr<const OwnershipRecord> owners,
-                           Time) {
-  auto &known = Owners[owners->Service];
-  if (!known || known->Rev < owners->Rev)
-    known = std::move(owners);
+                           Time now) {
+  Service &service = Services[owners->Service];
+  if (service.Owners && service.Owners->Rev >= owners->Rev)
+    return;
+  service.Owners = std::move(owners);
+  pumpAll(now);
+  placeHeld(now);
 }
 
-void Dispatcher::leaseHomes(Incarnation, const Endpoint &) {}
-
-void Dispatcher::setHomes(std::shared_ptr<const HomesUpdate>, Time) {}
-
-void Dispatcher::takeLeases(const HomeAnswer &, Time) {}
+void Dispatcher::leaseHomes(Incarnation process, const Endpoint &forward) {
+  Process = process;
+  Forward = forward;
+}
 
-void Dispatcher::leaveHomes() {}
+void Dispatcher::setHomes(std::shared_ptr<const HomesUpdate> homes, Time now) {
+  const ServiceId id = homes->Service;
+  Service &service = Services[id];
+  if (!Homes.take(homes))
+    return;
+  if (service.Holder)
+    service.Holder->takeHomes(*homes);
+  rebuild(id, service);
+  placeHeld(now);
+}
 
-void Dispatcher::submit(const DispatchRequest &request, Time now) {
-  auto choice = choose(request);
-  if (const Reason *why = std::get_if<Reason>(&choice)) {
-    Decisions.emplace_back(DispatchRefuse{request.Id, *why, seconds(1)});
+void Dispatcher::takeLeases(const HomeAnswer &answer, Time now) {
+  const auto it = Services.find(answer.Service);
+  if (it == Services.end() || !it->second.Holder)
     return;
+  Service &service = it->second;
+  for (const HomeLease &lease : service.Holder->take(answer)) {
+    Counters.add(DispatchCount::HomesGained);
+    const auto *upstream = std::get_if<UpstreamId>(&lease.Resource);
+    if (upstream != nullptr && service.Config != nullptr)
+      Slots[*upstream].gain(lease, *service.Config, now);
   }
-  auto &target = std::get<UpstreamTarget>(choice);
-  const AttemptId id(NextAttempt++);
-  Attempts[id] = {request.Id, target.Upstream, now};
-  ++InFlight[target.Upstream];
-  Decisions.emplace_back(DispatchStart{request.Id, id, std::move(target),
-                                       request.Deadline, false});
+  rebuild(answer.Service, service);
+  pumpAll(now);
+  placeHeld(now);
+}
+
+void Dispatcher::leaveHomes() {
+  IsLeaving = true;
+  for (auto &[id, service] : Services)
+    if (service.Holder)
+      service.Holder->leave();
 }
 
-void Dispatcher::withdraw(RequestId, Time) {}
+bool Dispatcher::isHomeHere(const ServiceId &service,
+                            const HomeResource &resource, Time now) const {
+  if (!Forward)
+    return true;
+  const auto it = Services.find(service);
+  return it != Services.end() && it->second.Holder &&
+         it->second.Holder->right(resource, now) == HomeRight::Full;
+}
 
-void Dispatcher::endAttempt(AttemptId attempt, Reason, Time) {
-  const auto it = Attempts.find(attempt);
+void Dispatcher::withdraw(RequestId id, Time) {
+  const auto it = Requests.find(id);
+  if (it == Requests.end())
+    return;
+  leaveWait(id);
+  if (it->second.Attempts.empty())
+    Requests.erase(it);
+}
+
+void Dispatcher::endAttempt(AttemptId id, Reason why, Time now) {
+  const auto it = Attempts.find(id);
   if (it == Attempts.end())
     return;
-  --InFlight[it->second.Upstream];
+  const Attempt attempt = std::move(it->second);
   Attempts.erase(it);
+  Service &service = Services[attempt.Service];
+  service.Loads.end(attempt.Router, attempt.StartedAt, why, now);
+  const Duration latency = now - attempt.StartedAt;
+  if (why == Reason::None)
+    service.Hedges.onAnswer(latency);
+  if (attempt.Own && service.Config != nullptr) {
+    const SlotSign sign = Slots[*attempt.Own].end(
+        why, attempt.ColdStarts, latency, *service.Config, now);
+    if (sign == SlotSign::ColdStart)
+      Counters.add(DispatchCount::ColdStarts);
+    if (sign == SlotSign::LatencyJump)
+      Counters.add(DispatchCount::LatencyJumps);
+  }
+  if (attempt.Unit && (why == Reason::WrongToken || why == Reason::GrantLapsed))
+    service.Moving[attempt.Unit->Unit] = {attempt.Unit->Fence,
+                                          now + RefusedUnitDelay};
+  const auto request = Requests.find(attempt.Request);
+  if (request != Requests.end()) {
+    service.Hedgeable.erase({attempt.StartedAt, attempt.Request});
+    const bool isOverload = why == Reason::QueueFull ||
+                            why == Reason::DeadlineTooShort ||
+                            why == Reason::TierShareExhausted;
+    if (isOverload && !attempt.Own)
+      service.Throttles[request->second.What.Tier].onRefused();
+    std::erase(request->second.Attempts, id);
+    if (request->second.Attempts.empty() &&
+        request->second.Place == WaitPlace::Nowhere)
+      Requests.erase(request);
+  }
+  pumpAll(now);
 }
 
-void Dispatcher::tick(Time) {}
-
-std::vector<DispatchDecision> Dispatcher::takeDecisions() {
-  return std::exchange(Decisions, {});
+void Dispatcher::tick(Time now) {
+  poll(now);
+  pumpAll(now);
+  placeHeld(now);
+  expire(now);
+  hedge(now);
 }
 
-std::variant<UpstreamTarget, Reason>
-Dispatcher::choose(const DispatchRequest &request) {
-  const TeamConfig *team = findTeam(request.Team);
-  if (team == nullptr || !team->Services.contains(request.Service))
-    return Reason::UnknownService;
-  if (team->Services.at(request.Service).IsDividedByKey)
-    return chooseOwner(*team, request);
-  const UpstreamConfig *best = nullptr;
-  UpstreamId bestId;
-  for (const auto &[id, upstream] : team->Upstreams) {
-    if (upstream.Service != request.Service || upstream.IsDrained ||
-        team->Domains.at(upstream.Domain).IsTakenOut)
+void Dispatcher::poll(Time now) {
+  if (!Forward || !Config)
+    return;
+  for (auto &[id, service] : Services) {
+    if (service.Config == nullptr)
       continue;
-    if (best == nullptr || InFlight[id] < InFlight[bestId]) {
-      best = &upstream;
-      bestId = id;
+    if (!service.Holder) {
+      service.Holder.emplace(id, Self, Process, *Forward, HomeTerms());
+      if (IsLeaving)
+        service.Holder->leave();
     }
+    const auto slotsOf = [&](const HomeResource &resource) {
+      const auto *upstream = std::get_if<UpstreamId>(&resource);
+      return upstream == nullptr ? Slots.end() : Slots.find(*upstream);
+    };
+    auto ask = service.Holder->poll(
+        now,
+        [&](const HomeResource &resource) {
+          const auto it = slotsOf(resource);
+          return it == Slots.end() || it->second.inFlight() == 0;
+        },
+        [&](const HomeResource &resource) {
+          const auto it = slotsOf(resource);
+          return it != Slots.end() && it->second.isWarm(now);
+        });
+    if (ask)
+      Decisions.emplace_back(DispatchAsk{*std::move(ask)});
   }
-  if (best == nullptr)
-    return Reason::NoUpstream;
-  return UpstreamTarget{bestId, best->Address, std::nullopt, request.Key};
-}
-
-std::variant<UpstreamTarget, Reason>
-Dispatcher::chooseOwner(const TeamConfig &team,
-                        const DispatchRequest &request) const {
-  const auto owners = Owners.find(request.Service);
-  if (owners == Owners.end() || owners->second->Shards.empty())
-    return Reason::NoOwner;
-  const OwnershipRecord &record = *owners->second;
-  const auto split = record.Splits.find(request.Key);
-  const bool isSplit = split != record.Splits.end();
-  const ShardId shard = shardOf(request.Key, record.Shards.size());
-  const UnitOwner &owner = isSplit ? split->second : record.Shards[shard.Value];
-  const auto upstream = team.Upstreams.find(owner.Owner);
-  if (upstream == team.Upstreams.end())
-    return Reason::NoOwner;
-  const OwnedUnit unit = isSplit ? OwnedUnit(request.Key) : OwnedUnit(shard);
-  return UpstreamTarget{owner.Owner, upstream->second.Address,
-                        GrantedUnit{unit, owner.Fence}, request.Key};
+}
+
+std::vector<DispatchDecision> Dispatcher::takeDecisions() {
+  return std::exchange(Decisions, {});
 }
 
 const TeamConfig *Dispatcher::findTeam(const TeamId &team) const {
@@ -107,4 +193,60 @@
   return it == Config->teams().end() ? nullptr : &it->second;
 }
 
+const UpstreamConfig &
+Dispatcher::upstreamConfig(const UpstreamId &upstream) const {
+  const TeamId team(upstream.Value.substr(0, upstream.Value.find('/')));
+  return findTeam(team)->Upstreams.at(upstream);
+}
+
+const TierConfig &Dispatcher::tierConfig(const DispatchRequest &request) const {
+  static const TierConfig Unknown;
+  const TeamConfig *team = findTeam(request.Team);
+  const auto it = team->Tiers.find(request.Tier);
+  return it == team->Tiers.end() ? Unknown : it->second;
+}
+
+bool Dispatcher::isEligible(const TeamConfig &team,
+                            const UpstreamConfig &it) const {
+  return !it.IsDrained && !team.Domains.at(it.Domain).IsTakenOut;
+}
+
+void Dispatcher::rebuild(const ServiceId &id, Service &service) {
+  service.Eligible.clear();
+  service.Own.clear();
+  service.Peers.clear();
+  if (service.Config == nullptr)
+    return;
+  const TeamId teamId(id.Value.substr(0, id.Value.find('/')));
+  const TeamConfig &team = *findTeam(teamId);
+  for (const auto &[name, upstream] : team.Upstreams)
+    if (upstream.Service == id && isEligible(team, upstream))
+      service.Eligible.push_back(name);
+  const auto isUsable = [&](const UpstreamId &it) {
+    return std::ranges::binary_search(service.Eligible, it);
+  };
+  for (const UpstreamId &it : service.Eligible)
+    if (!Forward || (service.Holder && service.Holder->isKnown(it)))
+      service.Own.push_back(it);
+  service.Peers = Homes.peers(id, isUsable);
+  std::erase_if(service.Peers,
+                [&](const HomePeer &it) { return it.Router == Self; });
+}
+
+HomeRight Dispatcher::rightAt(const Service &service,
+                              const UpstreamId &upstream, Time now) const {
+  if (!Forward)
+    return HomeRight::Full;
+  return service.Holder ? service.Holder->right(upstream, now)
+                        : HomeRight::None;
+}
+
+int Dispatcher::freeSlots(const Service &service, const UpstreamId &upstream,
+                          Time now) const {
+  static const UpstreamSlots Untouched;
+  const auto it = Slots.find(upstream);
+  const UpstreamSlots &slots = it == Slots.end() ? Untouched : it->second;
+  return slots.freeSlots(rightAt(service, upstream, now), *service.Config, now);
+}
+
 } // namespace waxwing
--- a/src/traffic/dispatcher_base.h
+++ b/src/traffic/dispatcher_base.h
@@ -6,16 +6,30 @@
 #ifndef WAXWING_TRAFFIC_DISPATCHER_BASE_H
 #define WAXWING_TRAFFIC_DISPATCHER_BASE_H
 
+#include "metrics/dispatch_counters.h"
 #include "traffic/dispatcher_type.h"
+#include "traffic/hedge_budget_base.h"
+#include "traffic/home_holder_base.h"
+#include "traffic/home_view_base.h"
+#include "traffic/peer_loads_base.h"
+#include "traffic/tier_queue_base.h"
+#include "traffic/tier_throttle_base.h"
+#include "traffic/upstream_slots_base.h"
 
 #include <absl/container/flat_hash_map.h>
+#include <functional>
 #include <memory>
 #include <random>
+#include <set>
 
 namespace waxwing {
 
 /// Every submitted request is followed by one DispatchStart or one
 /// DispatchRefuse, unless it is withdrawn first; hedges follow the start.
+///
+/// Invariants: a request waits in at most one place (a tier queue or the held
+/// requests) and never past its deadline; attempts at an upstream are started
+/// only by its home, never more than its slots.
 class Dispatcher {
 public:
   /// @param self this router's VM
@@ -30,6 +44,14 @@
   void takeLeases(const HomeAnswer &answer, Time now);
   /// The router shuts down: its homes are given back as they fall idle.
   void leaveHomes();
+  /// @return whether this router is the home of @p resource now
+  bool isHomeHere(const ServiceId &service, const HomeResource &resource,
+                  Time now) const;
+  /// @return where the home is published to be, or nullptr
+  const HomeRow *findHome(const ServiceId &service,
+                          const HomeResource &resource) const {
+    return Homes.find(service, resource);
+  }
 
   void submit(const DispatchRequest &request, Time now);
   /// The request needs no (further) attempt; does nothing when unknown.
@@ -41,26 +63,120 @@
 
   /// @return decisions made since the last call, in their order
   std::vector<DispatchDecision> takeDecisions();
+  const DispatchCounters &counters() const { return Counters; }
 
 private:
+  /// Where a request waits.
+  enum class WaitPlace : std::uint8_t { Nowhere, Queue, Held };
+  /// Requests that wait for the same slots: those of one upstream of a
+  /// service divided by key, or of all own upstreams of another.
+  using GroupId = std::variant<ServiceId, UpstreamId>;
+
+  struct Request {
+    DispatchRequest What;
+    WaitPlace Place = WaitPlace::Nowhere;
+    GroupId Group;                      ///< when in a queue
+    Reason HeldWhy = Reason::None;      ///< when held
+    std::vector<AttemptId> Attempts;    ///< without an end
+    std::optional<Time> HedgeStartedAt; ///< of the attempt to be hedged
+  };
+
   struct Attempt {
     RequestId Request;
-    UpstreamId Upstream;
+    ServiceId Service;
+    VmId Router;                   ///< that it goes through, or this one
+    std::optional<UpstreamId> Own; ///< set when this router is the home
+    std::optional<GrantedUnit> Unit;
+    std::uint64_t ColdStarts = 0;
     Time StartedAt;
   };
 
-  std::variant<UpstreamTarget, Reason> choose(const DispatchRequest &request);
-  std::variant<UpstreamTarget, Reason>
-  chooseOwner(const TeamConfig &team, const DispatchRequest &request) const;
+  struct Service {
+    const ServiceConfig *Config = nullptr;
+    std::vector<UpstreamId> Eligible; ///< may get new work
+    std::vector<UpstreamId> Own;      ///< those with a home here
+    std::vector<HomePeer> Peers;      ///< homes at other routers
+    std::optional<HomeHolder> Holder;
+    PeerLoads Loads;
+    HedgeBudget Hedges;
+    std::set<std::pair<Time, RequestId>> Hedgeable;
+    std::map<TierId, TierThrottle> Throttles;
+    std::map<TierId, std::size_t> HeldCounts;
+    std::shared_ptr<const OwnershipRecord> Owners;
+    std::map<OwnedUnit, std::pair<Token, Time>> Moving; ///< refused lately
+  };
+
+  /// Where a key's requests go.
+  struct KeyTarget {
+    UpstreamId Upstream;
+    GrantedUnit Unit;
+  };
+
+  // dispatcher.cpp: what is known.
   const TeamConfig *findTeam(const TeamId &team) const;
+  const UpstreamConfig &upstreamConfig(const UpstreamId &upstream) const;
+  const TierConfig &tierConfig(const DispatchRequest &request) const;
+  bool isEligible(const TeamConfig &team, const UpstreamConfig &it) const;
+  void rebuild(const ServiceId &id, Service &service);
+  HomeRight rightAt(const Service &service, const UpstreamId &upstream,
+                    Time now) const;
+  int freeSlots(const Service &service, const UpstreamId &upstream,
+                Time now) const;
+
+  // dispatcher_place.cpp: the choice of a place.
+  void place(RequestId id, Time now);
+  void placeKeyed(RequestId id, Service &service, Time now);
+  void placeAnywhere(RequestId id, Service &service, Time now);
+  std::variant<KeyTarget, Reason> findOwner(const Service &service,
+                                            const DispatchRequest &request,
+                                            Time now) const;
+  std::optional<UpstreamId> chooseOwn(const Service &service,
+                                      const DispatchRequest &request,
+                                      Time now) const;
+  /// This router as a peer, with the service's own upstreams.
+  HomePeer selfAsPeer(const Service &service) const;
+  const HomePeer *choosePeer(const Service &service,
+                             const std::vector<HomePeer> &peers,
+                             const DispatchRequest &request, Time now);
+  void startHere(RequestId id, Service &service, const UpstreamId &upstream,
+                 std::optional<GrantedUnit> unit, bool isHedge, Time now);
+  void startAt(RequestId id, Service &service, const HomePeer &peer,
+               const UpstreamId &upstream, bool isHedge, Time now);
+  void noteStart(RequestId id, Service &service, Attempt attempt,
+                 AttemptTarget target, bool isHedge);
+
+  // dispatcher_wait.cpp: requests that wait, and hedges.
+  void enqueue(RequestId id, Service &service, GroupId group, Time now);
+  void hold(RequestId id, Service &service, Reason why);
+  void leaveWait(RequestId id);
+  void pump(const GroupId &group, Time now);
+  void pumpAll(Time now);
+  void placeHeld(Time now);
+  void expire(Time now);
+  void hedge(Time now);
+  void hedgeOne(RequestId id, Service &service, Time now);
+  void refuse(RequestId id, Reason why, Duration retryAfter);
+  Duration expectedWait(const Service &service, const GroupId &group,
+                        std::size_t ahead) const;
+  void poll(Time now);
 
   VmId Self;
+  Incarnation Process;
+  std::optional<Endpoint> Forward; ///< set when homes are leased
+  bool IsLeaving = false;
   std::mt19937_64 Random;
   std::shared_ptr<const Configuration> Config;
-  absl::flat_hash_map<ServiceId, std::shared_ptr<const OwnershipRecord>> Owners;
+  HomeView Homes;
+  std::map<ServiceId, Service> Services;
+  std::map<UpstreamId, UpstreamSlots> Slots;
+  std::map<UpstreamId, Time> IneligibleSince;
+  absl::flat_hash_map<RequestId, Request> Requests;
   absl::flat_hash_map<AttemptId, Attempt> Attempts;
-  absl::flat_hash_map<UpstreamId, int> InFlight;
+  std::map<GroupId, TierQueue> Queues;
+  std::vector<RequestId> Held;
+  std::set<std::pair<Time, RequestId>> WaitDeadlines;
   std::uint64_t NextAttempt = 1;
+  DispatchCounters Counters;
   std::vector<DispatchDecision> Decisions;
 };
 
--- a/src/traffic/home_holder_base.h
+++ b/src/traffic/home_holder_base.h
@@ -50,6 +50,10 @@
   /// The router shuts down.
   void leave() { IsLeaving = true; }
 
+  /// @return whether a lease was given and not yet released
+  bool isKnown(const HomeResource &resource) const {
+    return Leases.contains(resource);
+  }
   HomeRight right(const HomeResource &resource, Time now) const;
 
 private:
--- /dev/null
+++ b/src/traffic/home_view_base.h
@@ -0,0 +1,63 @@
+/**
+ * @file home_view_base.h
+ * The homes that leaders published, as a router knows them.
+ */
+#ifndef WAXWING_TRAFFIC_HOME_VIEW_BASE_H
+#define WAXWING_TRAFFIC_HOME_VIEW_BASE_H
+
+#include "traffic/home_type.h"
+
+#include <absl/container/flat_hash_map.h>
+#include <map>
+#include <memory>
+
+namespace waxwing {
+
+/// A router that is the home of some of a service's upstreams.
+struct HomePeer {
+  VmId Router;
+  Endpoint Forward;
+  std::vector<UpstreamId> Upstreams;
+};
+
+/// Invariant: the stamp of a service's homes never decreases.
+class HomeView {
+public:
+  /// @return false when @p homes are not newer than what is known
+  bool take(std::shared_ptr<const HomesUpdate> homes);
+
+  /// @return the resource's home, or nullptr when none is known
+  const HomeRow *find(const ServiceId &service,
+                      const HomeResource &resource) const;
+  /// @param isEligible whether an upstream may get work
+  /// @return the homes of upstreams of @p service that may get work
+  template <class IsEligible>
+  std::vector<HomePeer> peers(const ServiceId &service,
+                              IsEligible &&isEligible) const {
+    std::map<VmId, HomePeer> peers;
+    const auto known = Services.find(service);
+    if (known == Services.end())
+      return {};
+    for (const HomeRow &row : known->second->Rows) {
+      const auto *upstream = std::get_if<UpstreamId>(&row.Resource);
+      if (upstream == nullptr || !isEligible(*upstream))
+        continue;
+      HomePeer &peer = peers[row.Router];
+      peer.Router = row.Router;
+      peer.Forward = row.Forward;
+      peer.Upstreams.push_back(*upstream);
+    }
+    std::vector<HomePeer> list;
+    for (auto &[vm, peer] : peers)
+      list.push_back(std::move(peer));
+    return list;
+  }
+
+private:
+  absl::flat_hash_map<ServiceId, std::shared_ptr<const HomesUpdate>> Services;
+  std::map<std::pair<ServiceId, HomeResource>, const HomeRow *> Rows;
+};
+
+} // namespace waxwing
+
+#endif
--- a/src/traffic/latency_window.cpp
+++ b/src/traffic/latency_window.cpp
@@ -10,7 +10,7 @@
 namespace {
 
 constexpr int MeanWeight = 16; ///< a latency moves the mean by one in this
-constexpr int JumpFactor = 4;  ///< a jump is this many times the mean
+constexpr int JumpFactorTenths = 25; ///< a jump is this many times the mean
 constexpr Duration JumpFloor = milliseconds(10); ///< shorter is no jump
 constexpr int JumpAnswers = 3;        ///< slow answers in a row that make one
 constexpr std::size_t SortEvery = 16; ///< latencies between two quantiles
@@ -19,13 +19,13 @@
 
 void LatencyWindow::add(Duration latency) {
   Recent[Count++ % Samples] = latency;
-  const bool isSlow =
-      Mean > Duration() && latency > std::max(Mean * JumpFactor, JumpFloor);
+  const Duration limit = Mean * JumpFactorTenths / 10;
+  const bool isSlow = Mean > Duration() && latency > std::max(limit, JumpFloor);
   SlowInARow = isSlow ? SlowInARow + 1 : 0;
   if (Mean == Duration())
     Mean = latency;
   // Slow answers move the mean less, so that a jump stays visible.
-  Mean += (std::min(latency, Mean * JumpFactor) - Mean) / MeanWeight;
+  Mean += (std::min(latency, Mean * 2) - Mean) / MeanWeight;
   if (Count % SortEvery != 0)
     return;
   auto sorted = Recent;
--- /dev/null
+++ b/src/traffic/peer_loads.cpp
@@ -0,0 +1,60 @@
+/**
+ * @file peer_loads.cpp
+ * Own observations of other routers.
+ */
+#include "traffic/peer_loads_base.h"
+
+#include <algorithm>
+
+namespace waxwing {
+namespace {
+
+/// A router that failed a forwarded request is not used for this long.
+constexpr Duration SuspicionSpan = milliseconds(300);
+/// Stands for the latency of a router without an answer yet.
+constexpr Duration UnknownLatency = milliseconds(1);
+
+bool isRouterFailure(Reason why) {
+  return why == Reason::ConnectFailed || why == Reason::SendFailed ||
+         why == Reason::ConnectionLost || why == Reason::SilentConnection ||
+         why == Reason::UpstreamTimeout || why == Reason::ForwardRefused ||
+         why == Reason::HomeUnknown || why == Reason::Draining;
+}
+
+} // namespace
+
+void PeerLoads::begin(const VmId &router, Time now) {
+  Loads[router].Starts.insert(now);
+}
+
+void PeerLoads::end(const VmId &router, Time startedAt, Reason why, Time now) {
+  Load &load = Loads[router];
+  if (const auto it = load.Starts.find(startedAt); it != load.Starts.end())
+    load.Starts.erase(it);
+  if (why == Reason::None)
+    load.Latency.add(now - startedAt);
+  if (isRouterFailure(why))
+    load.SuspectUntil = now + SuspicionSpan;
+}
+
+double PeerLoads::score(const HomePeer &peer, Time now) const {
+  const auto it = Loads.find(peer.Router);
+  const auto upstreams = static_cast<double>(peer.Upstreams.size());
+  if (it == Loads.end())
+    return static_cast<double>(UnknownLatency.count()) / upstreams;
+  const Load &load = it->second;
+  Duration latency = std::max(load.Latency.mean(), UnknownLatency);
+  // The oldest request without an answer shows a slow home before its
+  // answers do.
+  if (!load.Starts.empty())
+    latency = std::max(latency, now - *load.Starts.begin());
+  return static_cast<double>(load.Starts.size() + 1) *
+         static_cast<double>(latency.count()) / upstreams;
+}
+
+bool PeerLoads::isSuspect(const VmId &router, Time now) const {
+  const auto it = Loads.find(router);
+  return it != Loads.end() && now < it->second.SuspectUntil;
+}
+
+} // namespace waxwing
--- a/src/traffic/tier_queue.cpp
+++ b/src/traffic/tier_queue.cpp
@@ -22,19 +22,20 @@
   return true;
 }
 
-std::optional<RequestId> TierQueue::pop() {
-  Lane *next = nullptr;
-  for (auto &[tier, lane] : Lanes)
+std::optional<RequestId> TierQueue::peek() const {
+  const Lane *next = nullptr;
+  for (const auto &[tier, lane] : Lanes)
     if (!lane.Requests.empty() && (next == nullptr || lane.Pass < next->Pass))
       next = &lane;
   if (next == nullptr)
     return std::nullopt;
-  ServedPass = next->Pass;
-  next->Pass += 1.0 / next->Weight;
-  const RequestId request = next->Requests.front();
-  next->Requests.pop_front();
-  --Size;
-  return request;
+  return next->Requests.front();
+}
+
+void TierQueue::charge(const TierId &tier) {
+  Lane &lane = Lanes[tier];
+  ServedPass = lane.Pass;
+  lane.Pass += 1.0 / lane.Weight;
 }
 
 void TierQueue::erase(const TierId &tier, RequestId request) {
--- a/src/traffic/tier_queue_base.h
+++ b/src/traffic/tier_queue_base.h
@@ -23,7 +23,9 @@
   /// @return false when the tier's queue is full
   bool push(const TierId &tier, const TierConfig &config, RequestId request);
   /// @return the request to serve next
-  std::optional<RequestId> pop();
+  std::optional<RequestId> peek() const;
+  /// A request of the tier, the one peek() told, is served; erase() follows.
+  void charge(const TierId &tier);
   void erase(const TierId &tier, RequestId request);
 
   bool isEmpty() const { return Size == 0; }
