--- a/src/controller/configuration_host.cpp
+++ b/src/controller/configuration_host.cpp
@@ -51,6 +51,14 @@
   send({std::nullopt, ProcessRole::Controller, OwnersUpdate{record}});
 }
 
+std::optional<VmId>
+ConfigurationHost::leaderOf(const ServiceId &service) const {
+  const auto it = Owners.find(service);
+  if (it == Owners.end() || it->second.Members.empty())
+    return std::nullopt;
+  return it->second.Members.front().Vm;
+}
+
 void ConfigurationHost::on(const VmListRead &read, Time) {
   if (std::exchange(Vms, read.Vms) == read.Vms)
     return;
--- a/src/controller/configuration_host.h
+++ b/src/controller/configuration_host.h
@@ -30,6 +30,8 @@
   void apply(const std::vector<TeamDocument> &documents, Time now);
   /// Keeps a newer record and tells the routers linked to this VM.
   void takeOwners(const OwnershipRecord &record);
+  /// @return the VM whose controller leads the service, if known
+  std::optional<VmId> leaderOf(const ServiceId &service) const;
   /// Passes on a record that this VM's state machine published.
   void publish(const OwnershipRecord &record);
 
--- a/src/controller/controller_process.cpp
+++ b/src/controller/controller_process.cpp
@@ -5,6 +5,7 @@
 #include "controller/controller_process.h"
 
 #include "controller/configuration_host.h"
+#include "controller/home_host.h"
 #include "controller/link_port.h"
 #include "controller/order_port.h"
 #include "controller/ownership_host.h"
@@ -14,6 +15,7 @@
 
 #include <atomic>
 #include <optional>
+#include <set>
 
 namespace waxwing {
 namespace {
@@ -29,6 +31,20 @@
           settings.duration("suspicion"), settings.integer("clock_drift")};
 }
 
+/// What an ownership state machine says of this controller's leadership.
+HomeLeadership leadershipOf(const OwnershipLeader &leader, bool isFirst,
+                            Time now) {
+  HomeLeadership leadership;
+  if (!leader.record())
+    return leadership;
+  leadership.IsLeader = leader.isLeader();
+  leadership.IsConfirmed = leader.isConfirmed(now);
+  leadership.IsQuietOver = leader.isQuietOver(now);
+  leadership.IsFirst = isFirst;
+  leadership.Record = leader.record()->Rev;
+  return leadership;
+}
+
 } // namespace
 
 /// Owns the duties; decide() runs on the decision duty alone.
@@ -45,11 +61,26 @@
         Configurations(Self, Links,
                        [this](Time now) {
                          Ownership.define(Configurations.configuration(), now);
+                         Homes.define(Configurations.configuration(), now);
                        }),
         Ownership(Self, Terms, Store, Orders, Links,
                   [this](const OwnershipRecord &record, Time) {
+                    if (record.Rev == Revision(1))
+                      FirstLed.insert(record.Service);
                     Configurations.publish(record);
-                  }) {}
+                  }),
+        Homes(
+            Self, Links,
+            [this](const ServiceId &service, Time now) {
+              const OwnershipLeader *leader = Ownership.find(service);
+              return leader == nullptr
+                         ? HomeLeadership()
+                         : leadershipOf(*leader, FirstLed.contains(service),
+                                        now);
+            },
+            [this](const ServiceId &service) {
+              return Configurations.leaderOf(service);
+            }) {}
 
   absl::Status start() {
     Decisions.emplace(System, Terms.Heartbeat / 2,
@@ -81,8 +112,10 @@
       std::visit([&](auto &it) { on(it, now); }, event);
     });
     Orders.answers().drain([&](OrderAnswered &&it) { Ownership.on(it, now); });
-    if (call == DutyCall::Tick)
+    if (call == DutyCall::Tick) {
       Ownership.tick(now);
+      Homes.tick(now);
+    }
   }
 
   void on(RecordResult &result, Time now) { Ownership.on(result, now); }
@@ -95,6 +128,7 @@
 
   void on(LinkReceived &received, Time now) {
     Configurations.on(received, now);
+    Homes.on(received, now);
     if (auto *envelope = std::get_if<OwnershipEnvelope>(&received.Message))
       Ownership.onPeer(received.From.Self, envelope->Message, now);
   }
@@ -111,6 +145,9 @@
   LinkPort Links;
   ConfigurationHost Configurations;
   OwnershipHost Ownership;
+  HomeHost Homes;
+  /// Services whose record began with this process: no earlier home exists.
+  std::set<ServiceId> FirstLed;
   std::optional<Duty> Decisions;
 };
 
--- /dev/null
+++ b/src/controller/home_host.h
@@ -0,0 +1,57 @@
+/**
+ * @file home_host.h
+ * Runs the home lessor of each service that this controller leads, and
+ * carries questions, answers and published homes between routers and
+ * leaders.
+ */
+#ifndef WAXWING_CONTROLLER_HOME_HOST_H
+#define WAXWING_CONTROLLER_HOME_HOST_H
+
+#include "config/team_config_base.h"
+#include "controller/link_port.h"
+#include "traffic/home_lessor_base.h"
+
+#include <functional>
+#include <map>
+#include <optional>
+
+namespace waxwing {
+
+/// Used on the decision thread only.
+class HomeHost {
+public:
+  /// Tells this controller's leadership of a service.
+  using Lead =
+      std::function<HomeLeadership(const ServiceId &service, Time now)>;
+  /// Tells the VM whose controller leads a service, if known.
+  using FindLeader =
+      std::function<std::optional<VmId>(const ServiceId &service)>;
+
+  HomeHost(RecordMember self, LinkPort &links, Lead lead,
+           FindLeader findLeader);
+
+  /// The configuration in force changed.
+  void define(const Configuration &config, Time now);
+  void tick(Time now);
+  void on(const LinkReceived &received, Time now);
+
+private:
+  void onMessage(const LinkHello &from, const HomeAsk &ask, Time now);
+  void onMessage(const LinkHello &from, const HomeAnswer &answer, Time now);
+  void onMessage(const LinkHello &from, const HomesUpdate &update, Time now);
+  /// Passes newer homes on to routers and other controllers.
+  void publish(const HomesUpdate &update);
+  void greet(const LinkHello &peer);
+  void send(LinkSend message) { Links.commands().push(std::move(message)); }
+
+  RecordMember Self;
+  LinkPort &Links;
+  Lead LeadershipOf;
+  FindLeader LeaderOf;
+  std::map<ServiceId, HomeLessor> Lessors;
+  std::map<ServiceId, HomesUpdate> Homes; ///< newest known
+};
+
+} // namespace waxwing
+
+#endif
--- a/src/controller/ownership_host.cpp
+++ b/src/controller/ownership_host.cpp
@@ -38,8 +38,7 @@
 void OwnershipHost::define(const Configuration &config, Time now) {
   for (const auto &[team, teamConfig] : config.teams())
     for (const auto &[id, service] : teamConfig.Services)
-      if (service.IsDividedByKey)
-        defineService(teamConfig, id, service, now);
+      defineService(teamConfig, id, service, now);
 }
 
 void OwnershipHost::setMembers(std::vector<ControllerMember> members,
@@ -53,7 +52,8 @@
                                   const ServiceConfig &service, Time now) {
   ServiceDefinition definition{service.ShardCount, {}};
   for (const auto &[name, upstream] : team.Upstreams) {
-    if (upstream.Service != id)
+    // A service without shards has a leader, and its upstreams no grants.
+    if (upstream.Service != id || !service.IsDividedByKey)
       continue;
     definition.Upstreams.push_back(
         {name, upstream.Domain,
--- a/src/controller/ownership_host.h
+++ b/src/controller/ownership_host.h
@@ -32,6 +32,12 @@
   void onPeer(const RecordMember &from, const OwnershipMessage &message,
               Time now);
 
+  /// @return the service's state machine, or nullptr
+  const OwnershipLeader *find(const ServiceId &service) const {
+    const auto it = Leaders.find(service);
+    return it == Leaders.end() ? nullptr : &it->second;
+  }
+
   /// The configuration in force changed.
   void define(const Configuration &config, Time now);
   /// Membership's view changed.
--- a/src/ownership/ownership_leader.cpp
+++ b/src/ownership/ownership_leader.cpp
@@ -30,9 +30,9 @@
     readRecord();
     return;
   }
-  if (Record->Members.empty() && Definition.ShardCount != 0) {
+  if (Record->Members.empty()) {
     std::vector<RecordCommand> commands{TakeLeadership{{Self}}};
-    if (Record->Shards.empty())
+    if (Record->Shards.empty() && Definition.ShardCount != 0)
       commands.emplace_back(CreateShards{Definition.ShardCount});
     writeRecord(commands);
     return;
--- a/src/ownership/ownership_leader_base.h
+++ b/src/ownership/ownership_leader_base.h
@@ -28,6 +28,10 @@
 
   /// @return whether the newest known record names this process its leader
   bool isLeader() const;
+  /// @return whether this process leads and may act on the record now
+  bool isConfirmed(Time) const { return isLeader(); }
+  /// @return whether all rights given by earlier leaders have ended
+  bool isQuietOver(Time) const { return isLeader(); }
   /// @return the newest record known, absent before the first read
   const std::optional<OwnershipRecord> &record() const { return Record; }
 
