--- a/src/controller/controller_process.cpp
+++ b/src/controller/controller_process.cpp
@@ -16,6 +16,8 @@
 #include <atomic>
 #include <optional>
 #include <set>
+#include <thread>
+#include <utility>
 
 namespace waxwing {
 namespace {
@@ -25,26 +27,15 @@
           DomainId(settings.Vm.text("domain"))};
 }
 
+/// Peers are told in this time that this process leaves.
+constexpr Duration LeaveTime = milliseconds(200);
+
 OwnershipTerms termsOf(const SettingSection &settings) {
   return {settings.duration("heartbeat"), settings.duration("grant_term"),
           settings.duration("confirmation_term"),
           settings.duration("suspicion"), settings.integer("clock_drift")};
 }
 
-/// What an ownership state machine says of this controller's leadership.
-HomeLeadership leadershipOf(const OwnershipLeader &leader, bool isFirst,
-                            Time now) {
-  HomeLeadership leadership;
-  if (!leader.record())
-    return leadership;
-  leadership.IsLeader = leader.isLeader();
-  leadership.IsConfirmed = leader.isConfirmed(now);
-  leadership.IsQuietOver = leader.isQuietOver(now);
-  leadership.IsFirst = isFirst;
-  leadership.Record = leader.record()->Rev;
-  return leadership;
-}
-
 } // namespace
 
 /// Owns the duties; decide() runs on the decision duty alone.
@@ -58,29 +49,24 @@
               parseEndpoint(Settings.Store.text("vm_list")),
               [this] { wake(); }),
         Orders([this] { wake(); }), Links(Self, [this] { wake(); }),
-        Configurations(Self, Links,
-                       [this](Time now) {
-                         Ownership.define(Configurations.configuration(), now);
-                         Homes.define(Configurations.configuration(), now);
-                       }),
+        Configurations(
+            Self, Settings, Store, Links,
+            {[this](Time now) {
+               Ownership.define(Configurations.configuration(), now);
+             },
+             [this](std::vector<ControllerMember> members, Time now) {
+               Ownership.setMembers(std::move(members), now);
+             }},
+            readClock()),
         Ownership(Self, Terms, Store, Orders, Links,
-                  [this](const OwnershipRecord &record, Time) {
+                  [this](const OwnershipRecord &record, Time now) {
                     if (record.Rev == Revision(1))
                       FirstLed.insert(record.Service);
-                    Configurations.publish(record);
+                    Configurations.publish(record, now);
                   }),
-        Homes(
-            Self, Links,
-            [this](const ServiceId &service, Time now) {
-              const OwnershipLeader *leader = Ownership.find(service);
-              return leader == nullptr
-                         ? HomeLeadership()
-                         : leadershipOf(*leader, FirstLed.contains(service),
-                                        now);
-            },
-            [this](const ServiceId &service) {
-              return Configurations.leaderOf(service);
-            }) {}
+        Homes(Self, Links, [this](const ServiceId &service, Time now) {
+          return leadershipOf(service, now);
+        }) {}
 
   absl::Status start() {
     Decisions.emplace(System, Terms.Heartbeat / 2,
@@ -91,6 +77,8 @@
   }
 
   void stop() {
+    IsLeaving = true;
+    std::this_thread::sleep_for(LeaveTime);
     Decisions->stop();
     Store.stop();
     Orders.stop();
@@ -98,6 +86,22 @@
   }
 
 private:
+  HomeLeadership leadershipOf(const ServiceId &service, Time now) const {
+    const OwnershipLeader *leader = Ownership.find(service);
+    if (leader == nullptr || !leader->record())
+      return {};
+    const OwnershipRecord &record = *leader->record();
+    HomeLeadership leadership{leader->isLeader(),
+                              leader->isConfirmed(now),
+                              leader->isQuietOver(now),
+                              FirstLed.contains(service),
+                              record.Rev,
+                              {}};
+    if (!record.Members.empty())
+      leadership.Leader = record.Members.front().Vm;
+    return leadership;
+  }
+
   void wake() {
     if (IsReady)
       Decisions->wake();
@@ -113,6 +117,9 @@
     });
     Orders.answers().drain([&](OrderAnswered &&it) { Ownership.on(it, now); });
     if (call == DutyCall::Tick) {
+      if (IsLeaving && !std::exchange(IsLeaveTold, true))
+        Configurations.leave(now);
+      Configurations.tick(now);
       Ownership.tick(now);
       Homes.tick(now);
     }
@@ -120,9 +127,7 @@
 
   void on(RecordResult &result, Time now) { Ownership.on(result, now); }
 
-  void on(DocumentsRead &read, Time now) {
-    Configurations.apply(read.Documents, now);
-  }
+  void on(DocumentsRead &read, Time now) { Configurations.on(read, now); }
 
   void on(VmListRead &read, Time now) { Configurations.on(read, now); }
 
@@ -139,6 +144,8 @@
   RecordMember Self;
   OwnershipTerms Terms;
   std::atomic<bool> IsReady{false};
+  std::atomic<bool> IsLeaving{false};
+  bool IsLeaveTold = false;
   DutySystem System;
   StorePort Store;
   OrderPort Orders;
--- a/src/controller/home_host.cpp
+++ b/src/controller/home_host.cpp
@@ -20,10 +20,8 @@
 
 } // namespace
 
-HomeHost::HomeHost(RecordMember self, LinkPort &links, Lead lead,
-                   FindLeader findLeader)
-    : Self(std::move(self)), Links(links), LeadershipOf(std::move(lead)),
-      LeaderOf(std::move(findLeader)) {}
+HomeHost::HomeHost(RecordMember self, LinkPort &links, Lead lead)
+    : Self(std::move(self)), Links(links), LeadershipOf(std::move(lead)) {}
 
 void HomeHost::define(const Configuration &config, Time now) {
   for (const auto &[team, teamConfig] : config.teams())
@@ -71,9 +69,10 @@
     return;
   }
   // A question goes at most over one other controller.
-  const std::optional<VmId> leader = LeaderOf(ask.Service);
-  if (from.Role == ProcessRole::Router && leader && *leader != Self.Vm)
-    send({*leader, std::nullopt, ask});
+  const bool isKnown =
+      leadership.Leader != VmId() && leadership.Leader != Self.Vm;
+  if (from.Role == ProcessRole::Router && isKnown)
+    send({leadership.Leader, std::nullopt, ask});
 }
 
 void HomeHost::onMessage(const LinkHello &, const HomeAnswer &answer, Time) {
--- a/src/controller/home_host.h
+++ b/src/controller/home_host.h
@@ -13,22 +13,17 @@
 
 #include <functional>
 #include <map>
-#include <optional>
 
 namespace waxwing {
 
 /// Used on the decision thread only.
 class HomeHost {
 public:
-  /// Tells this controller's leadership of a service.
+  /// Tells who leads a service, as this controller knows it.
   using Lead =
       std::function<HomeLeadership(const ServiceId &service, Time now)>;
-  /// Tells the VM whose controller leads a service, if known.
-  using FindLeader =
-      std::function<std::optional<VmId>(const ServiceId &service)>;
 
-  HomeHost(RecordMember self, LinkPort &links, Lead lead,
-           FindLeader findLeader);
+  HomeHost(RecordMember self, LinkPort &links, Lead lead);
 
   /// The configuration in force changed.
   void define(const Configuration &config, Time now);
@@ -47,7 +42,6 @@
   RecordMember Self;
   LinkPort &Links;
   Lead LeadershipOf;
-  FindLeader LeaderOf;
   std::map<ServiceId, HomeLessor> Lessors;
   std::map<ServiceId, HomesUpdate> Homes; ///< newest known
 };
--- a/src/link/link_message.cpp
+++ b/src/link/link_message.cpp
@@ -4,6 +4,7 @@
  */
 #include "link/link_message_func.h"
 
+#include "link/control_codec.h"
 #include "link/home_message_func.h"
 
 #include <absl/status/status.h>
@@ -44,6 +45,29 @@
   Json operator()(const OwnershipEnvelope &envelope) const {
     return std::visit(*this, envelope.Message);
   }
+  Json operator()(const MembershipEnvelope &envelope) const {
+    return std::visit([](const auto &it) { return encodeControl(it); },
+                      envelope.Message);
+  }
+  Json operator()(const RelayEnvelope &envelope) const {
+    return std::visit(*this, envelope.Message);
+  }
+  Json operator()(const ItemContent &it) const {
+    return std::visit(*this, it.Content);
+  }
+  Json operator()(const TeamDocument &it) const {
+    return (*this)(DocumentsUpdate{{it}});
+  }
+  Json operator()(const OwnershipRecord &it) const {
+    return (*this)(OwnersUpdate{it});
+  }
+  Json operator()(const ItemsAnnounce &it) const { return encodeControl(it); }
+  Json operator()(const ItemsPull &it) const { return encodeControl(it); }
+  Json operator()(const ItemsCompare &it) const { return encodeControl(it); }
+  Json operator()(const ItemsVector &it) const { return encodeControl(it); }
+  Json operator()(const RevisionReportsUpdate &it) const {
+    return encodeControl(it);
+  }
   Json operator()(const ConfirmRequest &it) const {
     return {"confirm", {it.Service.Value, it.Record.Value, it.Round}};
   }
@@ -142,6 +166,14 @@
     DecoderRow{
         "homes",
         [](const Json &body) { return LinkMessage(decodeHomesUpdate(body)); }},
+    DecoderRow{"beat", decodeHeartbeat},
+    DecoderRow{"members", decodeMembersUpdate},
+    DecoderRow{"members?", decodeMembersCompare},
+    DecoderRow{"have", decodeItemsAnnounce},
+    DecoderRow{"pull", decodeItemsPull},
+    DecoderRow{"items?", decodeItemsCompare},
+    DecoderRow{"items", decodeItemsVector},
+    DecoderRow{"reports", decodeRevisionReports},
 };
 
 } // namespace
--- a/src/traffic/home_lessor_base.h
+++ b/src/traffic/home_lessor_base.h
@@ -24,6 +24,7 @@
   /// The record never had another leader, so no earlier lease exists.
   bool IsFirst = false;
   Revision Record; ///< newest record revision known
+  VmId Leader;     ///< that the newest known record names, if any
 };
 
 /// Invariant: at any moment at most one router, in its own clock, holds a
--- a/src/traffic/router_core_base.h
+++ b/src/traffic/router_core_base.h
@@ -45,6 +45,8 @@
   std::size_t requestsInFlight() const { return Requests.size(); }
   /// @return refusals and failures told to callers, by reason
   const ReasonCounters &answers() const { return Answers; }
+  /// @return the dispatcher's events
+  const DispatchCounters &dispatching() const { return Dispatch.counters(); }
   /// @return ends of attempts, by reason
   const ReasonCounters &attempts() const { return AttemptEnds; }
   /// @return retries, by the reason that caused them
