--- a/src/controller/controller_process.cpp
+++ b/src/controller/controller_process.cpp
@@ -53,6 +53,7 @@
             Self, Settings, Store, Links,
             {[this](Time now) {
                Ownership.define(Configurations.configuration(), now);
+               Homes.define(Configurations.configuration(), now);
              },
              [this](std::vector<ControllerMember> members, Time now) {
                Ownership.setMembers(std::move(members), now);
