--- a/src/controller/controller_process.cpp
+++ b/src/controller/controller_process.cpp
@@ -6,6 +6,7 @@
 
 #include "controller/configuration_host.h"
 #include "controller/controller_metrics.h"
+#include "controller/home_host.h"
 #include "controller/link_port.h"
 #include "controller/order_port.h"
 #include "controller/ownership_host.h"
@@ -15,6 +16,7 @@
 
 #include <atomic>
 #include <optional>
+#include <set>
 #include <thread>
 #include <utility>
 
@@ -53,6 +55,7 @@
             Self, Settings, Store, Links, Counters,
             {[this](Time now) {
                Ownership.define(Configurations.configuration(), now);
+               Homes.define(Configurations.configuration(), now);
              },
              [this](std::vector<ControllerMember> members, Time now) {
                Ownership.setMembers(std::move(members), now);
@@ -60,8 +63,13 @@
             readClock()),
         Ownership(Self, Terms, Store, Orders, Links,
                   [this](const OwnershipRecord &record, Time now) {
+                    if (record.Rev == Revision(1))
+                      FirstLed.insert(record.Service);
                     Configurations.publish(record, now);
-                  }) {}
+                  }),
+        Homes(Self, Links, [this](const ServiceId &service, Time now) {
+          return leadershipOf(service, now);
+        }) {}
 
   absl::Status start() {
     Decisions.emplace(System, Terms.Heartbeat / 2,
@@ -85,6 +93,22 @@
   }
 
 private:
+  HomeLeadership leadershipOf(const ServiceId &service, Time now) const {
+    const OwnershipLeader *leader = Ownership.find(service);
+    if (leader == nullptr || !leader->record())
+      return {};
+    const OwnershipRecord &record = *leader->record();
+    HomeLeadership leadership{leader->isLeader(),
+                              leader->isConfirmed(now),
+                              leader->isQuietOver(now),
+                              FirstLed.contains(service),
+                              record.Rev,
+                              {}};
+    if (!record.Members.empty())
+      leadership.Leader = record.Members.front().Vm;
+    return leadership;
+  }
+
   void wake() {
     if (IsReady)
       Decisions->wake();
@@ -104,6 +128,7 @@
         Configurations.leave(now);
       Configurations.tick(now);
       Ownership.tick(now);
+      Homes.tick(now);
     }
   }
 
@@ -115,6 +140,7 @@
 
   void on(LinkReceived &received, Time now) {
     Configurations.on(received, now);
+    Homes.on(received, now);
     if (auto *envelope = std::get_if<OwnershipEnvelope>(&received.Message))
       Ownership.onPeer(received.From.Self, envelope->Message, now);
   }
@@ -135,6 +161,9 @@
   ConfigurationHost Configurations;
   OwnershipHost Ownership;
   ControllerMetrics Metrics{Counters};
+  HomeHost Homes;
+  /// Services whose record began with this process: no earlier home exists.
+  std::set<ServiceId> FirstLed;
   std::optional<Duty> Decisions;
 };
 
--- a/src/link/link_message_type.h
+++ b/src/link/link_message_type.h
@@ -11,6 +11,7 @@
 #include "ownership/ownership_record_base.h"
 #include "relay/relay_type.h"
 #include "relay/revision_reports_type.h"
+#include "traffic/home_type.h"
 
 #include <variant>
 #include <vector>
@@ -54,7 +55,8 @@
 
 using LinkMessage =
     std::variant<LinkHello, DocumentsUpdate, OwnersUpdate, OwnershipEnvelope,
-                 MembershipEnvelope, RelayEnvelope, RevisionReportsUpdate>;
+                 MembershipEnvelope, RelayEnvelope, RevisionReportsUpdate,
+                 HomeAsk, HomeAnswer, HomesUpdate>;
 
 } // namespace waxwing
 
