Add: [Admin] Administration API, waxwingctl and the configuration's writer

Cause: changes of the configuration had to be put into the store by curl, unchecked and by anybody. Change: ConfigWriter (pure) reads, executes commands, checks whole, writes by compare-and-swap and resolves lost answers by a change id kept in a bounded history at the head of the document. The controller serves HTTP+JSON on its admin port; waxwingctl speaks to it. A line of INI beyond inih's limit is now refused; it used to be split in two.

--- /dev/null
+++ b/src/admin/admin_json.cpp
@@ -0,0 +1,195 @@
+/**
+ * @file admin_json.cpp
+ * The only place that writes the API's JSON.
+ */
+#include "admin/admin_json_func.h"
+
+#include "config/ini_edit_func.h"
+#include "settings/ini_func.h"
+
+#include <algorithm>
+#include <array>
+#include <nlohmann/json.hpp>
+
+namespace waxwing {
+namespace {
+
+using Json = nlohmann::json;
+
+HttpResponse makeResponse(int status, const Json &body) {
+  HttpResponse response;
+  response.Status = status;
+  response.Headers.add("Content-Type", "application/json");
+  response.Headers.add("Cache-Control", "no-store");
+  response.Body = body.dump(-1, ' ', false, Json::error_handler_t::replace);
+  response.Body += "\n";
+  return response;
+}
+
+Json toJson(const std::optional<std::string> &value) {
+  return value ? Json(*value) : Json();
+}
+
+Json toJson(const std::vector<ValueChange> &values) {
+  Json json = Json::array();
+  for (const ValueChange &value : values)
+    json.push_back({{"path", value.Path},
+                    {"old", toJson(value.Old)},
+                    {"new", toJson(value.New)}});
+  return json;
+}
+
+Json toJson(const ChangeRecord &record) {
+  return {{"change", record.Change},
+          {"base", record.Base.Value},
+          {"time", record.WallTime},
+          {"who", record.Who},
+          {"values", toJson(record.Values)}};
+}
+
+/// A verdict and its error; the row's index equals the verdict.
+constexpr std::array VerdictErrors{
+    AdminError::None,     AdminError::None,        AdminError::Invalid,
+    AdminError::NotFound, AdminError::Conflict,    AdminError::ReusedChangeId,
+    AdminError::Busy,     AdminError::Unavailable, AdminError::Unresolved,
+};
+
+Json listValues(const IniDocument &document, const std::string &path) {
+  Json values = Json::array();
+  for (const IniSection &section : document.Sections) {
+    const std::string prefix = sectionPath(section.Name);
+    if (isOverlapping(path, prefix) && path.size() <= prefix.size())
+      values.push_back({{"path", prefix}, {"value", nullptr}});
+  }
+  for (const IniEntry &entry : document.Entries) {
+    const std::string name = sectionPath(entry.Section) + "/" + entry.Key;
+    if (isOverlapping(path, name) && path.size() <= name.size())
+      values.push_back(
+          {{"path", name},
+           {"value",
+            isSecretKey(entry.Key) ? std::string(HiddenValue) : entry.Value}});
+  }
+  return values;
+}
+
+Json showError(AdminError error, const std::string &message) {
+  const AdminErrorInfo &info = adminErrorInfo(error);
+  return {{"code", info.Name}, {"error", message}, {"advice", info.Advice}};
+}
+
+} // namespace
+
+AdminError toAdminError(ConfigVerdict verdict) {
+  return VerdictErrors.at(static_cast<std::size_t>(verdict));
+}
+
+HttpResponse showRefusal(const AdminRefusal &refusal) {
+  return makeResponse(adminErrorInfo(refusal.Error).HttpStatus,
+                      showError(refusal.Error, refusal.Message));
+}
+
+HttpResponse showTeams(const std::vector<StoreValue> &entries,
+                       const TokenScope &scope) {
+  constexpr std::string_view Prefix = "/teams/";
+  Json teams = Json::array();
+  for (const StoreValue &entry : entries) {
+    const TeamId team(
+        entry.Key.substr(std::min(Prefix.size(), entry.Key.size())));
+    if (scope.allows(team))
+      teams.push_back({{"team", team.Value}, {"revision", entry.Rev.Value}});
+  }
+  return makeResponse(200, {{"teams", teams}});
+}
+
+HttpResponse showSettings(const StoreValue &entry, const std::string &path) {
+  if (entry.Rev == Revision(0))
+    return showRefusal({AdminError::NotFound, entry.Key + " does not exist"});
+  const std::string body = splitDocument(entry.Value).Body;
+  const auto document = parseIni(body, entry.Key);
+  const auto text = hideSecrets(body);
+  if (!document.ok() || !text.ok())
+    return showRefusal(
+        {AdminError::Invalid, "the store's text is faulty: " +
+                                  std::string(document.status().message())});
+  const Json values = listValues(*document, path);
+  if (!path.empty() && values.empty())
+    return showRefusal(
+        {AdminError::NotFound, path + " is not set; its default is in force"});
+  Json json{{"revision", entry.Rev.Value}, {"values", values}};
+  if (path.empty())
+    json["text"] = *text;
+  return makeResponse(200, json);
+}
+
+HttpResponse showHistory(const StoreValue &entry, const std::string &path) {
+  if (entry.Rev == Revision(0))
+    return showRefusal({AdminError::NotFound, entry.Key + " does not exist"});
+  const ConfigDocument document = splitDocument(entry.Value);
+  Json changes = Json::array();
+  for (std::size_t n = document.History.size(); n > 0; --n) {
+    const ChangeRecord &record = document.History[n - 1];
+    const bool isTouched =
+        std::ranges::any_of(record.Values, [&](const ValueChange &value) {
+          return isOverlapping(path, value.Path);
+        });
+    if (!isTouched)
+      continue;
+    Json change = toJson(record);
+    change["revision"] = revisionOf(document, n - 1, entry.Rev).Value;
+    changes.push_back(std::move(change));
+  }
+  return makeResponse(200,
+                      {{"revision", entry.Rev.Value}, {"changes", changes}});
+}
+
+HttpResponse showChange(const ConfigAnswer &answer, const std::string &change) {
+  const AdminError error = toAdminError(answer.Verdict);
+  Json json = error == AdminError::None ? Json::object()
+                                        : showError(error, answer.Message);
+  json["change"] = change;
+  json["revision"] = answer.Rev.Value;
+  if (error == AdminError::None) {
+    json["values"] = toJson(answer.Values);
+    json["accepted"] = answer.Verdict == ConfigVerdict::Accepted;
+  }
+  if (!answer.Others.empty()) {
+    json["changes"] = Json::array();
+    for (const ChangeRecord &record : answer.Others)
+      json["changes"].push_back(toJson(record));
+  }
+  return makeResponse(adminErrorInfo(error).HttpStatus, json);
+}
+
+HttpResponse showOwner(const OwnerAnswer &answer) {
+  if (!answer.IsKnown)
+    return showRefusal({AdminError::NotFound,
+                        "this controller knows no owners of the service; it "
+                        "is not divided by key or does not exist"});
+  return makeResponse(200, {{"owner", answer.Owner.Value},
+                            {"token", answer.Fence.Value},
+                            {"record", answer.Record.Value},
+                            {"unit", answer.Unit}});
+}
+
+HttpResponse showRevisions(const RevisionsAnswer &answer,
+                           const TokenScope &scope) {
+  Json vms = Json::array();
+  for (const VmRevisions &vm : answer.Vms) {
+    Json teams = Json::object();
+    for (const auto &[team, rev] : vm.Documents)
+      if (scope.allows(team))
+        teams[team.Value] = rev.Value;
+    vms.push_back(
+        {{"vm", vm.Vm.Value}, {"linked", vm.IsLinked}, {"teams", teams}});
+  }
+  return makeResponse(200, {{"vms", vms}});
+}
+
+HttpResponse showCounters(const CountersAnswer &answer) {
+  Json counters = Json::object();
+  for (const CounterRow &row : answer.Rows)
+    counters[row.Name] = row.Count;
+  return makeResponse(200, {{"counters", counters}});
+}
+
+} // namespace waxwing
--- /dev/null
+++ b/src/config/config_document.cpp
@@ -0,0 +1,188 @@
+/**
+ * @file config_document.cpp
+ * History lines and comparison of bodies.
+ */
+#include "config/config_document_base.h"
+
+#include "config/ini_edit_func.h"
+#include "settings/ini_func.h"
+
+#include <algorithm>
+#include <map>
+#include <nlohmann/json.hpp>
+
+namespace waxwing {
+namespace {
+
+using Json = nlohmann::json;
+
+constexpr std::string_view HistoryMark = ";@ ";
+constexpr std::string_view HistoryEnd = ";@ end\n";
+
+Json toJson(const std::optional<std::string> &value) {
+  return value ? Json(*value) : Json();
+}
+
+std::optional<std::string> toValue(const Json &json) {
+  if (json.is_null())
+    return std::nullopt;
+  return json.get<std::string>();
+}
+
+std::string encodeRecordLine(const ChangeRecord &record) {
+  Json values = Json::array();
+  for (const ValueChange &value : record.Values)
+    values.push_back({value.Path, toJson(value.Old), toJson(value.New)});
+  const Json line{record.Change,   record.Fingerprint, record.Base.Value,
+                  record.WallTime, record.Who,         values};
+  return std::string(HistoryMark) +
+         line.dump(-1, ' ', false, Json::error_handler_t::replace) + "\n";
+}
+
+std::optional<ChangeRecord> decodeRecordLine(std::string_view line) {
+  try {
+    const Json json = Json::parse(line);
+    ChangeRecord record{json.at(0).get<std::string>(),
+                        json.at(1).get<std::string>(),
+                        Revision(json.at(2).get<std::uint64_t>()),
+                        json.at(3).get<std::string>(),
+                        json.at(4).get<std::string>(),
+                        {}};
+    for (const Json &value : json.at(5))
+      record.Values.push_back({value.at(0).get<std::string>(),
+                               toValue(value.at(1)), toValue(value.at(2))});
+    return record;
+  } catch (const Json::exception &) {
+    return std::nullopt;
+  }
+}
+
+using ValueMap = std::map<std::string, std::string>;
+
+/// Values by path; a section itself counts as a value of its path.
+absl::StatusOr<ValueMap> readValues(const std::string &body) {
+  auto document = parseIni(body, "document");
+  if (!document.ok())
+    return document.status();
+  ValueMap values;
+  for (const IniSection &section : document->Sections)
+    values[sectionPath(section.Name)] = "section";
+  for (const IniEntry &entry : document->Entries)
+    values[sectionPath(entry.Section) + "/" + entry.Key] = entry.Value;
+  return values;
+}
+
+std::optional<std::string> shownValue(const ValueMap &values,
+                                      const std::string &path) {
+  const auto it = values.find(path);
+  if (it == values.end())
+    return std::nullopt;
+  if (isSecretKey(path))
+    return std::string(HiddenValue);
+  return it->second;
+}
+
+} // namespace
+
+ConfigDocument splitDocument(const std::string &text) {
+  ConfigDocument document;
+  if (!text.starts_with(HistoryMark)) {
+    document.Body = text;
+    return document;
+  }
+  std::string_view rest = text;
+  while (rest.starts_with(HistoryMark)) {
+    if (rest.starts_with(HistoryEnd)) {
+      document.Body = rest.substr(HistoryEnd.size());
+      return document;
+    }
+    const auto end = rest.find('\n');
+    if (end == std::string_view::npos)
+      break;
+    auto record = decodeRecordLine(
+        rest.substr(HistoryMark.size(), end - HistoryMark.size()));
+    if (record)
+      document.History.push_back(*std::move(record));
+    rest.remove_prefix(end + 1);
+  }
+  // Lines that only look like history are comments of the body.
+  return {{}, text};
+}
+
+std::string joinDocument(const ConfigDocument &document) {
+  std::vector<std::string> lines;
+  std::size_t bytes = 0;
+  for (auto it = document.History.rbegin(); it != document.History.rend();
+       ++it) {
+    std::string line = encodeRecordLine(*it);
+    bytes += line.size();
+    const bool isLast = lines.empty();
+    if (!isLast && (bytes > HistoryBytes || lines.size() >= HistoryChanges))
+      break;
+    lines.push_back(std::move(line));
+  }
+  std::string text;
+  for (auto it = lines.rbegin(); it != lines.rend(); ++it)
+    text += *it;
+  text += HistoryEnd;
+  return text + document.Body;
+}
+
+Revision revisionOf(const ConfigDocument &document, std::size_t n,
+                    Revision rev) {
+  return n + 1 < document.History.size() ? document.History[n + 1].Base : rev;
+}
+
+std::optional<std::size_t> findChange(const ConfigDocument &document,
+                                      const std::string &change) {
+  const auto it =
+      std::ranges::find(document.History, change, &ChangeRecord::Change);
+  if (it == document.History.end())
+    return std::nullopt;
+  return static_cast<std::size_t>(it - document.History.begin());
+}
+
+bool isOverlapping(std::string_view a, std::string_view b) {
+  if (a.size() > b.size())
+    std::swap(a, b);
+  return b.starts_with(a) &&
+         (a.empty() || a.size() == b.size() || b[a.size()] == '/');
+}
+
+bool isSecretKey(std::string_view key) { return key.ends_with("sha256"); }
+
+absl::StatusOr<std::vector<ValueChange>>
+compareBodies(const std::string &before, const std::string &after) {
+  auto newer = readValues(after);
+  if (!newer.ok())
+    return newer.status();
+  // A faulty text in the store must not bar its own repair.
+  const ValueMap older = readValues(before).value_or(ValueMap());
+  ValueMap both = older;
+  both.insert(newer->begin(), newer->end());
+  std::vector<ValueChange> changes;
+  for (const auto &[path, value] : both) {
+    const auto was = older.find(path);
+    const auto is = newer->find(path);
+    const bool isSame =
+        was != older.end() && is != newer->end() && was->second == is->second;
+    if (!isSame)
+      changes.push_back(
+          {path, shownValue(older, path), shownValue(*newer, path)});
+  }
+  return changes;
+}
+
+absl::StatusOr<std::string> hideSecrets(const std::string &body) {
+  auto document = parseIni(body, "document");
+  if (!document.ok())
+    return document.status();
+  IniText text(body);
+  for (const IniEntry &entry : document->Entries)
+    if (isSecretKey(entry.Key))
+      text.replaceLine(entry.Line,
+                       entry.Key + " = " + std::string(HiddenValue));
+  return text.join();
+}
+
+} // namespace waxwing
--- a/src/config/team_config.cpp
+++ b/src/config/team_config.cpp
@@ -4,6 +4,7 @@
  */
 #include "config/team_config_base.h"
 
+#include "config/config_document_base.h"
 #include "settings/ini_func.h"
 #include "settings/setting_base.h"
 #include "table/team_settings.h"
@@ -46,6 +47,7 @@
         "[caller NAME], [service NAME], [upstream NAME]",
         document.Source, section.Line, section.Name));
   if (result.Name.empty() || result.Name.size() > NameLimit ||
+      result.Name == "." || result.Name == ".." ||
       !std::ranges::all_of(result.Name, isNameCharacter))
     return absl::InvalidArgumentError(fmt::format(
         "{}:{}: section [{}] needs a name of 1 to {} letters, digits, '-', "
@@ -126,7 +128,8 @@
 absl::StatusOr<TeamConfig> parseTeamConfig(const TeamId &team,
                                            const std::string &text) {
   const std::string source = "/teams/" + team.Value;
-  const absl::StatusOr<IniDocument> document = parseIni(text, source);
+  const absl::StatusOr<IniDocument> document =
+      parseIni(splitDocument(text).Body, source);
   if (!document.ok())
     return document.status();
   TeamConfigBuilder builder(team);
--- /dev/null
+++ b/src/config/token_config.cpp
@@ -0,0 +1,84 @@
+/**
+ * @file token_config.cpp
+ * Reads the document of tokens and recognizes a token.
+ */
+#include "config/token_config_base.h"
+
+#include "config/config_document_base.h"
+#include "core/sha256_func.h"
+#include "settings/ini_func.h"
+#include "settings/setting_base.h"
+#include "table/token_settings.h"
+
+#include <absl/status/status.h>
+#include <absl/strings/str_split.h>
+#include <algorithm>
+#include <cctype>
+#include <fmt/format.h>
+#include <openssl/crypto.h>
+
+namespace waxwing {
+namespace {
+
+constexpr std::string_view SectionPrefix = "token ";
+constexpr std::string_view AllTeams = "*";
+
+bool isDigest(const std::string &text) {
+  return text.size() == 64 && std::ranges::all_of(text, [](unsigned char c) {
+           return std::isdigit(c) != 0 || (c >= 'a' && c <= 'f');
+         });
+}
+
+TokenScope readScope(const std::string &teams) {
+  TokenScope scope;
+  if (teams == AllTeams) {
+    scope.IsOperator = true;
+    return scope;
+  }
+  const std::vector<std::string> names = absl::StrSplit(teams, ',');
+  for (const std::string &name : names)
+    scope.Teams.insert(TeamId(name));
+  return scope;
+}
+
+} // namespace
+
+absl::StatusOr<TokenConfig> parseTokenConfig(const std::string &text) {
+  const auto document = parseIni(splitDocument(text).Body, "/tokens");
+  if (!document.ok())
+    return document.status();
+  TokenConfig config;
+  for (const IniSection &section : document->Sections) {
+    if (!section.Name.starts_with(SectionPrefix))
+      return absl::InvalidArgumentError(
+          fmt::format("/tokens:{}: unknown section [{}]; allowed: [token NAME]",
+                      section.Line, section.Name));
+    const auto values =
+        readSection(TokenSettingTable, "token", *document, section.Name);
+    if (!values.ok())
+      return values.status();
+    if (!isDigest(values->text("sha256")))
+      return absl::InvalidArgumentError(fmt::format(
+          "/tokens:{}: [{}] sha256 needs 64 lower-case hexadecimal digits",
+          section.Line, section.Name));
+    config.Tokens[section.Name.substr(SectionPrefix.size())] = {
+        values->text("sha256"), readScope(values->text("teams"))};
+  }
+  return config;
+}
+
+std::optional<TokenHolder> findToken(const TokenConfig &config,
+                                     const std::string &secret) {
+  const std::string digest = sha256Hex(secret);
+  std::optional<TokenHolder> holder;
+  for (const auto &[name, entry] : config.Tokens) {
+    const bool isSame =
+        entry.Sha256.size() == digest.size() &&
+        CRYPTO_memcmp(entry.Sha256.data(), digest.data(), digest.size()) == 0;
+    if (isSame)
+      holder = TokenHolder{name, entry.Scope};
+  }
+  return holder;
+}
+
+} // namespace waxwing
--- a/src/controller/controller_process.cpp
+++ b/src/controller/controller_process.cpp
@@ -4,11 +4,13 @@
  */
 #include "controller/controller_process.h"
 
+#include "controller/admin_port.h"
 #include "controller/link_port.h"
 #include "controller/order_port.h"
 #include "controller/store_port.h"
 #include "duty/duty.h"
 #include "ownership/ownership_leader_base.h"
+#include "upstream/upstream_protocol.h"
 
 #include <algorithm>
 #include <atomic>
@@ -47,13 +49,16 @@
               Settings.Store.duration("timeout"),
               parseEndpoint(Settings.Store.text("vm_list")),
               [this] { wake(); }),
-        Orders([this] { wake(); }), Links(Self, [this] { wake(); }) {}
+        Orders([this] { wake(); }), Links(Self, [this] { wake(); }),
+        Admin(Settings, [this] { wake(); }) {}
 
   absl::Status start() {
     Decisions.emplace(System, Terms.Heartbeat / 2,
                       [this](DutyCall call) { decide(call); });
     IsReady = true;
     Store.start();
+    if (absl::Status status = Admin.listen(); !status.ok())
+      return status;
     return Links.listen(parseEndpoint(Settings.Controller.text("link")));
   }
 
@@ -62,6 +67,7 @@
     Store.stop();
     Orders.stop();
     Links.stop();
+    Admin.stop();
   }
 
 private:
@@ -81,6 +87,9 @@
     Orders.answers().drain([&](OrderAnswered &&it) {
       handle(it.Service, UpstreamAnswered{std::move(it.Answer)}, now);
     });
+    Admin.questions().drain([&](AdminQuery &&query) {
+      std::visit([&](const auto &it) { reply(query.Id, it); }, query.Call);
+    });
     if (call == DutyCall::Tick)
       for (auto &[service, leader] : Leaders)
         handle(service, Tick(), now);
@@ -228,6 +237,34 @@
     send({std::nullopt, ProcessRole::Controller, OwnersUpdate{action.Record}});
   }
 
+  void reply(std::uint64_t query, const OwnerCall &call) {
+    OwnerAnswer answer;
+    const auto it = Owners.find(call.Service);
+    if (it != Owners.end() && !it->second.Shards.empty()) {
+      const OwnershipRecord &record = it->second;
+      const KeyHash key = hashKey(call.Key);
+      const ShardId shard = shardOf(key, record.Shards.size());
+      const auto split = record.Splits.find(key);
+      const bool isSplit = split != record.Splits.end();
+      const UnitOwner &owner =
+          isSplit ? split->second : record.Shards[shard.Value];
+      answer = {true, owner.Owner, owner.Fence, record.Rev,
+                formatUnit(isSplit ? OwnedUnit(key) : OwnedUnit(shard))};
+    }
+    Admin.answers().push({query, std::move(answer)});
+  }
+
+  void reply(std::uint64_t query, const RevisionsCall &) {
+    VmRevisions own{Self.Vm, true, {}};
+    for (const auto &[team, document] : Config.documents())
+      own.Documents[team] = document.Rev;
+    Admin.answers().push({query, RevisionsAnswer{{std::move(own)}}});
+  }
+
+  void reply(std::uint64_t query, const CountersCall &) {
+    Admin.answers().push({query, CountersAnswer()});
+  }
+
   void send(LinkSend message) { Links.commands().push(std::move(message)); }
 
   VmSettings Settings;
@@ -243,6 +280,7 @@
   StorePort Store;
   OrderPort Orders;
   LinkPort Links;
+  AdminPort Admin;
   std::optional<Duty> Decisions;
 };
 
--- /dev/null
+++ b/src/ctl/ctl_view.cpp
@@ -0,0 +1,168 @@
+/**
+ * @file ctl_view.cpp
+ * Tables and messages.
+ */
+#include "ctl/ctl_view.h"
+
+#include <array>
+#include <fmt/format.h>
+#include <nlohmann/json.hpp>
+
+namespace waxwing {
+namespace {
+
+using Json = nlohmann::json;
+
+std::string showValue(const Json &value) {
+  return value.is_null() ? "(unset)" : value.get<std::string>();
+}
+
+std::string showChangedValues(const Json &values, std::string_view indent) {
+  std::string text;
+  for (const Json &value : values)
+    text += fmt::format("{}{}: {} -> {}\n", indent,
+                        value.at("path").get<std::string>(),
+                        showValue(value.at("old")), showValue(value.at("new")));
+  return text;
+}
+
+std::string viewValue(const Json &json) {
+  return json.at("values").at(0).at("value").is_null()
+             ? "(section)\n"
+             : json.at("values").at(0).at("value").get<std::string>() + "\n";
+}
+
+std::string viewValues(const Json &json) {
+  std::string text;
+  for (const Json &value : json.at("values"))
+    if (value.at("value").is_null())
+      text += value.at("path").get<std::string>() + "\n";
+    else
+      text += fmt::format("{} = {}\n", value.at("path").get<std::string>(),
+                          value.at("value").get<std::string>());
+  return text;
+}
+
+std::string viewText(const Json &json) {
+  return json.at("text").get<std::string>();
+}
+
+std::string viewChange(const Json &json) {
+  const bool isAccepted = json.at("accepted").get<bool>();
+  const auto rev = json.at("revision").get<std::uint64_t>();
+  return (isAccepted ? fmt::format("accepted as revision {}\n", rev)
+                     : fmt::format("valid; would change revision {}\n", rev)) +
+         showChangedValues(json.at("values"), "  ");
+}
+
+std::string viewHistory(const Json &json) {
+  std::string text;
+  for (const Json &change : json.at("changes"))
+    text += fmt::format("revision {}  {}  {}  {}\n",
+                        change.at("revision").get<std::uint64_t>(),
+                        change.at("time").get<std::string>(),
+                        change.at("who").get<std::string>(),
+                        change.at("change").get<std::string>()) +
+            showChangedValues(change.at("values"), "  ");
+  return text;
+}
+
+std::string viewTeams(const Json &json) {
+  std::string text;
+  for (const Json &team : json.at("teams"))
+    text += fmt::format("{}  revision {}\n", team.at("team").get<std::string>(),
+                        team.at("revision").get<std::uint64_t>());
+  return text;
+}
+
+std::string viewOwner(const Json &json) {
+  const auto owner = json.at("owner").get<std::string>();
+  return fmt::format("{}  unit {}  token {}  record {}\n",
+                     owner.empty() ? "(no owner)" : owner,
+                     json.at("unit").get<std::string>(),
+                     json.at("token").get<std::uint64_t>(),
+                     json.at("record").get<std::uint64_t>());
+}
+
+std::string viewRevisions(const Json &json) {
+  std::string text;
+  for (const Json &vm : json.at("vms")) {
+    text += vm.at("vm").get<std::string>();
+    for (const auto &[team, rev] : vm.at("teams").items())
+      text += fmt::format("  {}@{}", team, rev.get<std::uint64_t>());
+    text += vm.at("linked").get<bool>() ? "\n" : "  (not linked)\n";
+  }
+  return text;
+}
+
+std::string viewCounters(const Json &json) {
+  std::string text;
+  for (const auto &[name, count] : json.at("counters").items())
+    text += fmt::format("{} {}\n", name, count.get<std::uint64_t>());
+  return text;
+}
+
+/// Views, indexed by CtlView.
+constexpr std::array<std::string (*)(const Json &), 10> Views{
+    viewValue, viewValues, viewText,      viewChange,   viewHistory,
+    viewTeams, viewOwner,  viewRevisions, viewCounters, viewChange,
+};
+
+CtlOutput showError(const Json &json) {
+  const AdminErrorInfo &info =
+      adminErrorInfo(findAdminError(json.value("code", "")));
+  std::string text =
+      fmt::format("{}: {}\n", info.Name, json.value("error", std::string()));
+  for (const Json &change : json.value("changes", Json::array()))
+    text += fmt::format("  {} by {} (change {})\n",
+                        change.at("time").get<std::string>(),
+                        change.at("who").get<std::string>(),
+                        change.at("change").get<std::string>()) +
+            showChangedValues(change.at("values"), "    ");
+  if (!info.Advice.empty())
+    text += fmt::format("what to do: {}\n", info.Advice);
+  if (info.Exit == CtlExit::Unresolved)
+    text += fmt::format("change id: {}\n", json.value("change", std::string()));
+  return {"", std::move(text), info.Exit};
+}
+
+CtlOutput showSuccess(const CtlRequest &request, const Json &json) {
+  CtlOutput output;
+  const auto view = static_cast<std::size_t>(request.View);
+  // A token goes alone to standard output, so that it can be redirected.
+  if (request.View == CtlView::NewToken) {
+    output.Error = Views.at(view)(json);
+    output.Text = request.Secret + "\n";
+  } else {
+    output.Text = Views.at(view)(json);
+  }
+  return output;
+}
+
+} // namespace
+
+CtlOutput showAnswer(const CtlRequest &request, const HttpResponse &response,
+                     bool isJson) {
+  const Json json = Json::parse(response.Body, nullptr, false);
+  const bool isAnswer = json.is_object();
+  if (!isAnswer)
+    return {"",
+            fmt::format("the server answered {} without JSON: {}\n",
+                        response.Status, response.Body),
+            CtlExit::Refused};
+  try {
+    CtlOutput output =
+        response.Status == 200 ? showSuccess(request, json) : showError(json);
+    if (isJson && request.View != CtlView::NewToken)
+      output.Text = response.Body;
+    return output;
+  } catch (const Json::exception &error) {
+    return {"",
+            fmt::format("the answer lacks a field ({}); the versions of "
+                        "server and waxwingctl may differ\n",
+                        error.what()),
+            CtlExit::Failure};
+  }
+}
+
+} // namespace waxwing
--- /dev/null
+++ b/src/ctl/main.cpp
@@ -0,0 +1,161 @@
+/**
+ * @file main.cpp
+ * waxwingctl: the operators' program.
+ */
+#include "ctl/ctl_client.h"
+#include "ctl/ctl_command.h"
+#include "ctl/ctl_view.h"
+
+#include <cstdlib>
+#include <cxxopts.hpp>
+#include <fmt/format.h>
+#include <fstream>
+#include <iostream>
+
+namespace waxwing {
+namespace {
+
+constexpr std::size_t ChangeIdBytes = 16;
+
+int toInt(CtlExit exit) { return static_cast<int>(exit); }
+
+std::string environment(const char *name) {
+  const char *value = std::getenv(name);
+  return value == nullptr ? "" : value;
+}
+
+/// Reads the token from --token-file or WAXWING_TOKEN, never from the
+/// command line, which other users of the VM can see.
+absl::StatusOr<std::string> readToken(const std::string &path) {
+  std::string token = environment("WAXWING_TOKEN");
+  if (!path.empty()) {
+    std::ifstream file(path);
+    if (!file || !std::getline(file, token))
+      return absl::NotFoundError(path + ": no token can be read from it");
+  }
+  if (token.empty())
+    return absl::NotFoundError(
+        "no token; set WAXWING_TOKEN or give --token-file");
+  return token;
+}
+
+std::string helpText(const cxxopts::Options &options) {
+  std::string text = options.help() + "\nCommands:\n";
+  for (const CtlCommand &command : ctlCommands())
+    text += fmt::format("  {:<48} {}\n",
+                        fmt::format("{} {}", command.Name, command.Arguments),
+                        command.Help);
+  return text +
+         "\nExit codes: 0 done, 1 local fault, 2 usage, 3 refused as faulty,\n"
+         "4 not found, 5 conflict, 6 denied, 7 nothing done (try again),\n"
+         "8 unresolved (repeat with the same --change id).\n";
+}
+
+int fail(CtlExit exit, const std::string &message) {
+  std::cerr << "waxwingctl: " << message << "\n";
+  return toInt(exit);
+}
+
+CtlExit toExit(const absl::Status &status) {
+  switch (status.code()) {
+  case absl::StatusCode::kInvalidArgument:
+    return CtlExit::Usage;
+  case absl::StatusCode::kUnavailable:
+    return CtlExit::Unavailable;
+  case absl::StatusCode::kDeadlineExceeded:
+    return CtlExit::Unresolved;
+  default:
+    return CtlExit::Failure;
+  }
+}
+
+int fail(const absl::Status &status) {
+  return fail(toExit(status), std::string(status.message()));
+}
+
+CtlServer readServer(const cxxopts::ParseResult &options) {
+  return {parseEndpoint(options["server"].as<std::string>()),
+          options.count("tls") > 0, options["ca"].as<std::string>(),
+          options["server-name"].as<std::string>()};
+}
+
+int run(const cxxopts::ParseResult &options, std::vector<std::string> words) {
+  const auto command = takeCommand(words);
+  if (!command.ok())
+    return fail(command.status());
+  CtlArguments arguments{std::move(words), options["change"].as<std::string>(),
+                         options["base"].as<std::string>()};
+  if (arguments.Change.empty())
+    arguments.Change = drawHex(ChangeIdBytes);
+  auto request = (*command)->Build(arguments);
+  if (!request.ok())
+    return fail(request.status());
+  const auto token = readToken(options["token-file"].as<std::string>());
+  if (!token.ok())
+    return fail(CtlExit::Denied, std::string(token.status().message()));
+  request->Request.Headers.add("Authorization", "Bearer " + *token);
+  request->Request.Headers.add("Content-Type", "application/json");
+  const auto response = sendToServer(readServer(options), request->Request);
+  if (!response.ok()) {
+    const bool isChange = request->Request.Method != "GET";
+    const int exit = fail(response.status());
+    if (isChange && toExit(response.status()) == CtlExit::Unresolved)
+      std::cerr << "repeat with --change " << arguments.Change << "\n";
+    return exit;
+  }
+  const CtlOutput output =
+      showAnswer(*request, *response, options.count("json") > 0);
+  std::cout << output.Text;
+  std::cerr << output.Error;
+  return toInt(output.Exit);
+}
+
+std::string defaultServer() {
+  const std::string server = environment("WAXWING_SERVER");
+  return server.empty() ? "127.0.0.1:8091" : server;
+}
+
+int runProgram(int argc, char **argv) {
+  cxxopts::Options options("waxwingctl",
+                           "Administers waxwinghoist over the controllers' "
+                           "administration API.");
+  auto text = [](const std::string &value) {
+    return cxxopts::value<std::string>()->default_value(value);
+  };
+  options.positional_help("COMMAND [ARGUMENT...]");
+  options.add_options()("server",
+                        "IP:port of any controller's API; default "
+                        "from WAXWING_SERVER",
+                        text(defaultServer()))(
+      "token-file", "file whose first line is the token; else WAXWING_TOKEN",
+      text(environment("WAXWING_TOKEN_FILE")))("tls", "speak TLS")(
+      "ca", "PEM file of the trusted authority",
+      text(""))("server-name", "name that the server's certificate must carry",
+                text("waxwing"))("json", "print the answer's JSON")(
+      "base",
+      "revision that the change is based on; refused when the path "
+      "changed since",
+      text(""))("change", "id of the change; the same id repeats it safely",
+                text(""))("version", "show the version and exit")(
+      "h,help", "show this help and exit");
+  try {
+    const auto parsed = options.parse(argc, argv);
+    if (parsed.count("version") > 0) {
+      std::cout << "waxwingctl " << WAXWING_VERSION << "\n";
+      return toInt(CtlExit::Success);
+    }
+    if (parsed.count("help") > 0 || parsed.unmatched().empty()) {
+      std::cout << helpText(options);
+      return toInt(parsed.count("help") > 0 ? CtlExit::Success
+                                            : CtlExit::Usage);
+    }
+    return run(parsed, parsed.unmatched());
+  } catch (const cxxopts::exceptions::exception &error) {
+    return fail(CtlExit::Usage, std::string(error.what()) + "; see --help");
+  }
+}
+
+} // namespace
+} // namespace waxwing
+
+int main(int argc, char **argv) { return waxwing::runProgram(argc, argv); }
--- a/src/settings/ini.cpp
+++ b/src/settings/ini.cpp
@@ -8,6 +8,8 @@
 #include <algorithm>
 #include <fmt/format.h>
 #include <ini.h>
+#include <map>
+#include <utility>
 
 namespace waxwing {
 namespace {
@@ -18,6 +20,7 @@
   std::size_t Offset = 0; ///< first byte not yet given to inih
   int Line = 0;           ///< number of the line given last
   IniDocument Result;
+  std::map<std::pair<std::string, std::string>, int> Lines; ///< of keys
   std::string Error; ///< first error, "" while none
 };
 
@@ -39,6 +42,10 @@
   const auto stop = end == std::string::npos ? parse.Text.size() : end + 1;
   const auto length =
       std::min(stop - parse.Offset, static_cast<std::size_t>(size) - 1);
+  if (length < stop - parse.Offset && parse.Error.empty())
+    parse.Error =
+        fmt::format("{}:{}: line of more than {} characters; shorten it",
+                    parse.Result.Source, parse.Line + 1, size - 1);
   std::copy_n(parse.Text.data() + parse.Offset, length, buf);
   buf[length] = '\0';
   parse.Offset += length;
@@ -50,17 +57,16 @@
 int addEntry(void *user, const char *section, const char *key,
              const char *value) {
   auto &parse = *static_cast<IniParse *>(user);
-  auto &entries = parse.Result.Entries;
-  const auto twin = std::ranges::find_if(entries, [&](const IniEntry &entry) {
-    return entry.Section == section && entry.Key == key;
-  });
-  if (twin != entries.end()) {
-    parse.Error = fmt::format(
-        "{}:{}: key '{}' stands twice in section [{}], first in line {}",
-        parse.Result.Source, parse.Line, key, section, twin->Line);
+  const auto [twin, isNew] =
+      parse.Lines.try_emplace({section, key}, parse.Line);
+  if (!isNew) {
+    if (parse.Error.empty())
+      parse.Error = fmt::format(
+          "{}:{}: key '{}' stands twice in section [{}], first in line {}",
+          parse.Result.Source, parse.Line, key, section, twin->second);
     return 0;
   }
-  entries.push_back({section, key, value, parse.Line});
+  parse.Result.Entries.push_back({section, key, value, parse.Line});
   return 1;
 }
 
--- /dev/null
+++ b/src/table/admin_errors.h
@@ -0,0 +1,107 @@
+/**
+ * @file admin_errors.h
+ * Table of the errors of the administration API.
+ */
+#ifndef WAXWING_TABLE_ADMIN_ERRORS_H
+#define WAXWING_TABLE_ADMIN_ERRORS_H
+
+#include <array>
+#include <cstdint>
+#include <string_view>
+
+namespace waxwing {
+
+/// Why an administration request was refused.
+enum class AdminError : std::uint8_t {
+  None,
+  Malformed,
+  Unauthenticated,
+  Forbidden,
+  NotFound,
+  MethodNotAllowed,
+  Invalid,
+  Conflict,
+  ReusedChangeId,
+  TooLarge,
+  Busy,
+  Unavailable,
+  Unresolved,
+};
+constexpr std::size_t AdminErrorCount = 13;
+
+/// Exit codes of waxwingctl.
+enum class CtlExit : std::uint8_t {
+  Success = 0,
+  Failure = 1,     ///< local fault: file, terminal
+  Usage = 2,       ///< wrong command line
+  Refused = 3,     ///< the request is faulty; correct it
+  NotFound = 4,    ///< names something absent
+  Conflict = 5,    ///< another change came first; read and decide again
+  Denied = 6,      ///< token missing, unknown or of another team
+  Unavailable = 7, ///< nothing was done; try again
+  Unresolved = 8,  ///< may have been done; repeat with the same change id
+};
+
+/// One row of the table of errors.
+struct AdminErrorInfo {
+  AdminError Id;         ///< equals the row's index
+  std::string_view Name; ///< "code" in the answer, label of the counter
+  int HttpStatus;
+  CtlExit Exit;
+  std::string_view Advice; ///< what the operator can do
+};
+
+/// Invariant: row i describes the error of value i.
+constexpr std::array<AdminErrorInfo, AdminErrorCount> AdminErrorTable{{
+    {AdminError::None, "none", 200, CtlExit::Success, ""},
+    {AdminError::Malformed, "malformed", 400, CtlExit::Refused,
+     "see docs/ADMINISTRATION.md for paths and bodies"},
+    {AdminError::Unauthenticated, "unauthenticated", 401, CtlExit::Denied,
+     "give a valid token in WAXWING_TOKEN or --token-file"},
+    {AdminError::Forbidden, "forbidden", 403, CtlExit::Denied,
+     "use a token of this team, or an operator's"},
+    {AdminError::NotFound, "not_found", 404, CtlExit::NotFound,
+     "`waxwingctl list` shows what exists"},
+    {AdminError::MethodNotAllowed, "method_not_allowed", 405, CtlExit::Refused,
+     "see docs/ADMINISTRATION.md for the methods of this path"},
+    {AdminError::Invalid, "invalid", 422, CtlExit::Refused,
+     "correct the value; nothing was written"},
+    {AdminError::Conflict, "conflict", 409, CtlExit::Conflict,
+     "read the value again and decide anew; nothing was written"},
+    {AdminError::ReusedChangeId, "reused_change_id", 409, CtlExit::Conflict,
+     "draw a new change id; nothing was written"},
+    {AdminError::TooLarge, "too_large", 413, CtlExit::Refused,
+     "shorten the document or split the change"},
+    {AdminError::Busy, "busy", 503, CtlExit::Unavailable,
+     "nothing was written; try again"},
+    {AdminError::Unavailable, "unavailable", 503, CtlExit::Unavailable,
+     "nothing was written; try again when the store answers"},
+    {AdminError::Unresolved, "unresolved", 504, CtlExit::Unresolved,
+     "the change may still take effect; repeat it with the same --change id"},
+}};
+
+static_assert(
+    [] {
+      for (std::size_t n = 0; n < AdminErrorCount; ++n)
+        if (static_cast<std::size_t>(AdminErrorTable[n].Id) != n)
+          return false;
+      return true;
+    }(),
+    "AdminErrorTable rows must stand in the order of enum AdminError");
+
+/// @return the table row of @p error
+constexpr const AdminErrorInfo &adminErrorInfo(AdminError error) {
+  return AdminErrorTable[static_cast<std::size_t>(error)];
+}
+
+/// @return the error that "code" names in an answer; Malformed for others
+constexpr AdminError findAdminError(std::string_view name) {
+  for (const AdminErrorInfo &info : AdminErrorTable)
+    if (info.Name == name)
+      return info.Id;
+  return AdminError::Malformed;
+}
+
+} // namespace waxwing
+
+#endif
--- a/src/table/vm_settings.h
+++ b/src/table/vm_settings.h
@@ -37,6 +37,14 @@
      "links of routers and other controllers arrive here"},
     {"controller", "admin", SettingType::Address, "", "127.0.0.1:8091", 1, 64,
      "administration API"},
+    {"controller", "operator_token_sha256", SettingType::Text, "", "", 0, 64,
+     "SHA-256 of an operator's token that works without the store, in "
+     "lower-case hexadecimal; creates the first tokens"},
+    {"controller", "admin_certificate", SettingType::Text, "", "", 0, 150,
+     "PEM file of the administration API's certificate chain; with it and "
+     "admin_key the API speaks TLS only"},
+    {"controller", "admin_key", SettingType::Text, "", "", 0, 150,
+     "PEM file of the certificate's private key"},
     {"controller", "metrics", SettingType::Address, "", "127.0.0.1:8092", 1, 64,
      "metrics page of the controller"},
     {"ownership", "heartbeat", SettingType::Integer, "ms", "100", 10, 10000,
