--- a/src/config/config_cmd.cpp
+++ b/src/config/config_cmd.cpp
@@ -73,7 +73,7 @@
             "document:{}: [{}] {} = {} keeps the value in force, but there is "
             "none; give the value",
             entry.Line, entry.Section, entry.Key, HiddenValue));
-      text.replaceLine(entry.Line, entry.Key + " = " + *kept);
+      text.replaceEntry(entry, entry.Key + " = " + *kept);
     }
     return text.join();
   }
--- a/src/config/config_document.cpp
+++ b/src/config/config_document.cpp
@@ -10,6 +10,7 @@
 #include <algorithm>
 #include <map>
 #include <nlohmann/json.hpp>
+#include <ranges>
 
 namespace waxwing {
 namespace {
@@ -178,10 +179,10 @@
   if (!document.ok())
     return document.status();
   IniText text(body);
-  for (const IniEntry &entry : document->Entries)
+  // Backwards, so that earlier entries keep their line numbers.
+  for (const IniEntry &entry : document->Entries | std::views::reverse)
     if (isSecretKey(entry.Key))
-      text.replaceLine(entry.Line,
-                       entry.Key + " = " + std::string(HiddenValue));
+      text.replaceEntry(entry, entry.Key + " = " + std::string(HiddenValue));
   return text.join();
 }
 
--- a/src/config/ini_edit.cpp
+++ b/src/config/ini_edit.cpp
@@ -33,7 +33,7 @@
       line = std::max(line, it.Line);
   for (const IniEntry &it : document.Entries)
     if (it.Section == section)
-      line = std::max(line, it.Line);
+      line = std::max(line, it.LastLine);
   return line;
 }
 
@@ -61,8 +61,10 @@
   return text;
 }
 
-void IniText::replaceLine(int line, std::string text) {
-  Lines[static_cast<std::size_t>(line) - 1] = std::move(text);
+void IniText::replaceEntry(const IniEntry &entry, std::string text) {
+  if (entry.LastLine > entry.Line)
+    removeLines(entry.Line + 1, entry.LastLine);
+  Lines[static_cast<std::size_t>(entry.Line) - 1] = std::move(text);
 }
 
 void IniText::insertAfter(int line, std::string text) {
@@ -91,7 +93,7 @@
   IniText lines(text);
   const std::string line = key + " = " + value;
   if (const IniEntry *entry = findEntry(*document, section, key))
-    lines.replaceLine(entry->Line, line);
+    lines.replaceEntry(*entry, line);
   else if (const int last = lastLineOf(*document, section); last > 0)
     lines.insertAfter(last, line);
   else {
@@ -118,7 +120,7 @@
   if (entry == nullptr)
     return notFound(section, key);
   IniText lines(text);
-  lines.removeLines(entry->Line, entry->Line);
+  lines.removeLines(entry->Line, entry->LastLine);
   return lines.join();
 }
 
--- a/src/config/ini_edit_func.h
+++ b/src/config/ini_edit_func.h
@@ -6,6 +6,8 @@
 #ifndef WAXWING_CONFIG_INI_EDIT_FUNC_H
 #define WAXWING_CONFIG_INI_EDIT_FUNC_H
 
+#include "settings/ini_type.h"
+
 #include <absl/status/statusor.h>
 #include <string>
 #include <vector>
@@ -18,7 +20,9 @@
   explicit IniText(const std::string &text);
   std::string join() const;
 
-  void replaceLine(int line, std::string text);
+  /// Puts one line in place of an entry; later lines move up when the
+  /// entry had several.
+  void replaceEntry(const IniEntry &entry, std::string text);
   /// @param line number of the line to stand before the new one
   void insertAfter(int line, std::string text);
   /// Removes lines @p first to @p last.
--- a/src/settings/ini.cpp
+++ b/src/settings/ini.cpp
@@ -17,10 +17,12 @@
 /// State of one parse; inih calls back with a pointer to it.
 struct IniParse {
   const std::string &Text;
-  std::size_t Offset = 0; ///< first byte not yet given to inih
-  int Line = 0;           ///< number of the line given last
+  std::size_t Offset = 0;      ///< first byte not yet given to inih
+  int Line = 0;                ///< number of the line given last
+  bool IsContinuation = false; ///< the line is indented
   IniDocument Result;
-  std::map<std::pair<std::string, std::string>, int> Lines; ///< of keys
+  /// Indexes of the entries by section and key.
+  std::map<std::pair<std::string, std::string>, std::size_t> Places;
   std::string Error; ///< first error, "" while none
 };
 
@@ -40,16 +42,19 @@
     return nullptr;
   const auto end = parse.Text.find('\n', parse.Offset);
   const auto stop = end == std::string::npos ? parse.Text.size() : end + 1;
-  const auto length =
-      std::min(stop - parse.Offset, static_cast<std::size_t>(size) - 1);
-  if (length < stop - parse.Offset && parse.Error.empty())
+  const auto length = stop - parse.Offset;
+  ++parse.Line;
+  if (length >= static_cast<std::size_t>(size)) {
     parse.Error =
-        fmt::format("{}:{}: line of more than {} characters; shorten it",
-                    parse.Result.Source, parse.Line + 1, size - 1);
+        fmt::format("{}:{}: line has {} characters; allowed are {}, continue "
+                    "a value on indented lines",
+                    parse.Result.Source, parse.Line, length, size - 1);
+    return nullptr;
+  }
   std::copy_n(parse.Text.data() + parse.Offset, length, buf);
   buf[length] = '\0';
   parse.Offset += length;
-  ++parse.Line;
+  parse.IsContinuation = *buf == ' ' || *buf == '\t';
   noteSection(parse, buf);
   return buf;
 }
@@ -57,16 +62,22 @@
 int addEntry(void *user, const char *section, const char *key,
              const char *value) {
   auto &parse = *static_cast<IniParse *>(user);
-  const auto [twin, isNew] =
-      parse.Lines.try_emplace({section, key}, parse.Line);
-  if (!isNew) {
-    if (parse.Error.empty())
-      parse.Error = fmt::format(
-          "{}:{}: key '{}' stands twice in section [{}], first in line {}",
-          parse.Result.Source, parse.Line, key, section, twin->second);
+  auto &entries = parse.Result.Entries;
+  const auto [it, isNew] =
+      parse.Places.try_emplace({section, key}, entries.size());
+  IniEntry *twin = isNew ? nullptr : &entries[it->second];
+  if (twin != nullptr && parse.IsContinuation) {
+    twin->Value += (twin->Value.empty() ? "" : " ") + std::string(value);
+    twin->LastLine = parse.Line;
+    return 1;
+  }
+  if (twin != nullptr) {
+    parse.Error = fmt::format(
+        "{}:{}: key '{}' stands twice in section [{}], first in line {}",
+        parse.Result.Source, parse.Line, key, section, twin->Line);
     return 0;
   }
-  parse.Result.Entries.push_back({section, key, value, parse.Line});
+  entries.push_back({section, key, value, parse.Line, parse.Line});
   return 1;
 }
 
