--- a/src/admin/admin_api.cpp
+++ b/src/admin/admin_api.cpp
@@ -109,8 +109,8 @@
 
 void AdminApi::execute(const TeamListCall &, const TokenHolder &holder,
                        HttpReply reply) {
-  Store.list("/teams/", [this, scope = holder.Scope,
-                         reply](const StoreListResult &result) {
+  Store.list("/teams/", [this, scope = holder.Scope, reply = std::move(reply)](
+                            const StoreListResult &result) {
     if (result.Status != StoreStatus::Done)
       return refuse(reply,
                     {AdminError::Unavailable, "the store does not answer"});
--- a/src/admin/admin_json.cpp
+++ b/src/admin/admin_json.cpp
@@ -16,6 +16,8 @@
 
 using Json = nlohmann::json;
 
+constexpr std::string_view TeamsPrefix = "/teams/";
+
 HttpResponse makeResponse(int status, const Json &body) {
   HttpResponse response;
   response.Status = status;
@@ -90,11 +92,10 @@
 
 HttpResponse showTeams(const std::vector<StoreValue> &entries,
                        const TokenScope &scope) {
-  constexpr std::string_view Prefix = "/teams/";
   Json teams = Json::array();
   for (const StoreValue &entry : entries) {
     const TeamId team(
-        entry.Key.substr(std::min(Prefix.size(), entry.Key.size())));
+        entry.Key.substr(std::min(TeamsPrefix.size(), entry.Key.size())));
     if (scope.allows(team))
       teams.push_back({{"team", team.Value}, {"revision", entry.Rev.Value}});
   }
--- a/src/config/config_change.cpp
+++ b/src/config/config_change.cpp
@@ -48,11 +48,21 @@
                      record.WallTime);
 }
 
-/// Values for the history: few, or one that stands for everything.
-std::vector<ValueChange> boundValues(std::vector<ValueChange> values) {
+/// Values for the history: few, or one that stands for everything. A change
+/// that found its values in place is recorded too: its id must not execute
+/// again once they have changed.
+std::vector<ValueChange>
+listTouched(const std::vector<ValueChange> &values,
+            const std::vector<ConfigCommand> &commands) {
   if (values.size() > HistoryValues)
     return {{"", std::nullopt, std::nullopt}};
-  return values;
+  if (!values.empty())
+    return values;
+  std::vector<ValueChange> touched;
+  for (const ConfigCommand &command : commands)
+    if (touched.size() < HistoryValues)
+      touched.push_back({commandPath(command), "unchanged", "unchanged"});
+  return touched;
 }
 
 } // namespace
@@ -185,12 +195,10 @@
                   std::string(change.status().message()));
   if (Request.IsDryRun)
     return answer({ConfigVerdict::Valid, rev, "", {}, change->Values});
-  if (change->Values.empty() && change->Body == document.Body)
-    return answer({ConfigVerdict::Accepted, rev, "nothing to change", {}, {}});
   document.Body = std::move(change->Body);
   document.History.push_back({Request.Change, Fingerprint, rev,
                               Request.WallTime, Request.Who,
-                              boundValues(change->Values)});
+                              listTouched(change->Values, Request.Commands)});
   Sent = SentWrite{rev, joinDocument(document), std::move(change->Values)};
   return write(nextOperation);
 }
