--- a/src/controller/configuration_host.h
+++ b/src/controller/configuration_host.h
@@ -45,12 +45,15 @@
     return Node.membership().others();
   }
 
+  /// @return the newest ownership records known here
+  std::vector<OwnershipRecord> records() const { return Node.records(); }
+
   void tick(Time now) { handle(ControlTick(), now); }
   /// This process is shutting down.
   void leave(Time now) { handle(LeaveStarted(), now); }
   /// Puts a document into force whose write is known to have taken effect.
   void apply(const TeamDocument &document, Time now) {
-    handle(DocumentWritten{document}, now);
+    handle(DocumentAccepted{document}, now);
   }
   /// Passes on a record that this VM's state machine published.
   void publish(const OwnershipRecord &record, Time now) {
--- a/src/controller/controller_process.cpp
+++ b/src/controller/controller_process.cpp
@@ -4,6 +4,8 @@
  */
 #include "controller/controller_process.h"
 
+#include "controller/admin_answer.h"
+#include "controller/admin_port.h"
 #include "controller/configuration_host.h"
 #include "controller/controller_metrics.h"
 #include "controller/home_host.h"
@@ -67,9 +69,11 @@
                       FirstLed.insert(record.Service);
                     Configurations.publish(record, now);
                   }),
-        Homes(Self, Links, [this](const ServiceId &service, Time now) {
-          return leadershipOf(service, now);
-        }) {}
+        Homes(Self, Links,
+              [this](const ServiceId &service, Time now) {
+                return leadershipOf(service, now);
+              }),
+        Admin(Settings, [this] { wake(); }) {}
 
   absl::Status start() {
     Decisions.emplace(System, Terms.Heartbeat / 2,
@@ -80,6 +84,8 @@
         !status.ok())
       return status;
     Store.start();
+    if (absl::Status status = Admin.listen(); !status.ok())
+      return status;
     return Links.listen(parseEndpoint(Settings.Controller.text("link")));
   }
 
@@ -90,6 +96,7 @@
     Store.stop();
     Orders.stop();
     Links.stop();
+    Admin.stop();
   }
 
 private:
@@ -123,6 +130,10 @@
       std::visit([&](auto &it) { on(it, now); }, event);
     });
     Orders.answers().drain([&](OrderAnswered &&it) { Ownership.on(it, now); });
+    Admin.questions().drain([&](AdminQuery &&query) {
+      Admin.answers().push(
+          {query.Id, answerAdmin(query, Self.Vm, Configurations, Counters)});
+    });
     if (call == DutyCall::Tick) {
       if (IsLeaving && !std::exchange(IsLeaveTold, true))
         Configurations.leave(now);
@@ -164,6 +175,7 @@
   HomeHost Homes;
   /// Services whose record began with this process: no earlier home exists.
   std::set<ServiceId> FirstLed;
+  AdminPort Admin;
   std::optional<Duty> Decisions;
 };
 
--- a/src/relay/control_node_base.h
+++ b/src/relay/control_node_base.h
@@ -45,7 +45,7 @@
   void on(const PeerUnlinked &event, Time now);
   void on(const PeerMessage &event, Time now);
   void on(const DocumentsWatched &event, Time now);
-  void on(const DocumentWritten &event, Time now);
+  void on(const DocumentAccepted &event, Time now);
   void on(const RecordPublished &event, Time now);
   void on(const LeaveStarted &event, Time now);
   void onMessage(const VmId &from, const LinkMessage &message, Time now);
--- a/src/traffic/idempotency_type.h
+++ b/src/traffic/idempotency_type.h
@@ -9,18 +9,13 @@
 #include "core/time_type.h"
 #include "core/verdict_type.h"
 #include "net/http_type.h"
+#include "traffic/home_type.h"
 
 #include <compare>
 #include <variant>
 
 namespace waxwing {
 
-/// Index of a part of one service's idempotency keys.
-using PartitionId = StrongId<struct PartitionTag, std::uint32_t>;
-
-/// Parts of each service's idempotency keys; each has one home router.
-constexpr std::uint32_t PartitionCount = 64;
-
 /// Longest idempotency key, bytes.
 constexpr std::size_t IdempotencyKeyBytes = 128;
 
