--- a/tests/config_writer_test.cpp
+++ b/tests/config_writer_test.cpp
@@ -215,7 +215,7 @@
     }
     if (Fault == BuiltInFault::AcceptBeforeKnown && isUnanswered)
       result = {StoreStatus::Done, Rev};
-    handle(writer, DocumentAccepted{write.Operation, result});
+    handle(writer, DocumentWritten{write.Operation, result});
   }
 
   void landLate(const Step &step) {
@@ -376,7 +376,7 @@
   const auto first = take<ReadDocument>(makeRequest("c"));
   const auto write = take<WriteDocument>(
       read(first.Operation, Revision(4), "[tier p]\nweight = 1\n"));
-  EXPECT_TRUE(Writer.handle(DocumentAccepted{write.Operation, {}}, Now).empty());
+  EXPECT_TRUE(Writer.handle(DocumentWritten{write.Operation, {}}, Now).empty());
   Now += seconds(1);
   const auto again = take<ReadDocument>(ConfigTick());
   const auto answer =
@@ -389,7 +389,7 @@
   const auto first = take<ReadDocument>(makeRequest("c"));
   const auto write = take<WriteDocument>(
       read(first.Operation, Revision(4), "[tier p]\nweight = 1\n"));
-  Writer.handle(DocumentAccepted{write.Operation, {}}, Now);
+  Writer.handle(DocumentWritten{write.Operation, {}}, Now);
   Now += RequestTerm;
   EXPECT_EQ(take<AnswerRequest>(ConfigTick()).Answer.Verdict,
             ConfigVerdict::Unresolved);
