--- a/tests/idempotency_test.cpp
+++ b/tests/idempotency_test.cpp
@@ -125,14 +125,16 @@
     const std::size_t n = which % AtUpstreams.size();
     const Execution it = AtUpstreams[n];
     AtUpstreams.erase(AtUpstreams.begin() + static_cast<std::ptrdiff_t>(n));
-    const bool isRun = fate % 4 < 2;
+    const bool isRun = fate % 5 < 2;
     if (isRun)
       RC_ASSERT(++Executed[it.Key] <= 1);
     AttemptEnded end{it.Attempt.Attempt};
-    if (fate % 4 == 0)
+    if (fate % 5 == 0)
       end.Answer.Body = "booked " + it.Key;
-    else if (fate % 4 == 3)
+    else if (fate % 5 == 3)
       end = {it.Attempt.Attempt, Reason::UpstreamShed, Verdict::NotRun};
+    else if (fate % 5 == 4)
+      end = {it.Attempt.Attempt, Reason::DeadlinePassed, Verdict::NotRun};
     else
       end = {it.Attempt.Attempt, Reason::ConnectionLost, Verdict::MayHaveRun};
     tell(it.From, std::move(end));
@@ -210,6 +212,8 @@
         RC_ASSERT(Executed[key] == 0);
   }
 
+  /// @return keys whose answer was told
+  std::size_t answered() const { return Told.size(); }
   int replays() const { return Replays; }
 
 private:
@@ -358,7 +362,7 @@
   switch (step.Kind) {
   case 0:
   case 1:
-    return world.submitNew(first % RouterCount, step.Second * 40 - 2500);
+    return world.submitNew(first % RouterCount, step.Second * 60 - 2500);
   case 2:
   case 3:
     return world.resend(first, second % RouterCount);
@@ -409,6 +413,21 @@
   EXPECT_EQ(world.replays(), 3);
 }
 
+TEST(Idempotency, AHomeThatGetsItsPartitionBackTrustsNoOldMemory) {
+  World world;
+  world.moveLease(1, Duration());
+  world.pass(seconds(5));
+  world.pass(seconds(5));
+  world.submitNew(1, 0);
+  world.upstreamStep(0, 0);
+  EXPECT_EQ(world.answered(), 1u);
+  world.moveLease(0, Duration());
+  world.pass(seconds(1));
+  world.resend(0, 0);
+  world.finish();
+  EXPECT_EQ(world.replays(), 0);
+}
+
 TEST(IdempotencyKey, TellsItsTimeOfIssue) {
   EXPECT_EQ(*parseIssueTime("1764828000123-a1b2c3d4"),
             WallTime(milliseconds(1764828000123)));
