--- a/src/controller/configuration_host.cpp
+++ b/src/controller/configuration_host.cpp
@@ -4,6 +4,8 @@
  */
 #include "controller/configuration_host.h"
 
+#include "table/member_states.h"
+
 #include <spdlog/spdlog.h>
 #include <utility>
 
@@ -50,8 +52,10 @@
 ConfigurationHost::ConfigurationHost(const RecordMember &self,
                                      const VmSettings &settings,
                                      StorePort &store, LinkPort &links,
+                                     ControlCounters &counters,
                                      ConfigurationHandlers handlers, Time now)
-    : Self(self), Store(store), Links(links), Handlers(std::move(handlers)),
+    : Self(self), Store(store), Links(links), Counters(counters),
+      Handlers(std::move(handlers)),
       Node(entryOf(self, settings), membershipTerms(settings),
            {PullTimeout, JoinLimit, JoinPeers, MeshVms}, now) {}
 
@@ -99,6 +103,7 @@
 }
 
 void ConfigurationHost::carryOut(MembersChanged &, Time now) {
+  logStates();
   std::vector<ControllerMember> members{toController(Node.membership().self())};
   for (const MemberEntry &it : Node.membership().others())
     if (it.State != MemberState::New && it.State != MemberState::Dead)
@@ -108,12 +113,24 @@
         MembershipEnvelope{controllersForRouters()}});
 }
 
+void ConfigurationHost::logStates() {
+  std::map<VmId, MemberState> states;
+  for (const MemberEntry &it : members()) {
+    states[it.Vm] = it.State;
+    const auto known = Logged.find(it.Vm);
+    if (known == Logged.end() || known->second != it.State)
+      spdlog::info("{} is {}", it.Vm.Value, memberStateName(it.State));
+  }
+  Logged = std::move(states);
+}
+
 void ConfigurationHost::carryOut(WatchStore &action, Time) {
   spdlog::info("{} the store", action.IsWanted ? "watches" : "stops watching");
   Store.watching().push(WatchRequest{action.IsWanted});
 }
 
 void ConfigurationHost::carryOut(DocumentsInForce &action, Time now) {
+  Counters.add(ControlCounter::DocumentsInForce, action.Documents.size());
   for (const TeamDocument &document : action.Documents)
     spdlog::info("configuration of {} at revision {} in force",
                  document.Team.Value, document.Rev.Value);
@@ -123,6 +140,7 @@
 }
 
 void ConfigurationHost::carryOut(DocumentRefused &action, Time) {
+  Counters.add(ControlCounter::DocumentsRefused);
   spdlog::warn("document of {} at revision {} is faulty: {}",
                action.Document.Team.Value, action.Document.Rev.Value,
                action.Error);
--- a/src/controller/configuration_host.h
+++ b/src/controller/configuration_host.h
@@ -31,7 +31,8 @@
 public:
   ConfigurationHost(const RecordMember &self, const VmSettings &settings,
                     StorePort &store, LinkPort &links,
-                    ConfigurationHandlers handlers, Time now);
+                    ControlCounters &counters, ConfigurationHandlers handlers,
+                    Time now);
 
   /// @return the documents in force on this VM
   const Configuration &configuration() const { return Node.configuration(); }
@@ -74,15 +75,18 @@
   void carryOut(DocumentRefused &action, Time now);
   void carryOut(RecordKnown &action, Time now);
   void greetRouter();
+  void logStates();
   MembersUpdate controllersForRouters() const;
   void send(LinkSend message) { Links.commands().push(std::move(message)); }
 
   RecordMember Self;
   StorePort &Store;
   LinkPort &Links;
+  ControlCounters &Counters;
   ConfigurationHandlers Handlers;
   ControlNode Node;
   std::map<VmId, Endpoint> Targets;
+  std::map<VmId, MemberState> Logged; ///< states that were logged last
 };
 
 } // namespace waxwing
--- a/src/relay/control_node_base.h
+++ b/src/relay/control_node_base.h
@@ -67,6 +67,7 @@
   Relay Items;
   RevisionReports Reports;
   Configuration Config;
+  Time JoinUntil;                    ///< nothing is decided on watching before
   bool IsWatchWanted = false;        ///< told to watch
   bool IsChosenWatcher = false;      ///< by the present members
   bool IsChoiceStale = true;         ///< members changed since it was made
