--- /dev/null
+++ b/src/traffic/crash_suspect_type.h
@@ -0,0 +1,35 @@
+/**
+ * @file crash_suspect_type.h
+ * What routers tell each other of requests in flight at upstreams that died.
+ */
+#ifndef WAXWING_TRAFFIC_CRASH_SUSPECT_TYPE_H
+#define WAXWING_TRAFFIC_CRASH_SUSPECT_TYPE_H
+
+#include "core/id_type.h"
+#include "core/time_type.h"
+
+#include <vector>
+
+namespace waxwing {
+
+/// Hash of a request's caller, method, target and body.
+using RequestPrint = StrongId<struct RequestPrintTag, std::uint64_t>;
+
+/// A request was in flight at an upstream when that one died.
+struct CrashMark {
+  RequestPrint Print;
+  UpstreamId Upstream;
+  DomainId Domain;
+  Duration Age{}; ///< since the death, when the mark was sent
+  bool operator==(const CrashMark &) const = default;
+};
+
+/// Marks that the receiver may lack.
+struct CrashMarksUpdate {
+  std::vector<CrashMark> Marks;
+  bool operator==(const CrashMarksUpdate &) const = default;
+};
+
+} // namespace waxwing
+
+#endif
--- /dev/null
+++ b/src/traffic/crash_suspects.cpp
@@ -0,0 +1,102 @@
+/**
+ * @file crash_suspects.cpp
+ * Losses become marks once their upstream is found dead.
+ */
+#include "traffic/crash_suspects_base.h"
+
+#include <algorithm>
+
+namespace waxwing {
+
+void CrashSuspects::noteLost(RequestPrint print, const UpstreamId &upstream,
+                             const DomainId &domain, Time now) {
+  if (Losses.size() < CrashPrintLimit)
+    Losses.emplace(upstream, Loss{print, domain, now});
+}
+
+void CrashSuspects::noteDead(const UpstreamId &upstream, Time now) {
+  const auto [first, last] = Losses.equal_range(upstream);
+  std::for_each(first, last, [&](const auto &entry) {
+    const Loss &loss = entry.second;
+    if (now <= loss.At + CorroborationSpan &&
+        add(loss.Print, upstream, {loss.Domain, loss.At}))
+      News.push_back({loss.Print, upstream, loss.Domain, now - loss.At});
+  });
+  Losses.erase(first, last);
+}
+
+void CrashSuspects::noteAnswered(RequestPrint print) { Marks.erase(print); }
+
+std::vector<CrashMark> CrashSuspects::merge(const std::vector<CrashMark> &marks,
+                                            Time now) {
+  std::vector<CrashMark> fresh;
+  std::ranges::copy_if(
+      marks, std::back_inserter(fresh), [&](const CrashMark &it) {
+        return it.Age < CrashMarkLifetime &&
+               add(it.Print, it.Upstream, {it.Domain, now - it.Age});
+      });
+  return fresh;
+}
+
+bool CrashSuspects::add(RequestPrint print, const UpstreamId &upstream,
+                        Death death) {
+  if (Marks.size() >= CrashPrintLimit && !Marks.contains(print))
+    return false;
+  auto &deaths = Marks[print];
+  const auto known = deaths.find(upstream);
+  // The same upstream counts once; a later death renews its mark.
+  if (known != deaths.end() && death.At <= known->second.At + IncidentSpan)
+    return false;
+  deaths[upstream] = std::move(death);
+  return true;
+}
+
+bool CrashSuspects::isMarked(RequestPrint print) const {
+  return Marks.contains(print) ||
+         std::ranges::any_of(Losses, [print](const auto &entry) {
+           return entry.second.Print == print;
+         });
+}
+
+bool CrashSuspects::isSuspect(RequestPrint print, Time now) const {
+  const auto it = Marks.find(print);
+  if (it == Marks.end())
+    return false;
+  std::vector<Death> deaths;
+  for (const auto &[upstream, death] : it->second)
+    if (now < death.At + CrashMarkLifetime)
+      deaths.push_back(death);
+  if (deaths.size() >= SuspectDeaths)
+    return true;
+  if (deaths.size() < 2)
+    return false;
+  const Duration apart = deaths[0].At > deaths[1].At
+                             ? deaths[0].At - deaths[1].At
+                             : deaths[1].At - deaths[0].At;
+  return deaths[0].Domain != deaths[1].Domain || apart > IncidentSpan;
+}
+
+std::vector<CrashMark> CrashSuspects::takeNews(Time) {
+  return std::exchange(News, {});
+}
+
+std::vector<CrashMark> CrashSuspects::marks(Time now) const {
+  std::vector<CrashMark> all;
+  for (const auto &[print, deaths] : Marks)
+    for (const auto &[upstream, death] : deaths)
+      all.push_back({print, upstream, death.Domain, now - death.At});
+  return all;
+}
+
+void CrashSuspects::tick(Time now) {
+  std::erase_if(Losses, [now](const auto &entry) {
+    return now > entry.second.At + CorroborationSpan;
+  });
+  absl::erase_if(Marks, [now](const auto &entry) {
+    return std::ranges::all_of(entry.second, [now](const auto &death) {
+      return now >= death.second.At + CrashMarkLifetime;
+    });
+  });
+}
+
+} // namespace waxwing
--- /dev/null
+++ b/src/traffic/crash_suspects_base.h
@@ -0,0 +1,79 @@
+/**
+ * @file crash_suspects_base.h
+ * Finds requests that crash the upstreams that run them.
+ */
+#ifndef WAXWING_TRAFFIC_CRASH_SUSPECTS_BASE_H
+#define WAXWING_TRAFFIC_CRASH_SUSPECTS_BASE_H
+
+#include "traffic/crash_suspect_type.h"
+
+#include <absl/container/flat_hash_map.h>
+#include <map>
+#include <set>
+
+namespace waxwing {
+
+/// A mark counts for this long after the death.
+constexpr Duration CrashMarkLifetime = seconds(600);
+/// A lost connection tells of a death when the upstream is found unreachable
+/// within this span.
+constexpr Duration CorroborationSpan = seconds(2);
+/// Deaths in one failure domain within this span may have one cause.
+constexpr Duration IncidentSpan = seconds(1);
+/// Deaths that make a request a suspect, whatever else may explain them.
+constexpr std::size_t SuspectDeaths = 3;
+/// Requests with marks at most.
+constexpr std::size_t CrashPrintLimit = 10'000;
+
+/// Collects marks. A request is suspected when it was in flight at two
+/// upstreams that died in two incidents, or at three that died; an answer
+/// clears it.
+/// Invariant: a single incident, however many upstreams of one failure
+/// domain die in it, makes no request a suspect by two marks.
+class CrashSuspects {
+public:
+  /// An attempt's connection broke after it was sent.
+  void noteLost(RequestPrint print, const UpstreamId &upstream,
+                const DomainId &domain, Time now);
+  /// No connection to the upstream can be opened: it is dead.
+  void noteDead(const UpstreamId &upstream, Time now);
+  /// An upstream answered the request whole.
+  void noteAnswered(RequestPrint print);
+  /// Takes another router's marks.
+  /// @return those that were not known here
+  std::vector<CrashMark> merge(const std::vector<CrashMark> &marks, Time now);
+
+  /// @return whether the request was in flight at an upstream that died, or
+  ///   that may have
+  bool isMarked(RequestPrint print) const;
+  /// @return whether the request has to be refused
+  bool isSuspect(RequestPrint print, Time now) const;
+
+  /// @return marks made here since the last call, for other routers
+  std::vector<CrashMark> takeNews(Time now);
+  /// @return all marks, for a router that has just started
+  std::vector<CrashMark> marks(Time now) const;
+  void tick(Time now);
+
+private:
+  struct Death {
+    DomainId Domain;
+    Time At;
+  };
+  /// A lost connection whose upstream may live.
+  struct Loss {
+    RequestPrint Print;
+    DomainId Domain;
+    Time At;
+  };
+
+  bool add(RequestPrint print, const UpstreamId &upstream, Death death);
+
+  absl::flat_hash_map<RequestPrint, std::map<UpstreamId, Death>> Marks;
+  std::multimap<UpstreamId, Loss> Losses;
+  std::vector<CrashMark> News; ///< Age is filled when they are taken
+};
+
+} // namespace waxwing
+
+#endif
