--- a/src/traffic/router_core.cpp
+++ b/src/traffic/router_core.cpp
@@ -97,6 +97,14 @@
   resumeAfterOwners(service, now);
 }
 
+void RouterCore::on(HomesChanged &event, Time now) {
+  Dispatch.setHomes(std::move(event.Homes), now);
+}
+
+void RouterCore::on(HomesLeased &event, Time now) {
+  Dispatch.takeLeases(event.Answer, now);
+}
+
 void RouterCore::on(RouterTick &event, Time now) {
   Memory.advance(event.Wall);
   Dispatch.tick(now);
@@ -105,7 +113,10 @@
     resume(*Requests.at(Paused.begin()->second), now);
 }
 
-void RouterCore::on(DrainStarted &, Time now) { RefuseFrom = now + DrainGrace; }
+void RouterCore::on(DrainStarted &, Time now) {
+  RefuseFrom = now + DrainGrace;
+  Dispatch.leaveHomes();
+}
 
 void RouterCore::submit(RequestState &request, Time now) {
   const CallerRequest &caller = request.Request;
@@ -155,6 +166,10 @@
     fail(*it->second, decision.Why, decision.RetryAfter, now);
 }
 
+void RouterCore::carryOut(DispatchAsk &decision, Time) {
+  Actions.emplace_back(SendHomeAsk{std::move(decision.Ask)});
+}
+
 void RouterCore::refuse(RequestState &request, Reason why, Duration retryAfter,
                         Time now) {
   // An attempt in flight may run until its end says otherwise.
--- a/src/traffic/router_core_base.h
+++ b/src/traffic/router_core_base.h
@@ -36,6 +36,12 @@
   /// remembered, and each request runs once for each time it is sent.
   /// @param homes outlives the core
   void rememberKeys(const IdempotencyHomes &homes) { Homes = &homes; }
+  /// From now on only homes that are leased to this process are its own;
+  /// without this call the router is alone and the home of everything.
+  /// @param forward where this router takes forwarded requests
+  void leaseHomes(Incarnation process, const Endpoint &forward) {
+    Dispatch.leaseHomes(process, forward);
+  }
 
   /// Takes one event.
   /// @param now this process's clock, never before an earlier now
@@ -46,6 +52,8 @@
   std::size_t requestsInFlight() const { return Requests.size(); }
   /// @return refusals and failures told to callers, by reason
   const ReasonCounters &answers() const { return Answers; }
+  /// @return the dispatcher's events
+  const DispatchCounters &dispatching() const { return Dispatch.counters(); }
   /// @return ends of attempts, by reason
   const ReasonCounters &attempts() const { return AttemptEnds; }
   /// @return retries, by the reason that caused them
@@ -101,6 +109,8 @@
   void on(AttemptEnded &event, Time now);
   void on(ConfigurationChanged &event, Time now);
   void on(OwnersChanged &event, Time now);
+  void on(HomesChanged &event, Time now);
+  void on(HomesLeased &event, Time now);
   void on(RouterTick &event, Time now);
   void on(DrainStarted &event, Time now);
 
@@ -110,6 +120,7 @@
   void carryOutDecisions(Time now);
   void carryOut(DispatchStart &decision, Time now);
   void carryOut(DispatchRefuse &decision, Time now);
+  void carryOut(DispatchAsk &decision, Time now);
 
   /// @return whether another router chose this one for the upstream
   static bool isForwardedHere(const RequestState &request);
--- a/src/traffic/router_core_type.h
+++ b/src/traffic/router_core_type.h
@@ -10,6 +10,7 @@
 #include "core/verdict_type.h"
 #include "net/http_type.h"
 #include "ownership/ownership_record_base.h"
+#include "traffic/home_type.h"
 
 #include <memory>
 #include <optional>
@@ -69,6 +70,16 @@
   std::shared_ptr<const OwnershipRecord> Record;
 };
 
+/// The homes of a service's upstreams and partitions changed.
+struct HomesChanged {
+  std::shared_ptr<const HomesUpdate> Homes;
+};
+
+/// The leader of a service answered this router's question.
+struct HomesLeased {
+  HomeAnswer Answer;
+};
+
 /// Time passed.
 struct RouterTick {
   WallTime Wall;
@@ -79,7 +90,8 @@
 
 using RouterEvent =
     std::variant<CallerRequest, CallerLost, AttemptEnded, ConfigurationChanged,
-                 OwnersChanged, RouterTick, DrainStarted>;
+                 OwnersChanged, HomesChanged, HomesLeased, RouterTick,
+                 DrainStarted>;
 
 /// Attempts at the home of an idempotency key have ids from here on; those
 /// of the dispatcher are below.
@@ -101,6 +113,7 @@
   VmId Router;
   Endpoint Address;
   TierId Tier;
+  UpstreamId Upstream; ///< that the request is for; empty when any will do
   ForwardPurpose Purpose = ForwardPurpose::UpstreamHome;
 };
 
@@ -130,7 +143,13 @@
   std::string Detail;    ///< told beside the reason; may be empty
 };
 
-using RouterAction = std::variant<StartAttempt, CancelAttempt, AnswerCaller>;
+/// Send a question about home leases to the leader of its service.
+struct SendHomeAsk {
+  HomeAsk Ask;
+};
+
+using RouterAction =
+    std::variant<StartAttempt, CancelAttempt, AnswerCaller, SendHomeAsk>;
 
 } // namespace waxwing
 
