--- a/src/controller/controller_process.cpp
+++ b/src/controller/controller_process.cpp
@@ -6,6 +6,7 @@
 
 #include "controller/configuration_host.h"
 #include "controller/controller_metrics.h"
+#include "controller/crash_mark_host.h"
 #include "controller/home_host.h"
 #include "controller/link_port.h"
 #include "controller/order_port.h"
@@ -129,6 +130,7 @@
       Configurations.tick(now);
       Ownership.tick(now);
       Homes.tick(now);
+      CrashMarks.tick(now);
     }
   }
 
@@ -141,6 +143,7 @@
   void on(LinkReceived &received, Time now) {
     Configurations.on(received, now);
     Homes.on(received, now);
+    CrashMarks.on(received, now);
     if (auto *envelope = std::get_if<OwnershipEnvelope>(&received.Message))
       Ownership.onPeer(received.From.Self, envelope->Message, now);
   }
@@ -162,6 +165,7 @@
   OwnershipHost Ownership;
   ControllerMetrics Metrics{Counters};
   HomeHost Homes;
+  CrashMarkHost CrashMarks{Links};
   /// Services whose record began with this process: no earlier home exists.
   std::set<ServiceId> FirstLed;
   std::optional<Duty> Decisions;
--- a/src/link/link_message.cpp
+++ b/src/link/link_message.cpp
@@ -42,6 +42,13 @@
   Json operator()(const OwnersUpdate &update) const {
     return {"owners", toBinary(encodeRecord(update.Record))};
   }
+  Json operator()(const CrashMarksUpdate &update) const {
+    Json marks = Json::array();
+    for (const CrashMark &it : update.Marks)
+      marks.push_back(Json::array({it.Print.Value, it.Upstream.Value,
+                                   it.Domain.Value, it.Age.count()}));
+    return {"crashes", marks};
+  }
   Json operator()(const OwnershipEnvelope &envelope) const {
     return std::visit(*this, envelope.Message);
   }
@@ -109,6 +116,16 @@
   return update;
 }
 
+LinkMessage decodeCrashMarks(const Json &body) {
+  CrashMarksUpdate update;
+  for (const Json &it : body)
+    update.Marks.push_back({RequestPrint(it.at(0).get<std::uint64_t>()),
+                            UpstreamId(it.at(1).get<std::string>()),
+                            DomainId(it.at(2).get<std::string>()),
+                            Duration(it.at(3).get<std::int64_t>())});
+  return update;
+}
+
 LinkMessage decodeOwners(const Json &body) {
   auto record = decodeRecord(fromBinary(body));
   if (!record.ok())
@@ -153,6 +170,7 @@
     DecoderRow{"hello", decodeHello},
     DecoderRow{"documents", decodeDocuments},
     DecoderRow{"owners", decodeOwners},
+    DecoderRow{"crashes", decodeCrashMarks},
     DecoderRow{"confirm", decodeConfirm},
     DecoderRow{"confirmed", decodeConfirmed},
     DecoderRow{"fence", decodeFence},
--- a/src/link/link_message_type.h
+++ b/src/link/link_message_type.h
@@ -11,6 +11,7 @@
 #include "ownership/ownership_record_base.h"
 #include "relay/relay_type.h"
 #include "relay/revision_reports_type.h"
+#include "traffic/crash_suspect_type.h"
 #include "traffic/home_type.h"
 
 #include <variant>
@@ -55,8 +56,8 @@
 
 using LinkMessage =
     std::variant<LinkHello, DocumentsUpdate, OwnersUpdate, OwnershipEnvelope,
-                 MembershipEnvelope, RelayEnvelope, RevisionReportsUpdate,
-                 HomeAsk, HomeAnswer, HomesUpdate>;
+                 CrashMarksUpdate, MembershipEnvelope, RelayEnvelope,
+                 RevisionReportsUpdate, HomeAsk, HomeAnswer, HomesUpdate>;
 
 } // namespace waxwing
 
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -102,7 +102,8 @@
     std::shared_ptr<Connection> Channel;
     std::optional<asio::steady_timer> Timer;
     HttpProgress Progress = HttpProgress::NotConnected;
-    bool IsAlone = false; ///< Channel does not belong to a pool
+    bool IsRefused = false; ///< nothing listens there
+    bool IsAlone = false;   ///< Channel does not belong to a pool
   };
   using ExchangeRef = std::shared_ptr<Exchange>;
 
@@ -182,7 +183,7 @@
     }
     if (pool.OpenCount >= Limit) {
       Io.post([self = shared_from_this(), id] {
-        self->finish(id, HttpProgress::NotConnected);
+        self->finish(id, HttpProgress::NoneFree);
       });
       return;
     }
@@ -220,6 +221,7 @@
     if (!Exchanges.contains(id))
       return;
     if (ec) {
+      exchange->IsRefused = ec == asio::error::connection_refused;
       finish(id, HttpProgress::NotConnected);
       return;
     }
@@ -307,7 +309,7 @@
     const ExchangeRef exchange = std::move(it->second);
     Exchanges.erase(it);
     exchange->Timer->cancel();
-    HttpOutcome outcome{progress, {}, 0};
+    HttpOutcome outcome{progress, {}, 0, exchange->IsRefused};
     if (exchange->Channel) {
       outcome.ConnectionId = exchange->Channel->Id;
       release(*exchange, progress);
--- a/src/net/http_type.h
+++ b/src/net/http_type.h
@@ -51,6 +51,7 @@
 /// How far an exchange came; decides what is proven of its execution.
 enum class HttpProgress : std::uint8_t {
   NotConnected, ///< no connection; no byte was sent
+  NoneFree,     ///< all connections that may be open are used
   NotSent,      ///< connection lost before the first byte was accepted
   Sent,         ///< bytes were sent; no answer came
   CutOff,       ///< the answer began and did not end
@@ -65,6 +66,7 @@
   HttpProgress Progress = HttpProgress::NotConnected;
   HttpResponse Response;          ///< whole when Answered
   std::uint64_t ConnectionId = 0; ///< connection used, 0 for none
+  bool IsRefused = false;         ///< NotConnected: nothing listens there
 };
 
 } // namespace waxwing
--- a/src/router/router_process.cpp
+++ b/src/router/router_process.cpp
@@ -48,6 +48,7 @@
   absl::Status start() {
     Core.leaseHomes(Self.Process,
                     parseEndpoint(Settings.Router.text("forward")));
+    Core.rememberKeys();
     Decisions.emplace(System, DecisionPeriod,
                       [this](DutyCall call) { decide(call); });
     IsReady = true;
@@ -95,6 +96,8 @@
     }
     Link.messages().drain(
         [&](LinkMessage &&it) { handleLink(std::move(it), now); });
+    Port.probes().drain(
+        [&](UpstreamProbed &&it) { handle(std::move(it), now); });
     Port.ends().drain([&](AttemptEnded &&it) { handle(std::move(it), now); });
     Edge.events().drain([&](EdgeEvent &&event) {
       std::visit(
@@ -118,6 +121,8 @@
       handle(OwnersChanged{std::make_shared<const OwnershipRecord>(
                  std::move(update->Record))},
              now);
+    if (auto *update = std::get_if<CrashMarksUpdate>(&message))
+      handle(CrashMarksHeard{std::move(update->Marks)}, now);
     if (auto *update = std::get_if<HomesUpdate>(&message))
       handle(
           HomesChanged{std::make_shared<const HomesUpdate>(std::move(*update))},
@@ -142,6 +147,16 @@
 
   void carryOut(CancelAttempt &action, Time) { Port.commands().push(action); }
 
+  void carryOut(ProbeUpstream &action, Time) {
+    Port.commands().push(std::move(action));
+  }
+
+  void carryOut(DropIdle &action, Time) { Port.commands().push(action); }
+
+  void carryOut(ShareCrashMarks &action, Time) {
+    Link.send(CrashMarksUpdate{std::move(action.Marks)});
+  }
+
   void carryOut(SendHomeAsk &action, Time) { Link.send(std::move(action.Ask)); }
 
   void carryOut(AnswerCaller &action, Time now) {
--- a/src/router/upstream_port.cpp
+++ b/src/router/upstream_port.cpp
@@ -13,6 +13,7 @@
 namespace waxwing {
 namespace {
 
+constexpr Duration ProbeTimeout = milliseconds(500);
 constexpr Duration CancelTimeout = milliseconds(500);
 constexpr Duration ReportRetryPeriod = milliseconds(1);
 
@@ -84,7 +85,8 @@
                    });
                  });
                }),
-      Ends(AttemptLimit, std::move(wakeDecisions)),
+      Ends(AttemptLimit, wakeDecisions),
+      Probes(ProbeLimit, std::move(wakeDecisions)),
       WirePrefix(fmt::format("{:x}", std::random_device()())) {}
 
 void UpstreamPort::carryOut(StartAttempt attempt) {
@@ -107,6 +109,24 @@
     Client.cancel(it->second.ClientId);
 }
 
+void UpstreamPort::carryOut(const ProbeUpstream &probe) {
+  HttpRequest request;
+  request.Target = std::string(StatusPath);
+  const Time now = readClock();
+  Client.sendAlone(
+      probe.Address, std::move(request), now + ProbeTimeout,
+      [this, upstream = probe.Upstream, now](HttpOutcome outcome) {
+        const bool isAnswered = outcome.Progress == HttpProgress::Answered;
+        Probes.push({upstream, isAnswered, outcome.IsRefused, now});
+      });
+}
+
+void UpstreamPort::carryOut(const DropIdle &drop) {
+  const auto it = Exchanges.find(drop.Attempt);
+  if (it != Exchanges.end())
+    Client.closeIdle(it->second.To, drop.StartedAt);
+}
+
 void UpstreamPort::finish(AttemptId attempt, HttpOutcome outcome) {
   const auto it = Exchanges.find(attempt);
   const Exchange exchange = std::move(it->second);
--- a/src/router/upstream_port.h
+++ b/src/router/upstream_port.h
@@ -16,10 +16,13 @@
 namespace waxwing {
 
 /// What the decisions ask of the upstream port.
-using PortCommand = std::variant<StartAttempt, CancelAttempt>;
+using PortCommand =
+    std::variant<StartAttempt, CancelAttempt, ProbeUpstream, DropIdle>;
 
 /// Attempts in flight at most; as many as the ring of their ends.
 constexpr std::size_t AttemptLimit = 16384;
+/// Ends of probes that may wait for the decisions.
+constexpr std::size_t ProbeLimit = 1024;
 
 /// Used on its own thread, but for commands().
 class UpstreamPort {
@@ -32,6 +35,8 @@
   BoundedRing<PortCommand> &commands() { return Commands; }
   /// Consumed by the decisions.
   BoundedRing<AttemptEnded> &ends() { return Ends; }
+  /// Consumed by the decisions.
+  BoundedRing<UpstreamProbed> &probes() { return Probes; }
   void stop() { Io.stop(); }
 
 private:
@@ -45,6 +50,8 @@
 
   void carryOut(StartAttempt attempt);
   void carryOut(const CancelAttempt &attempt);
+  void carryOut(const ProbeUpstream &probe);
+  void carryOut(const DropIdle &drop);
   void finish(AttemptId attempt, HttpOutcome outcome);
   /// Asks the upstream to drop a request that nobody waits for.
   void tellCancelled(const Exchange &exchange);
@@ -55,6 +62,7 @@
   HttpClient Client;
   BoundedRing<PortCommand> Commands;
   BoundedRing<AttemptEnded> Ends;
+  BoundedRing<UpstreamProbed> Probes;
   absl::flat_hash_map<AttemptId, Exchange> Exchanges;
   std::deque<AttemptEnded> UnreportedEnds; ///< that found the ring full
   std::string WirePrefix; ///< makes wire ids unique among routers
--- a/src/traffic/crash_suspects.cpp
+++ b/src/traffic/crash_suspects.cpp
@@ -19,13 +19,17 @@
   std::for_each(first, last, [&](const auto &entry) {
     const Loss &loss = entry.second;
     if (now <= loss.At + CorroborationSpan &&
-        add(loss.Print, upstream, {loss.Domain, loss.At}))
+        add(loss.Print, upstream, {loss.Domain, loss.At}, now))
       News.push_back({loss.Print, upstream, loss.Domain, now - loss.At});
   });
   Losses.erase(first, last);
 }
 
-void CrashSuspects::noteAnswered(RequestPrint print) { Marks.erase(print); }
+void CrashSuspects::noteAnswered(RequestPrint print) {
+  const auto it = Marks.find(print);
+  if (it != Marks.end() && it->second.SuspectUntil == Time())
+    Marks.erase(it);
+}
 
 std::vector<CrashMark> CrashSuspects::merge(const std::vector<CrashMark> &marks,
                                             Time now) {
@@ -33,24 +37,40 @@
   std::ranges::copy_if(
       marks, std::back_inserter(fresh), [&](const CrashMark &it) {
         return it.Age < CrashMarkLifetime &&
-               add(it.Print, it.Upstream, {it.Domain, now - it.Age});
+               add(it.Print, it.Upstream, {it.Domain, now - it.Age}, now);
       });
   return fresh;
 }
 
 bool CrashSuspects::add(RequestPrint print, const UpstreamId &upstream,
-                        Death death) {
+                        Death death, Time now) {
   if (Marks.size() >= CrashPrintLimit && !Marks.contains(print))
     return false;
-  auto &deaths = Marks[print];
-  const auto known = deaths.find(upstream);
+  Record &record = Marks[print];
+  const auto known = record.Deaths.find(upstream);
   // The same upstream counts once; a later death renews its mark.
-  if (known != deaths.end() && death.At <= known->second.At + IncidentSpan)
+  if (known != record.Deaths.end() &&
+      death.At <= known->second.At + IncidentSpan)
     return false;
-  deaths[upstream] = std::move(death);
+  record.Deaths[upstream] = std::move(death);
+  if (isSuspicious(record, now))
+    record.SuspectUntil = now + SuspectLifetime;
   return true;
 }
 
+bool CrashSuspects::isSuspicious(const Record &record, Time now) {
+  std::vector<Death> deaths;
+  for (const auto &[upstream, death] : record.Deaths)
+    if (now < death.At + CrashMarkLifetime)
+      deaths.push_back(death);
+  if (deaths.size() >= SuspectDeaths)
+    return true;
+  if (deaths.size() < 2)
+    return false;
+  const Duration apart = std::chrono::abs(deaths[0].At - deaths[1].At);
+  return deaths[0].Domain != deaths[1].Domain || apart > IncidentSpan;
+}
+
 bool CrashSuspects::isMarked(RequestPrint print) const {
   return Marks.contains(print) ||
          std::ranges::any_of(Losses, [print](const auto &entry) {
@@ -60,30 +80,25 @@
 
 bool CrashSuspects::isSuspect(RequestPrint print, Time now) const {
   const auto it = Marks.find(print);
-  if (it == Marks.end())
-    return false;
-  std::vector<Death> deaths;
-  for (const auto &[upstream, death] : it->second)
-    if (now < death.At + CrashMarkLifetime)
-      deaths.push_back(death);
-  if (deaths.size() >= SuspectDeaths)
-    return true;
-  if (deaths.size() < 2)
-    return false;
-  const Duration apart = deaths[0].At > deaths[1].At
-                             ? deaths[0].At - deaths[1].At
-                             : deaths[1].At - deaths[0].At;
-  return deaths[0].Domain != deaths[1].Domain || apart > IncidentSpan;
+  return it != Marks.end() && now < it->second.SuspectUntil;
+}
+
+std::vector<UpstreamId> CrashSuspects::undecided() const {
+  std::vector<UpstreamId> upstreams;
+  for (const auto &[upstream, loss] : Losses)
+    if (upstreams.empty() || upstreams.back() != upstream)
+      upstreams.push_back(upstream);
+  return upstreams;
 }
 
-std::vector<CrashMark> CrashSuspects::takeNews(Time) {
+std::vector<CrashMark> CrashSuspects::takeNews() {
   return std::exchange(News, {});
 }
 
 std::vector<CrashMark> CrashSuspects::marks(Time now) const {
   std::vector<CrashMark> all;
-  for (const auto &[print, deaths] : Marks)
-    for (const auto &[upstream, death] : deaths)
+  for (const auto &[print, record] : Marks)
+    for (const auto &[upstream, death] : record.Deaths)
       all.push_back({print, upstream, death.Domain, now - death.At});
   return all;
 }
@@ -93,9 +108,11 @@
     return now > entry.second.At + CorroborationSpan;
   });
   absl::erase_if(Marks, [now](const auto &entry) {
-    return std::ranges::all_of(entry.second, [now](const auto &death) {
-      return now >= death.second.At + CrashMarkLifetime;
-    });
+    const Record &record = entry.second;
+    return now >= record.SuspectUntil &&
+           std::ranges::all_of(record.Deaths, [now](const auto &death) {
+             return now >= death.second.At + CrashMarkLifetime;
+           });
   });
 }
 
--- a/src/traffic/crash_suspects_base.h
+++ b/src/traffic/crash_suspects_base.h
@@ -14,7 +14,9 @@
 namespace waxwing {
 
 /// A mark counts for this long after the death.
-constexpr Duration CrashMarkLifetime = seconds(600);
+constexpr Duration CrashMarkLifetime = seconds(60);
+/// A suspect is refused for this long after its last mark.
+constexpr Duration SuspectLifetime = seconds(600);
 /// A lost connection tells of a death when the upstream is found unreachable
 /// within this span.
 constexpr Duration CorroborationSpan = seconds(2);
@@ -49,8 +51,10 @@
   /// @return whether the request has to be refused
   bool isSuspect(RequestPrint print, Time now) const;
 
+  /// @return upstreams whose death would explain a loss
+  std::vector<UpstreamId> undecided() const;
   /// @return marks made here since the last call, for other routers
-  std::vector<CrashMark> takeNews(Time now);
+  std::vector<CrashMark> takeNews();
   /// @return all marks, for a router that has just started
   std::vector<CrashMark> marks(Time now) const;
   void tick(Time now);
@@ -67,9 +71,17 @@
     Time At;
   };
 
-  bool add(RequestPrint print, const UpstreamId &upstream, Death death);
+  bool add(RequestPrint print, const UpstreamId &upstream, Death death,
+           Time now);
 
-  absl::flat_hash_map<RequestPrint, std::map<UpstreamId, Death>> Marks;
+  /// What is held against one request.
+  struct Record {
+    std::map<UpstreamId, Death> Deaths;
+    Time SuspectUntil; ///< the epoch unless suspected
+  };
+  static bool isSuspicious(const Record &record, Time now);
+
+  absl::flat_hash_map<RequestPrint, Record> Marks;
   std::multimap<UpstreamId, Loss> Losses;
   std::vector<CrashMark> News; ///< Age is filled when they are taken
 };
--- a/src/traffic/dispatcher.cpp
+++ b/src/traffic/dispatcher.cpp
@@ -70,7 +70,7 @@
   if (it == Services.end() || !it->second.Holder)
     return;
   Service &service = it->second;
-  for (const HomeLease &lease : service.Holder->take(answer)) {
+  for (const HomeLease &lease : service.Holder->take(answer, now)) {
     Counters.add(DispatchCount::HomesGained);
     const auto *upstream = std::get_if<UpstreamId>(&lease.Resource);
     if (upstream != nullptr && service.Config != nullptr)
@@ -88,6 +88,15 @@
       service.Holder->leave();
 }
 
+std::optional<Time> Dispatcher::homeHeldSince(const ServiceId &service,
+                                              const HomeResource &resource,
+                                              Time now) const {
+  const auto it = Services.find(service);
+  if (it == Services.end() || !it->second.Holder)
+    return std::nullopt;
+  return it->second.Holder->heldSince(resource, now);
+}
+
 bool Dispatcher::isHomeHere(const ServiceId &service,
                             const HomeResource &resource, Time now) const {
   if (!Forward)
--- a/src/traffic/dispatcher_base.h
+++ b/src/traffic/dispatcher_base.h
@@ -47,6 +47,10 @@
   /// @return whether this router is the home of @p resource now
   bool isHomeHere(const ServiceId &service, const HomeResource &resource,
                   Time now) const;
+  /// @return since when this router is the home without a gap
+  std::optional<Time> homeHeldSince(const ServiceId &service,
+                                    const HomeResource &resource,
+                                    Time now) const;
   /// @return where the home is published to be, or nullptr
   const HomeRow *findHome(const ServiceId &service,
                           const HomeResource &resource) const {
--- a/src/traffic/home_holder.cpp
+++ b/src/traffic/home_holder.cpp
@@ -25,7 +25,7 @@
   return {Service, Self, Process, Forward, ++Round, {}, IsLeaving};
 }
 
-std::vector<HomeLease> HomeHolder::take(const HomeAnswer &answer) {
+std::vector<HomeLease> HomeHolder::take(const HomeAnswer &answer, Time now) {
   if (answer.Process != Process || answer.Round != Round || IsAnswered)
     return {};
   IsAnswered = true;
@@ -33,7 +33,8 @@
   std::vector<HomeLease> gained;
   std::map<HomeResource, Lease> next;
   for (const HomeLease &lease : answer.Leases) {
-    next[lease.Resource] = {end, lease.IsReleasing, false};
+    const Time since = heldSince(lease.Resource, now).value_or(now);
+    next[lease.Resource] = {end, lease.IsReleasing, false, since};
     if (!Leases.contains(lease.Resource))
       gained.push_back(lease);
   }
@@ -42,8 +43,9 @@
   // they are until published homes name another router.
   for (const auto &[resource, lease] : Leases)
     if (!next.contains(resource))
-      next[resource] =
-          lease.EndsAt <= AskedAt ? lease : Lease{lease.EndsAt, true, true};
+      next[resource] = lease.EndsAt <= AskedAt
+                           ? lease
+                           : Lease{lease.EndsAt, true, true, lease.HeldSince};
   Leases = std::move(next);
   return gained;
 }
@@ -56,6 +58,13 @@
   }
 }
 
+std::optional<Time> HomeHolder::heldSince(const HomeResource &resource,
+                                          Time now) const {
+  if (right(resource, now) != HomeRight::Full)
+    return std::nullopt;
+  return Leases.at(resource).HeldSince;
+}
+
 HomeRight HomeHolder::right(const HomeResource &resource, Time now) const {
   const auto it = Leases.find(resource);
   if (it == Leases.end() || it->second.IsReleasing)
--- a/src/traffic/home_holder_base.h
+++ b/src/traffic/home_holder_base.h
@@ -44,7 +44,7 @@
   }
 
   /// @return the leases that are new with this answer
-  std::vector<HomeLease> take(const HomeAnswer &answer);
+  std::vector<HomeLease> take(const HomeAnswer &answer, Time now);
   /// Homes that name another router end this router's minimum.
   void takeHomes(const HomesUpdate &homes);
   /// The router shuts down.
@@ -55,12 +55,15 @@
     return Leases.contains(resource);
   }
   HomeRight right(const HomeResource &resource, Time now) const;
+  /// @return since when the lease runs without a gap, when the right is full
+  std::optional<Time> heldSince(const HomeResource &resource, Time now) const;
 
 private:
   struct Lease {
     Time EndsAt;
     bool IsReleasing = false;
     bool IsSuperseded = false; ///< published homes name another router
+    Time HeldSince;            ///< when the first of its unbroken answers came
   };
 
   bool isAskDue(Time now) const;
--- a/src/traffic/idempotency_home_base.h
+++ b/src/traffic/idempotency_home_base.h
@@ -5,6 +5,7 @@
 #ifndef WAXWING_TRAFFIC_IDEMPOTENCY_HOME_BASE_H
 #define WAXWING_TRAFFIC_IDEMPOTENCY_HOME_BASE_H
 
+#include "traffic/dispatcher_base.h"
 #include "traffic/idempotency_type.h"
 #include "traffic/router_core_type.h"
 
@@ -28,6 +29,30 @@
                                              PartitionId partition) const = 0;
 };
 
+/// Homes as the dispatcher leases them.
+class LeasedHomes final : public IdempotencyHomes {
+public:
+  /// @param dispatcher outlives this object
+  LeasedHomes(VmId self, const Dispatcher &dispatcher)
+      : Self(std::move(self)), Leases(dispatcher) {}
+
+  std::optional<Time> heldSince(const ServiceId &service, PartitionId partition,
+                                Time now) const override {
+    return Leases.homeHeldSince(service, partition, now);
+  }
+  std::optional<RouterTarget> homeOf(const ServiceId &service,
+                                     PartitionId partition) const override {
+    const HomeRow *row = Leases.findHome(service, partition);
+    if (row == nullptr || row->Router == Self)
+      return std::nullopt;
+    return RouterTarget{row->Router, row->Forward, {}, {}};
+  }
+
+private:
+  VmId Self;
+  const Dispatcher &Leases;
+};
+
 } // namespace waxwing
 
 #endif
--- a/src/traffic/idempotency_type.h
+++ b/src/traffic/idempotency_type.h
@@ -9,18 +9,13 @@
 #include "core/time_type.h"
 #include "core/verdict_type.h"
 #include "net/http_type.h"
+#include "traffic/home_type.h"
 
 #include <compare>
 #include <variant>
 
 namespace waxwing {
 
-/// Index of a part of one service's idempotency keys.
-using PartitionId = StrongId<struct PartitionTag, std::uint32_t>;
-
-/// Parts of each service's idempotency keys; each has one home router.
-constexpr std::uint32_t PartitionCount = 64;
-
 /// Longest idempotency key, bytes.
 constexpr std::size_t IdempotencyKeyBytes = 128;
 
@@ -38,7 +33,8 @@
 /// Bounds on civil clocks.
 struct IdempotencyTerms {
   Duration VmClockError = milliseconds(250); ///< of a router against true time
-  Duration AheadLimit = seconds(1); ///< a key's time of issue may be so late
+  Duration AheadLimit =
+      milliseconds(500); ///< a key's time of issue may be so late
 
   /// A home has seen every execution of keys that were issued later than its
   /// start and this.
--- a/src/traffic/router_core.cpp
+++ b/src/traffic/router_core.cpp
@@ -14,16 +14,20 @@
 /// Callers that are refused "not run" are told to come back after this.
 constexpr Duration RefusalRetryAfter = seconds(1);
 
-/// @return whether @p why tells of an earlier request under the same key
+RequestPrint printOf(const CallerId &caller, std::uint64_t fingerprint) {
+  return RequestPrint(hashKey(caller.Value).Value ^ fingerprint);
+}
+
+/// @return whether @p why tells of an earlier sending of the same request
 bool isDuplicate(Reason why) {
   return why == Reason::DuplicateInFlight || why == Reason::DuplicateUnknown ||
-         why == Reason::IdempotencyExpired;
+         why == Reason::IdempotencyExpired || why == Reason::SuspectedCrasher;
 }
 
 } // namespace
 
-RouterCore::RouterCore(VmId self, std::uint64_t seed)
-    : Dispatch(std::move(self), seed) {}
+RouterCore::RouterCore(const VmId &self, std::uint64_t seed)
+    : Dispatch(self, seed), Leased(self, Dispatch) {}
 
 std::vector<RouterAction> RouterCore::handle(RouterEvent event, Time now) {
   std::visit([&](auto &it) { on(it, now); }, event);
@@ -46,6 +50,9 @@
   request.Tier = std::get<Admission>(admission).Tier;
   request.Deadline = caller.Deadline.value_or(now + service.Timeout);
   request.IsOwned = service.IsDividedByKey;
+  request.Print = printOf(request.Caller, caller.Fingerprint);
+  if (Suspects.isSuspect(request.Print, now))
+    return refuse(request, Reason::SuspectedCrasher, Duration(), now);
   Budget.addRequest();
   Memory.advance(caller.ArrivedAt);
   if (readKey(request, now))
@@ -109,6 +116,7 @@
   Memory.advance(event.Wall);
   Dispatch.tick(now);
   notePartitions(now);
+  checkHealth(now);
   while (!Paused.empty() && Paused.begin()->first <= now)
     resume(*Requests.at(Paused.begin()->second), now);
 }
@@ -148,12 +156,17 @@
   if (!isAllowed)
     return Dispatch.endAttempt(decision.Attempt, Reason::Cancelled, now);
   RequestState &request = *it->second;
+  const auto *target = std::get_if<UpstreamTarget>(&decision.Target);
+  if (target != nullptr && !isSafeAt(request, target->Upstream, now))
+    return Dispatch.endAttempt(decision.Attempt, Reason::Cancelled, now);
   request.Live.push_back(decision.Attempt);
   request.AttemptsMade += decision.IsHedge ? 0 : 1;
   AttemptState &attempt = Attempts[decision.Attempt];
-  attempt = {decision.Request, std::nullopt, now};
-  if (const auto *target = std::get_if<UpstreamTarget>(&decision.Target))
+  attempt = {decision.Request, std::nullopt, now, request.Print};
+  if (target != nullptr) {
     attempt.Upstream = target->Upstream;
+    Health.start(decision.Attempt, target->Upstream, now);
+  }
   Actions.emplace_back(StartAttempt{
       decision.Attempt, decision.Request, std::move(decision.Target),
       std::min(decision.Deadline, request.Deadline), request.Caller,
--- a/src/traffic/router_core_attempts.cpp
+++ b/src/traffic/router_core_attempts.cpp
@@ -10,12 +10,24 @@
 #include <algorithm>
 
 namespace waxwing {
+namespace {
+
+/// A request whose attempts break so many connections is given up.
+constexpr int MaxLosses = 2;
+
+bool isLoss(Reason why) {
+  return why == Reason::ConnectionLost || why == Reason::CutOffAnswer;
+}
+
+} // namespace
 
 void RouterCore::on(AttemptEnded &event, Time now) {
+  const auto it = Attempts.find(event.Attempt);
+  if (it != Attempts.end())
+    learnFromEnd(it->second, event, now);
   AttemptEnds.add(event.Why);
   if (!isSend(event.Attempt))
     Dispatch.endAttempt(event.Attempt, event.Why, now);
-  const auto it = Attempts.find(event.Attempt);
   if (it == Attempts.end())
     return;
   const AttemptState attempt = std::move(it->second);
@@ -32,6 +44,7 @@
                   now);
   if (event.Proven != Verdict::NotRun && request.MayHaveRunBy == Reason::None)
     request.MayHaveRunBy = event.Why;
+  request.LossesMade += isLoss(event.Why) ? 1 : 0;
   if (attempt.Upstream)
     request.Avoid.push_back(*attempt.Upstream);
   // A hedge or the attempt beside it may still bring the answer.
@@ -39,6 +52,24 @@
     fail(request, event.Why, event.RetryAfter, now);
 }
 
+void RouterCore::learnFromEnd(const AttemptState &attempt, AttemptEnded &event,
+                              Time now) {
+  if (attempt.IsSilent && event.Why == Reason::Cancelled) {
+    event.Why = Reason::SilentConnection;
+    event.Proven = Verdict::MayHaveRun;
+  }
+  if (event.Why == Reason::None)
+    Suspects.noteAnswered(attempt.Print);
+  if (!attempt.Upstream)
+    return;
+  Health.end(event.Attempt, event.Why == Reason::None, now);
+  if (isLoss(event.Why)) {
+    Suspects.noteLost(attempt.Print, *attempt.Upstream,
+                      domainOf(*attempt.Upstream), now);
+    probe(*attempt.Upstream, now);
+  }
+}
+
 void RouterCore::fail(RequestState &request, Reason why, Duration retryAfter,
                       Time now) {
   if (!request.Live.empty())
@@ -54,7 +85,8 @@
                    request.PausesMade, request.Deadline},
                   now);
   // The router that forwarded a request decides on its retries.
-  if (std::holds_alternative<GiveUp>(decision) || isForwardedHere(request))
+  if (std::holds_alternative<GiveUp>(decision) || isForwardedHere(request) ||
+      request.LossesMade >= MaxLosses)
     return refuse(request, why, retryAfter, now);
   // A request that only waits for owners or homes adds no load.
   const bool isBudgeted = retryRule(why) != RetryRule::AfterOwners;
--- a/src/traffic/router_core_base.h
+++ b/src/traffic/router_core_base.h
@@ -6,6 +6,8 @@
 #define WAXWING_TRAFFIC_ROUTER_CORE_BASE_H
 
 #include "metrics/reason_counters.h"
+#include "traffic/connection_health_base.h"
+#include "traffic/crash_suspects_base.h"
 #include "traffic/dispatcher_base.h"
 #include "traffic/idempotency_home_base.h"
 #include "traffic/idempotency_memory_base.h"
@@ -14,6 +16,7 @@
 #include "traffic/router_core_type.h"
 
 #include <absl/container/flat_hash_map.h>
+#include <atomic>
 #include <map>
 #include <memory>
 #include <set>
@@ -30,7 +33,9 @@
 public:
   /// @param self this router's VM
   /// @param seed of all random choices
-  RouterCore(VmId self, std::uint64_t seed);
+  RouterCore(const VmId &self, std::uint64_t seed);
+  RouterCore(const RouterCore &) = delete;
+  RouterCore &operator=(const RouterCore &) = delete;
 
   /// Remembers idempotency keys from now on; without this call none is
   /// remembered, and each request runs once for each time it is sent.
@@ -43,6 +48,9 @@
     Dispatch.leaseHomes(process, forward);
   }
 
+  /// As rememberKeys(homes), with the homes that leaseHomes() leases.
+  void rememberKeys() { Homes = &Leased; }
+
   /// Takes one event.
   /// @param now this process's clock, never before an earlier now
   /// @return what to do, in this order
@@ -61,6 +69,8 @@
   /// @return retries that were not made, by the reason that forbade them
   const ReasonCounters &retryRefusals() const { return RetryRefusals; }
   const IdempotencyMemory &memory() const { return Memory; }
+  /// @return connections found silent
+  std::uint64_t silentConnections() const { return SilentFound; }
 
 private:
   /// What a request is to its idempotency key.
@@ -82,6 +92,8 @@
     std::vector<UpstreamId> Avoid; ///< upstreams that failed it
     int AttemptsMade = 0;          ///< hedges not counted
     int PausesMade = 0;
+    int LossesMade = 0; ///< attempts whose connection broke
+    RequestPrint Print;
     Reason MayHaveRunBy = Reason::None; ///< first end that proved nothing
     std::optional<Time> ResumeAt;       ///< paused until then
     std::optional<IdempotencyKey> Key;  ///< when its key is remembered
@@ -96,6 +108,8 @@
     RequestId Request;
     std::optional<UpstreamId> Upstream; ///< none when forwarded
     Time StartedAt;
+    RequestPrint Print;
+    bool IsSilent = false; ///< given up because its connection is silent
   };
 
   /// Who asks, and with which share.
@@ -111,9 +125,22 @@
   void on(OwnersChanged &event, Time now);
   void on(HomesChanged &event, Time now);
   void on(HomesLeased &event, Time now);
+  void on(UpstreamProbed &event, Time now);
+  void on(CrashMarksHeard &event, Time now);
   void on(RouterTick &event, Time now);
   void on(DrainStarted &event, Time now);
 
+  /// Looks at connections and upstreams that may be dead.
+  void checkHealth(Time now);
+  void probe(const UpstreamId &upstream, Time now);
+  /// What an attempt's end tells of its upstream and its request.
+  void learnFromEnd(const AttemptState &attempt, AttemptEnded &event, Time now);
+  /// @return whether the request may run at the upstream now: neither
+  ///   suspected of crashes nor beside another that may be the cause
+  bool isSafeAt(RequestState &request, const UpstreamId &upstream, Time now);
+  std::optional<Endpoint> addressOf(const UpstreamId &upstream) const;
+  DomainId domainOf(const UpstreamId &upstream) const;
+
   /// @return who asks, or the reason of the refusal
   std::variant<Admission, Reason> admit(const CallerRequest &request,
                                         Time now) const;
@@ -165,12 +192,17 @@
   absl::flat_hash_map<AttemptId, AttemptState> Attempts;
   std::set<std::pair<Time, RequestId>> Paused; ///< index of ResumeAt
   RetryBudget Budget;
+  LeasedHomes Leased;
   const IdempotencyHomes *Homes = nullptr;
   IdempotencyMemory Memory;
   /// Leases of partitions: their start, and civil time when it was noted.
   std::map<std::pair<ServiceId, PartitionId>, std::pair<Time, WallTime>>
       HeldPartitions;
   Time PartitionsNotedAt;
+  CrashSuspects Suspects;
+  ConnectionHealth Health;
+  std::map<UpstreamId, Time> ProbedAt;
+  std::atomic<std::uint64_t> SilentFound{0};
   std::uint64_t NextSend = 1; ///< counts attempts at homes of keys
   ReasonCounters Answers;
   ReasonCounters AttemptEnds;
--- /dev/null
+++ b/src/traffic/router_core_health.cpp
@@ -0,0 +1,110 @@
+/**
+ * @file router_core_health.cpp
+ * Silent connections, and requests that crash upstreams.
+ */
+#include "table/reasons.h"
+#include "traffic/retry_func.h"
+#include "traffic/router_core_base.h"
+
+#include <algorithm>
+
+namespace waxwing {
+namespace {
+
+constexpr Duration ProbePeriod = milliseconds(100);
+/// A request that waits for another suspect to leave an upstream.
+constexpr Duration QuarantinePause = milliseconds(20);
+
+} // namespace
+
+void RouterCore::on(UpstreamProbed &event, Time now) {
+  if (event.IsAnswered)
+    Health.probeAnswered(event.Upstream, event.SentAt);
+  if (event.IsRefused)
+    Suspects.noteDead(event.Upstream, now);
+}
+
+void RouterCore::on(CrashMarksHeard &event, Time now) {
+  Suspects.merge(event.Marks, now);
+}
+
+void RouterCore::checkHealth(Time now) {
+  Suspects.tick(now);
+  for (const UpstreamId &upstream : Suspects.undecided())
+    probe(upstream, now);
+  if (auto news = Suspects.takeNews(); !news.empty())
+    Actions.emplace_back(ShareCrashMarks{std::move(news)});
+  const HealthFindings findings = Health.tick(now);
+  for (const UpstreamId &upstream : findings.ToProbe)
+    probe(upstream, now);
+  for (const AttemptId &id : findings.Silent) {
+    ++SilentFound;
+    AttemptState &attempt = Attempts.at(id);
+    Actions.emplace_back(DropIdle{id, attempt.StartedAt});
+    // Only an idempotent request gains from being given up.
+    const auto request = Requests.find(attempt.Request);
+    if (request == Requests.end() || !request->second->Request.IsIdempotent)
+      continue;
+    attempt.IsSilent = true;
+    Actions.emplace_back(CancelAttempt{id});
+  }
+}
+
+void RouterCore::probe(const UpstreamId &upstream, Time now) {
+  const auto it = ProbedAt.find(upstream);
+  if (it != ProbedAt.end() && now < it->second + ProbePeriod)
+    return;
+  const auto address = addressOf(upstream);
+  if (!address)
+    return;
+  ProbedAt[upstream] = now;
+  Actions.emplace_back(ProbeUpstream{upstream, *address});
+}
+
+bool RouterCore::isSafeAt(RequestState &request, const UpstreamId &upstream,
+                          Time now) {
+  if (Suspects.isSuspect(request.Print, now)) {
+    if (request.Live.empty())
+      refuse(request, Reason::SuspectedCrasher, Duration(), now);
+    return false;
+  }
+  if (!Suspects.isMarked(request.Print))
+    return true;
+  const bool isBesideOther =
+      std::ranges::any_of(Attempts, [&](const auto &entry) {
+        const AttemptState &other = entry.second;
+        return other.Upstream == upstream && other.Print != request.Print &&
+               Suspects.isMarked(other.Print);
+      });
+  if (!isBesideOther)
+    return true;
+  if (!request.Live.empty())
+    return false;
+  const bool hasRoom = Paused.size() < PausedRequestLimit &&
+                       request.PausesMade < MaxPauses &&
+                       now + QuarantinePause < request.Deadline;
+  if (hasRoom)
+    pause(request, now + QuarantinePause);
+  else
+    refuse(request, Reason::QueueFull, Duration(), now);
+  return false;
+}
+
+std::optional<Endpoint>
+RouterCore::addressOf(const UpstreamId &upstream) const {
+  for (const auto &[id, team] : Config->teams())
+    if (const auto it = team.Upstreams.find(upstream);
+        it != team.Upstreams.end())
+      return it->second.Address;
+  return std::nullopt;
+}
+
+DomainId RouterCore::domainOf(const UpstreamId &upstream) const {
+  for (const auto &[id, team] : Config->teams())
+    if (const auto it = team.Upstreams.find(upstream);
+        it != team.Upstreams.end())
+      return it->second.Domain;
+  return {};
+}
+
+} // namespace waxwing
--- a/src/traffic/router_core_type.h
+++ b/src/traffic/router_core_type.h
@@ -10,6 +10,7 @@
 #include "core/verdict_type.h"
 #include "net/http_type.h"
 #include "ownership/ownership_record_base.h"
+#include "traffic/crash_suspect_type.h"
 #include "traffic/home_type.h"
 
 #include <memory>
@@ -80,6 +81,19 @@
   HomeAnswer Answer;
 };
 
+/// A probe of an upstream over a new connection ended.
+struct UpstreamProbed {
+  UpstreamId Upstream;
+  bool IsAnswered = false;
+  bool IsRefused = false; ///< nothing listens there
+  Time SentAt;
+};
+
+/// Another router saw upstreams die with requests in flight.
+struct CrashMarksHeard {
+  std::vector<CrashMark> Marks;
+};
+
 /// Time passed.
 struct RouterTick {
   WallTime Wall;
@@ -90,8 +104,8 @@
 
 using RouterEvent =
     std::variant<CallerRequest, CallerLost, AttemptEnded, ConfigurationChanged,
-                 OwnersChanged, HomesChanged, HomesLeased, RouterTick,
-                 DrainStarted>;
+                 OwnersChanged, HomesChanged, HomesLeased, UpstreamProbed,
+                 CrashMarksHeard, RouterTick, DrainStarted>;
 
 /// Attempts at the home of an idempotency key have ids from here on; those
 /// of the dispatcher are below.
@@ -148,8 +162,28 @@
   HomeAsk Ask;
 };
 
+/// Ask an upstream for its status over a new connection; UpstreamProbed
+/// follows.
+struct ProbeUpstream {
+  UpstreamId Upstream;
+  Endpoint Address;
+};
+
+/// Close idle connections to the attempt's address that brought no answer
+/// since the attempt began.
+struct DropIdle {
+  AttemptId Attempt;
+  Time StartedAt;
+};
+
+/// Tell all routers.
+struct ShareCrashMarks {
+  std::vector<CrashMark> Marks;
+};
+
 using RouterAction =
-    std::variant<StartAttempt, CancelAttempt, AnswerCaller, SendHomeAsk>;
+    std::variant<StartAttempt, CancelAttempt, AnswerCaller, SendHomeAsk,
+                 ProbeUpstream, DropIdle, ShareCrashMarks>;
 
 } // namespace waxwing
 
--- a/src/upstream/upstream_protocol.cpp
+++ b/src/upstream/upstream_protocol.cpp
@@ -160,6 +160,7 @@
   switch (progress) {
   case HttpProgress::NotConnected:
     return {Reason::ConnectFailed, Verdict::NotRun};
+  case HttpProgress::NoneFree:
   case HttpProgress::NotSent:
     return {Reason::SendFailed, Verdict::NotRun};
   case HttpProgress::Withdrawn:
