--- a/src/controller/controller_process.cpp
+++ b/src/controller/controller_process.cpp
@@ -107,17 +107,50 @@
   }
 
   void on(LinkReceived &received, Time now) {
-    if (std::holds_alternative<LinkHello>(received.Message))
+    if (std::holds_alternative<LinkHello>(received.Message)) {
       greet(received.From);
+      noteController(received.From, now);
+    }
     if (auto *update = std::get_if<DocumentsUpdate>(&received.Message))
       applyDocuments(update->Documents, now);
     if (auto *update = std::get_if<OwnersUpdate>(&received.Message))
-      takeOwners(update->Record);
+      hearOwners(update->Record, now);
     if (auto *envelope = std::get_if<OwnershipEnvelope>(&received.Message))
       handlePeer(received.From.Self, envelope->Message, now);
   }
 
-  void on(LinkLost &, Time) {}
+  void on(LinkLost &lost, Time now) {
+    const auto it = Linked.find(lost.From.Self.Vm);
+    if (it == Linked.end() || it->second != lost.From.Self)
+      return;
+    Linked.erase(it);
+    tellControllers(now);
+  }
+
+  void noteController(const LinkHello &peer, Time now) {
+    if (peer.Role != ProcessRole::Controller)
+      return;
+    Linked[peer.Self.Vm] = peer.Self;
+    tellControllers(now);
+  }
+
+  /// Tells each service's state machine which controllers can be reached.
+  void tellControllers(Time now) {
+    for (auto &[service, leader] : Leaders)
+      handle(service, linkedControllers(), now);
+  }
+
+  ControllersChanged linkedControllers() const {
+    ControllersChanged event;
+    for (const auto &[vm, member] : Linked)
+      event.Members.push_back({member, false});
+    return event;
+  }
+
+  void hearOwners(const OwnershipRecord &record, Time now) {
+    takeOwners(record);
+    handle(record.Service, RecordHeard{record}, now);
+  }
 
   void handlePeer(const RecordMember &from, const OwnershipMessage &message,
                   Time now) {
@@ -162,8 +195,7 @@
   void defineServices(Time now) {
     for (const auto &[team, config] : Config.teams())
       for (const auto &[id, service] : config.Services)
-        if (service.IsDividedByKey)
-          defineService(config, id, service, now);
+        defineService(config, id, service, now);
   }
 
   void defineService(const TeamConfig &team, const ServiceId &id,
@@ -178,7 +210,8 @@
            service.ChecksOrders});
       Addresses[name] = upstream.Address;
     }
-    Leaders.try_emplace(id, id, Self, Terms, drawNumber());
+    if (Leaders.try_emplace(id, id, Self, Terms, drawNumber()).second)
+      handle(id, linkedControllers(), now);
     handle(id, ServiceChanged{std::move(definition)}, now);
   }
 
@@ -238,6 +271,7 @@
   std::map<ServiceId, OwnershipLeader> Leaders;
   std::map<ServiceId, OwnershipRecord> Owners;
   std::map<UpstreamId, Endpoint> Addresses;
+  std::map<VmId, RecordMember> Linked; ///< controllers with an open link
   std::atomic<bool> IsReady{false};
   DutySystem System;
   StorePort Store;
--- a/src/link/link_message.cpp
+++ b/src/link/link_message.cpp
@@ -48,13 +48,7 @@
   Json operator()(const ConfirmReply &it) const {
     return {"confirmed",
             {it.Service.Value, it.Record.Value, it.Round, it.Confirmed,
-             it.Fence.Value}};
-  }
-  Json operator()(const FenceRequest &it) const {
-    return {"fence", {it.Service.Value, it.Fence.Value}};
-  }
-  Json operator()(const FenceReply &it) const {
-    return {"fenced", {it.Service.Value, it.Fence.Value}};
+             it.Fence.Value, it.IsSole}};
   }
 };
 
@@ -89,23 +83,11 @@
 }
 
 LinkMessage decodeConfirmed(const Json &body) {
-  return OwnershipEnvelope{
-      ConfirmReply{ServiceId(body.at(0).get<std::string>()),
-                   Revision(body.at(1).get<std::uint64_t>()),
-                   body.at(2).get<std::uint64_t>(), body.at(3).get<bool>(),
-                   Revision(body.at(4).get<std::uint64_t>())}};
-}
-
-LinkMessage decodeFence(const Json &body) {
-  return OwnershipEnvelope{
-      FenceRequest{ServiceId(body.at(0).get<std::string>()),
-                   Revision(body.at(1).get<std::uint64_t>())}};
-}
-
-LinkMessage decodeFenced(const Json &body) {
-  return OwnershipEnvelope{
-      FenceReply{ServiceId(body.at(0).get<std::string>()),
-                 Revision(body.at(1).get<std::uint64_t>())}};
+  return OwnershipEnvelope{ConfirmReply{
+      ServiceId(body.at(0).get<std::string>()),
+      Revision(body.at(1).get<std::uint64_t>()),
+      body.at(2).get<std::uint64_t>(), body.at(3).get<bool>(),
+      Revision(body.at(4).get<std::uint64_t>()), body.at(5).get<bool>()}};
 }
 
 /// A type name and how its body is read.
@@ -120,8 +102,6 @@
     DecoderRow{"owners", decodeOwners},
     DecoderRow{"confirm", decodeConfirm},
     DecoderRow{"confirmed", decodeConfirmed},
-    DecoderRow{"fence", decodeFence},
-    DecoderRow{"fenced", decodeFenced},
 };
 
 } // namespace
--- /dev/null
+++ b/src/ownership/assignment.cpp
@@ -0,0 +1,122 @@
+/**
+ * @file assignment.cpp
+ * Least-loaded choice with few moves.
+ */
+#include "ownership/assignment_func.h"
+
+#include <algorithm>
+
+namespace waxwing {
+namespace {
+
+/// Upstreams ordered by load.
+class LoadOrder {
+public:
+  explicit LoadOrder(const std::set<UpstreamId> &usable) {
+    for (const UpstreamId &id : usable) {
+      Loads[id] = 0;
+      Order.emplace(0, id);
+    }
+  }
+
+  bool isEmpty() const { return Order.empty(); }
+  const UpstreamId &least() const { return Order.begin()->second; }
+  const UpstreamId &most() const { return Order.rbegin()->second; }
+  double spread() const { return Order.rbegin()->first - Order.begin()->first; }
+
+  void add(const UpstreamId &id, double load) {
+    const auto it = Loads.find(id);
+    if (it == Loads.end())
+      return;
+    Order.erase({it->second, id});
+    it->second += load;
+    Order.emplace(it->second, id);
+  }
+
+private:
+  std::map<UpstreamId, double> Loads;
+  std::set<std::pair<double, UpstreamId>> Order;
+};
+
+void addUnits(const OwnershipRecord &record, LoadOrder &loads) {
+  for (const UnitOwner &shard : record.Shards)
+    loads.add(shard.Owner, 1);
+  for (const auto &[key, owner] : record.Splits)
+    loads.add(owner.Owner, 1);
+}
+
+} // namespace
+
+std::vector<RecordCommand> moveOrphans(const OwnershipRecord &record,
+                                       const std::set<UpstreamId> &keeping,
+                                       const std::set<UpstreamId> &usable) {
+  std::vector<RecordCommand> commands;
+  LoadOrder loads(usable);
+  if (loads.isEmpty())
+    return commands;
+  addUnits(record, loads);
+  const auto consider = [&](const OwnedUnit &unit, const UnitOwner &owner) {
+    if (keeping.contains(owner.Owner))
+      return;
+    const UpstreamId to = loads.least();
+    loads.add(to, 1);
+    commands.emplace_back(MoveUnit{unit, to});
+  };
+  for (std::uint32_t n = 0; n < record.Shards.size(); ++n)
+    consider(ShardId(n), record.Shards[n]);
+  for (const auto &[key, owner] : record.Splits)
+    consider(key, owner);
+  return commands;
+}
+
+std::vector<RecordCommand> balanceShards(const OwnershipRecord &record,
+                                         const std::set<UpstreamId> &usable,
+                                         std::size_t limit) {
+  std::vector<RecordCommand> commands;
+  LoadOrder loads(usable);
+  if (loads.isEmpty())
+    return commands;
+  addUnits(record, loads);
+  if (loads.spread() < 2)
+    return commands;
+  std::map<UpstreamId, std::vector<ShardId>> owned;
+  for (std::uint32_t n = 0; n < record.Shards.size(); ++n)
+    owned[record.Shards[n].Owner].emplace_back(n);
+  while (loads.spread() >= 2 && commands.size() < limit) {
+    const UpstreamId from = loads.most();
+    const UpstreamId to = loads.least();
+    std::vector<ShardId> &shards = owned[from];
+    if (shards.empty())
+      break;
+    commands.emplace_back(MoveUnit{shards.back(), to});
+    shards.pop_back();
+    loads.add(from, -1);
+    loads.add(to, 1);
+  }
+  return commands;
+}
+
+std::vector<RecordCommand> splitHotKeys(const OwnershipRecord &record,
+                                        const std::map<KeyHash, double> &hot,
+                                        const std::set<UpstreamId> &usable) {
+  std::vector<RecordCommand> commands;
+  LoadOrder loads(usable);
+  if (loads.isEmpty() || record.Shards.empty())
+    return commands;
+  for (const auto &[key, rate] : hot)
+    if (const auto it = record.Splits.find(key); it != record.Splits.end())
+      loads.add(it->second.Owner, rate);
+  for (const auto &[key, rate] : hot) {
+    if (record.Splits.contains(key))
+      continue;
+    commands.emplace_back(SplitKey{key});
+    const UpstreamId to = loads.least();
+    loads.add(to, rate);
+    const ShardId shard = shardOf(key, record.Shards.size());
+    if (record.Shards[shard.Value].Owner != to)
+      commands.emplace_back(MoveUnit{key, to});
+  }
+  return commands;
+}
+
+} // namespace waxwing
--- /dev/null
+++ b/src/ownership/grant_ledger.cpp
@@ -0,0 +1,159 @@
+/**
+ * @file grant_ledger.cpp
+ * Units that wait for the end of earlier rights.
+ */
+#include "ownership/grant_ledger_base.h"
+
+namespace waxwing {
+namespace {
+
+/// Calls @p visit with each unit of a record and its owner.
+template <class F> void forEachUnit(const OwnershipRecord &record, F &&visit) {
+  for (std::uint32_t n = 0; n < record.Shards.size(); ++n)
+    visit(OwnedUnit(ShardId(n)), record.Shards[n]);
+  for (const auto &[key, owner] : record.Splits)
+    visit(OwnedUnit(key), owner);
+}
+
+const UnitOwner *findOwner(const OwnershipRecord &record,
+                           const OwnedUnit &unit) {
+  if (const auto *shard = std::get_if<ShardId>(&unit))
+    return shard->Value < record.Shards.size() ? &record.Shards[shard->Value]
+                                               : nullptr;
+  const auto it = record.Splits.find(std::get<KeyHash>(unit));
+  return it == record.Splits.end() ? nullptr : &it->second;
+}
+
+ShardId shardOfUnit(const OwnershipRecord &record, const OwnedUnit &unit) {
+  if (const auto *shard = std::get_if<ShardId>(&unit))
+    return *shard;
+  return shardOf(std::get<KeyHash>(unit), record.Shards.size());
+}
+
+} // namespace
+
+void GrantLedger::own(const OwnedUnit &unit, const UpstreamId &owner) {
+  if (owner.Value.empty())
+    return;
+  Owned[owner].insert(unit);
+  Touched.insert(owner);
+}
+
+void GrantLedger::disown(const OwnedUnit &unit, const UpstreamId &owner) {
+  if (owner.Value.empty())
+    return;
+  Owned[owner].erase(unit);
+  Touched.insert(owner);
+}
+
+void GrantLedger::settle(const OwnedUnit &unit) {
+  Rights.at(unit).IsClear = true;
+  Waiting.erase(unit);
+  if (const UnitOwner *owner = findOwner(Record, unit))
+    Touched.insert(owner->Owner);
+}
+
+void GrantLedger::begin(const OwnershipRecord &record) {
+  Rights.clear();
+  Waiting.clear();
+  Owned.clear();
+  Touched.clear();
+  Record = record;
+  forEachUnit(record, [&](const OwnedUnit &unit, const UnitOwner &owner) {
+    Rights[unit] = {owner.Fence, false, std::nullopt, Time()};
+    Waiting.insert(unit);
+    own(unit, owner.Owner);
+  });
+}
+
+void GrantLedger::change(const OwnershipRecord &record,
+                         const RightsEnd &rightsEnd) {
+  const OwnershipRecord before = std::exchange(Record, record);
+  forEachUnit(record, [&](const OwnedUnit &unit, const UnitOwner &after) {
+    const UnitOwner *owner = findOwner(before, unit);
+    if (owner != nullptr && owner->Fence == after.Fence &&
+        owner->Owner == after.Owner)
+      return;
+    if (owner == nullptr && !before.Shards.empty()) {
+      // A key just split off was covered by its shard's rights.
+      const ShardId shard = shardOfUnit(before, unit);
+      Rights[unit] = Rights.at(shard);
+      owner = &before.Shards[shard.Value];
+      Touched.insert(owner->Owner);
+    }
+    changeUnit(unit, owner == nullptr ? UnitOwner() : *owner, after, rightsEnd);
+  });
+  for (const auto &[key, owner] : before.Splits) {
+    if (record.Splits.contains(key))
+      continue;
+    disown(key, owner.Owner);
+    Rights.erase(key);
+    Waiting.erase(key);
+  }
+}
+
+void GrantLedger::changeUnit(const OwnedUnit &unit, const UnitOwner &before,
+                             const UnitOwner &after,
+                             const RightsEnd &rightsEnd) {
+  const auto [it, isNew] = Rights.try_emplace(unit);
+  UnitRights &rights = it->second;
+  const bool hasMoved = before.Owner != after.Owner;
+  if (isNew)
+    rights.IsClear = true;
+  else if (rights.IsClear && hasMoved && !before.Owner.Value.empty() &&
+           before.Fence != after.Fence)
+    rights = {after.Fence, false, before.Owner, rightsEnd(before.Owner)};
+  rights.Fence = after.Fence;
+  // The only possible holder of earlier rights is the owner itself.
+  if (rights.From == after.Owner)
+    rights.IsClear = true;
+  if (rights.IsClear)
+    Waiting.erase(unit);
+  else
+    Waiting.insert(unit);
+  disown(unit, before.Owner);
+  own(unit, after.Owner);
+}
+
+void GrantLedger::report(const UpstreamId &from, const GrantSet &set) {
+  for (const GrantedUnit &granted : set.Units) {
+    const UnitOwner *owner = findOwner(Record, granted.Unit);
+    if (owner != nullptr && owner->Owner == from &&
+        owner->Fence == granted.Fence)
+      settle(granted.Unit);
+  }
+}
+
+void GrantLedger::clear(
+    const std::function<bool(const UnitRights &)> &hasEnded) {
+  const std::set<OwnedUnit> units = Waiting;
+  for (const OwnedUnit &unit : units)
+    if (hasEnded(Rights.at(unit)))
+      settle(unit);
+}
+
+GrantSet GrantLedger::grantsOf(const UpstreamId &upstream) const {
+  GrantSet set;
+  const auto owned = Owned.find(upstream);
+  if (owned == Owned.end())
+    return set;
+  for (const OwnedUnit &unit : owned->second)
+    if (isClear(unit))
+      set.Units.push_back({unit, findOwner(Record, unit)->Fence});
+  for (const auto &[key, owner] : Record.Splits) {
+    const ShardId shard = shardOfUnit(Record, key);
+    if (owned->second.contains(shard) && isClear(shard))
+      set.Excluded.push_back(key);
+  }
+  return set;
+}
+
+std::set<UpstreamId> GrantLedger::releasing() const {
+  std::set<UpstreamId> upstreams;
+  for (const OwnedUnit &unit : Waiting)
+    if (const auto &from = Rights.at(unit).From)
+      upstreams.insert(*from);
+  return upstreams;
+}
+
+} // namespace waxwing
--- a/src/ownership/ownership_leader.cpp
+++ b/src/ownership/ownership_leader.cpp
@@ -1,17 +1,27 @@
 /**
  * @file ownership_leader.cpp
- * Leadership, assignment and renewal of grants.
+ * Events, store calls and the change of roles.
  */
 #include "ownership/ownership_leader_base.h"
 
 #include <algorithm>
 
 namespace waxwing {
+namespace {
+
+/// A store call that its port never ended counts as unanswered after this.
+constexpr Duration StoreCallTerm = seconds(2);
+/// A member that hears of a newer revision waits this many heartbeats for
+/// its publication before it reads the store.
+constexpr int PublicationHeartbeats = 3;
+
+} // namespace
 
 OwnershipLeader::OwnershipLeader(ServiceId service, RecordMember self,
                                  OwnershipTerms terms, std::uint64_t seed)
     : Service(std::move(service)), Self(std::move(self)), Terms(terms),
-      Random(seed) {}
+      Random(seed), OwnWitness(Terms), Rounds(Terms, Random()), Quiet(Terms),
+      Orders(Service, Terms), Standby(Terms) {}
 
 std::vector<OwnershipAction>
 OwnershipLeader::handle(const OwnershipEvent &event, Time now) {
@@ -23,128 +33,330 @@
   return Record && !Record->Members.empty() && Record->Members[0] == Self;
 }
 
+bool OwnershipLeader::isConfirmed(Time now) const {
+  return isLeader() && OwnWitness.fence() <= Record->Rev &&
+         Rounds.isConfirmed(Record->Rev, now);
+}
+
+bool OwnershipLeader::isQuietOver(Time) const {
+  return isLeader() && Record->Former.empty();
+}
+
+bool OwnershipLeader::isNamed() const {
+  return Record &&
+         std::ranges::find(Record->Members, Self) != Record->Members.end();
+}
+
+CandidateRank OwnershipLeader::rank() const {
+  return rankOf(Self, Service, Record->Members, Controllers);
+}
+
 void OwnershipLeader::on(const Tick &, Time now) {
-  if (PendingOperation)
-    return;
+  expireStoreCall(now);
   if (!Record) {
-    readRecord();
-    return;
-  }
-  if (Record->Members.empty() && Definition.ShardCount != 0) {
-    std::vector<RecordCommand> commands{TakeLeadership{{Self}}};
-    if (Record->Shards.empty())
-      commands.emplace_back(CreateShards{Definition.ShardCount});
-    writeRecord(commands);
+    if (now >= NextStoreCall)
+      readRecord(now);
     return;
   }
-  if (!isLeader())
-    return;
-  assignUnowned();
-  renewGrants(now);
+  if (isLeader())
+    lead(now);
+  else
+    standBy(now);
 }
 
-void OwnershipLeader::on(const RecordRead &event, Time) {
-  if (PendingOperation != event.Operation)
-    return;
-  PendingOperation.reset();
-  if (!event.IsAnswered)
-    return;
-  StoreRevision = event.StoreRevision;
-  Record = event.Record.value_or(OwnershipRecord{.Service = Service});
+void OwnershipLeader::on(const ServiceChanged &event, Time now) {
+  Definition = event.Definition;
+  HasDefinition = true;
+  Orders.define(Definition.Upstreams, now);
+  if (Record)
+    Orders.addOwners(*Record, now);
 }
 
-void OwnershipLeader::on(const RecordWritten &event, Time) {
-  if (PendingOperation != event.Operation)
-    return;
-  PendingOperation.reset();
-  if (event.Outcome != WriteOutcome::Applied) {
-    Record.reset();
-    return;
-  }
-  StoreRevision = event.StoreRevision;
-  Record = std::move(PendingRecord);
-  Actions.emplace_back(PublishRecord{*Record});
+void OwnershipLeader::on(const ControllersChanged &event, Time) {
+  Controllers = event.Members;
+  std::erase_if(Controllers, [&](const ControllerMember &it) {
+    return it.Member.Vm == Self.Vm;
+  });
 }
 
 void OwnershipLeader::on(const UpstreamAnswered &event, Time now) {
-  const auto it = Upstreams.find(event.Answer.From);
-  if (it == Upstreams.end())
+  if (Renewing == Role::None)
     return;
-  UpstreamState &upstream = it->second;
-  upstream.Current = event.Answer.Current;
-  upstream.Reading = event.Answer.Reading;
-  upstream.AnsweredAt = now;
+  const GrantAnswer &answer = event.Answer;
+  if (const GrantSet *told = Orders.take(answer, now))
+    Ledger.report(answer.From, *told);
+  // A newer leader's stamp: this process's record is out of date.
+  if (answer.Held.Record > Record->Rev && now >= NextStoreCall)
+    readRecord(now);
+  clearEnded(now);
+  updateGrants(now);
+  Orders.sendDue(answer.From, Record->Rev, isRenewalConfirmed(now), now,
+                 Actions);
+  publishDue(now);
 }
 
-void OwnershipLeader::on(const PeerSaid &, Time) {}
-
-void OwnershipLeader::on(const ServiceChanged &event, Time) {
-  Definition = event.Definition;
-  for (const UpstreamDefinition &definition : Definition.Upstreams)
-    Upstreams[definition.Id].Definition = definition;
+void OwnershipLeader::on(const PeerSaid &event, Time now) {
+  std::visit([&](const auto &it) { onPeer(event.From, it, now); },
+             event.Message);
 }
 
-void OwnershipLeader::on(const ControllersChanged &event, Time) {
-  Controllers = event.Members;
+void OwnershipLeader::onPeer(const RecordMember &from,
+                             const ConfirmRequest &request, Time now) {
+  Actions.emplace_back(
+      SendPeer{from.Vm, OwnWitness.answer(from, request, now)});
+  if (!Record || request.Record < Record->Rev)
+    return;
+  const auto member = std::ranges::find(Record->Members, from);
+  if (request.Record > Record->Rev || member == Record->Members.begin()) {
+    Standby.hearLeader(now);
+    if (Renewing == Role::Deputy)
+      stopRenewing();
+  } else if (member != Record->Members.end() && isNamed() &&
+             member < std::ranges::find(Record->Members, Self)) {
+    Standby.hearRenewer(now);
+    if (Renewing == Role::Deputy)
+      stopRenewing();
+  }
 }
 
-void OwnershipLeader::on(const HotKeysReported &, Time) {}
+void OwnershipLeader::onPeer(const RecordMember &from,
+                             const ConfirmReply &reply, Time now) {
+  if (!Record || Renewing == Role::None || !Rounds.isAnswer(reply))
+    return;
+  OwnWitness.raise(reply.Fence);
+  Rounds.take(from, reply, Record->Members);
+  HeardMembers[from] = now;
+  Quiet.take(from, reply.Fence, reply.IsSole, now);
+  // One process runs on a VM at a time, and this one answered a request
+  // sent after the named one was seen running.
+  const auto endNamed = [&](const MemberSet &set) {
+    for (const RecordMember &member : set)
+      if (member.Vm == from.Vm && member != from)
+        Quiet.takeEnded(member, now);
+  };
+  if (reply.Record == Record->Rev) {
+    endNamed(Record->Members);
+    std::ranges::for_each(Record->Former, endNamed);
+  }
+  if (OwnWitness.fence() > Record->Rev && now >= NextStoreCall)
+    readRecord(now);
+  if (Renewing != Role::None) {
+    clearEnded(now);
+    renew(now);
+  }
+}
 
-void OwnershipLeader::readRecord() {
+void OwnershipLeader::readRecord(Time now) {
+  if (PendingCall != StoreCall::None)
+    return;
   PendingOperation = NextOperation++;
-  Actions.emplace_back(ReadRecord{*PendingOperation});
+  PendingCall = StoreCall::Read;
+  PendingSince = now;
+  Actions.emplace_back(ReadRecord{PendingOperation});
 }
 
-void OwnershipLeader::writeRecord(std::span<const RecordCommand> commands) {
+void OwnershipLeader::writeRecord(std::span<const RecordCommand> commands,
+                                  Time now) {
+  if (PendingCall != StoreCall::None || !IsStoreRevisionKnown)
+    return;
   auto next = makeChange(*Record, commands, ChangeId(Random()));
   if (!next.ok())
     return;
+  if (Terms.Faults.KeepsToken)
+    for (std::size_t n = 0; n < Record->Shards.size(); ++n)
+      next->Shards[n].Fence = std::max(Token(1), Record->Shards[n].Fence);
   PendingOperation = NextOperation++;
+  PendingCall = StoreCall::Write;
+  PendingSince = now;
   PendingRecord = *next;
   Actions.emplace_back(
-      WriteRecord{*PendingOperation, StoreRevision, *std::move(next)});
+      WriteRecord{PendingOperation, StoreRevision, *std::move(next)});
 }
 
-void OwnershipLeader::assignUnowned() {
-  std::vector<UpstreamId> owners;
-  for (const auto &[id, upstream] : Upstreams)
-    if (upstream.Current && !upstream.Definition.IsLeaving)
-      owners.push_back(id);
-  if (owners.empty())
+void OwnershipLeader::expireStoreCall(Time now) {
+  if (PendingCall == StoreCall::None || now < PendingSince + StoreCallTerm)
+    return;
+  if (PendingCall == StoreCall::Read)
+    on(RecordRead{PendingOperation}, now);
+  else
+    on(RecordWritten{PendingOperation}, now);
+}
+
+void OwnershipLeader::retryLater(Time now) {
+  NextStoreCall = now + Terms.Heartbeat;
+}
+
+void OwnershipLeader::on(const RecordRead &event, Time now) {
+  if (PendingCall != StoreCall::Read || PendingOperation != event.Operation)
+    return;
+  endStoreCall();
+  const bool wantsLead = std::exchange(WantsLead, false);
+  if (!event.IsAnswered)
+    return retryLater(now);
+  StoreRevision = event.StoreRevision;
+  IsStoreRevisionKnown = true;
+  const OwnershipRecord read =
+      event.Record.value_or(OwnershipRecord{.Service = Service});
+  if (LostWrite && Terms.Faults.RewritesBlindly) {
+    // Deliberate fault: whatever is there now is overwritten.
+    PendingOperation = NextOperation++;
+    PendingCall = StoreCall::Write;
+    PendingSince = now;
+    PendingRecord = *std::exchange(LostWrite, std::nullopt);
+    Actions.emplace_back(
+        WriteRecord{PendingOperation, StoreRevision, *PendingRecord});
     return;
-  std::vector<RecordCommand> commands;
-  for (std::uint32_t n = 0; n < Record->Shards.size(); ++n)
-    if (Record->Shards[n].Owner.Value.empty())
-      commands.emplace_back(MoveUnit{ShardId(n), owners[n % owners.size()]});
-  if (!commands.empty())
-    writeRecord(commands);
-}
-
-void OwnershipLeader::renewGrants(Time) {
-  for (auto &[id, upstream] : Upstreams) {
-    if (!upstream.Current) {
-      Actions.emplace_back(QueryUpstream{id});
-      continue;
-    }
-    upstream.SentStamp = {Record->Rev, upstream.SentStamp.Sequence + 1};
-    upstream.Sent = grantSetOf(id);
-    Actions.emplace_back(SendOrder{
-        id, GrantOrder{Service, upstream.SentStamp, *upstream.Current,
-                       upstream.Reading + Terms.GrantTerm, upstream.Sent}});
   }
+  LostWrite.reset();
+  // Only a leader may use the store's word: witnesses cannot tell it of a
+  // deputy that does.
+  if (isLeader())
+    Rounds.confirm(read.Rev, PendingSince);
+  if (!Record || read.Rev > Record->Rev)
+    adopt(read, now);
+  else if (wantsLead && Standby.isTakeoverDue(rank(), now))
+    takeLeadership(now);
+  if (isLeader())
+    renew(now);
 }
 
-GrantSet OwnershipLeader::grantSetOf(const UpstreamId &upstream) const {
-  GrantSet set;
-  for (std::uint32_t n = 0; n < Record->Shards.size(); ++n)
-    if (Record->Shards[n].Owner == upstream)
-      set.Units.push_back({ShardId(n), Record->Shards[n].Fence});
-  for (const auto &[key, owner] : Record->Splits) {
-    set.Excluded.push_back(key);
-    if (owner.Owner == upstream)
-      set.Units.push_back({key, owner.Fence});
+void OwnershipLeader::on(const RecordWritten &event, Time now) {
+  if (PendingCall != StoreCall::Write || PendingOperation != event.Operation)
+    return;
+  endStoreCall();
+  if (event.Outcome != WriteOutcome::Applied) {
+    // Only reading back shows what the store holds now.
+    if (event.Outcome == WriteOutcome::Unknown)
+      LostWrite = PendingRecord;
+    IsStoreRevisionKnown = false;
+    if (event.Outcome == WriteOutcome::Conflict)
+      readRecord(now);
+    else
+      retryLater(now);
+    return;
   }
-  return set;
+  StoreRevision = event.StoreRevision;
+  Rounds.confirm(PendingRecord->Rev, PendingSince);
+  if (PendingRecord->Rev > Record->Rev || Terms.Faults.RewritesBlindly)
+    adopt(*PendingRecord, now);
+  if (isLeader())
+    lead(now);
+}
+
+void OwnershipLeader::on(const RecordHeard &event, Time now) {
+  if (!Record || event.Record.Rev <= Record->Rev)
+    return;
+  IsStoreRevisionKnown = false;
+  adopt(event.Record, now);
+}
+
+void OwnershipLeader::adopt(const OwnershipRecord &record, Time now) {
+  const std::optional<OwnershipRecord> before =
+      std::exchange(Record, std::optional(record));
+  OwnWitness.raise(Record->Rev);
+  Standby.restart(now);
+  if (isLeader())
+    return adoptAsLeader(before, now);
+  stopRenewing();
+  // Whoever leads tells the others; at the start nobody may.
+  if (!before && Record->Rev != Revision(0))
+    PublishBy = now;
+  publishDue(now);
+}
+
+void OwnershipLeader::adoptAsLeader(
+    const std::optional<OwnershipRecord> &before, Time now) {
+  const bool isNew = Renewing != Role::Leader;
+  if (isNew || before->Members != Record->Members)
+    MembersSince = Record->Rev;
+  if (isNew) {
+    Renewing = Role::Leader;
+    LedSince = Record->Rev;
+    Quiet.reset();
+    Ledger.begin(*Record);
+    Orders.begin(*Record, 0, now);
+    HeardMembers.clear();
+    for (const RecordMember &member : Record->Members)
+      HeardMembers[member] = now;
+    NextRound = now;
+    // Before the first record there were no rights.
+    if (Record->Rev == Revision(1))
+      Ledger.clear([](const UnitRights &) { return true; });
+  } else {
+    Ledger.change(*Record,
+                  [&](const UpstreamId &id) { return Orders.rightsEnd(id); });
+    Orders.addOwners(*Record, now);
+    for (const UpstreamId &id : Ledger.releasing())
+      Orders.raiseStamp(id, Record->Rev, now);
+  }
+  followQuiet(now);
+  beginRound(now);
+  if (!PublishBy)
+    PublishBy = now + Terms.Heartbeat;
+}
+
+void OwnershipLeader::followQuiet(Time now) {
+  std::vector<MemberSet> sets = Record->Former;
+  // A revision that first names the members has no lower one with them.
+  if (Record->Rev != MembersSince)
+    sets.push_back(Record->Members);
+  if (Terms.Policy != ConfirmationPolicy::Witnessed)
+    sets.clear();
+  for (const MemberSet &set : sets)
+    for (const RecordMember &member : set)
+      if (member.Vm == Self.Vm && member != Self)
+        Quiet.takeEnded(member, now);
+  Quiet.follow(Record->Rev, std::move(sets), Record->Members, now);
+  Quiet.take(Self, OwnWitness.fence(), true, now);
+}
+
+void OwnershipLeader::standBy(Time now) {
+  if (!HasDefinition || (Record->Rev == Revision(0) && !IsStoreRevisionKnown)) {
+    if (now >= NextStoreCall && !IsStoreRevisionKnown)
+      readRecord(now);
+    return;
+  }
+  if (OwnWitness.fence() > Record->Rev) {
+    if (NewerSeenAt <= now - Terms.Heartbeat * (2 * PublicationHeartbeats))
+      NewerSeenAt = now;
+    if (now >= NewerSeenAt + Terms.Heartbeat * PublicationHeartbeats &&
+        now >= NextStoreCall) {
+      readRecord(now);
+      retryLater(now);
+    }
+  }
+  if (Renewing == Role::None && isNamed() &&
+      Terms.Policy != ConfirmationPolicy::StoreOnly &&
+      Standby.isRenewalDue(rank(), now))
+    becomeDeputy(now);
+  if (Standby.isTakeoverDue(rank(), now) && now >= NextStoreCall &&
+      PendingCall == StoreCall::None) {
+    WantsLead = true;
+    readRecord(now);
+  }
+  if (Renewing == Role::Deputy)
+    renew(now);
+}
+
+void OwnershipLeader::takeLeadership(Time now) {
+  Standby.noteAttempt(now);
+  std::vector<RecordCommand> commands{TakeLeadership{
+      chooseMembers(Self, Service, Record->Members, Controllers)}};
+  if (Record->Shards.empty() && Definition.ShardCount != 0)
+    commands.emplace_back(CreateShards{Definition.ShardCount});
+  writeRecord(commands, now);
+}
+
+void OwnershipLeader::becomeDeputy(Time now) {
+  Renewing = Role::Deputy;
+  Ledger.begin(*Record);
+  Orders.begin(*Record, rank().Place, now);
+  NextRound = now;
+}
+
+void OwnershipLeader::stopRenewing() {
+  Renewing = Role::None;
+  PublishBy.reset();
 }
 
 } // namespace waxwing
--- a/src/ownership/ownership_leader_base.h
+++ b/src/ownership/ownership_leader_base.h
@@ -1,13 +1,16 @@
 /**
  * @file ownership_leader_base.h
  * The ownership state machine of one service in one controller: leads when
- * the record names it, witnesses otherwise. No I/O, no clock, no threads.
+ * the record names it, witnesses and stands by otherwise. No I/O, no clock,
+ * no threads.
  */
 #ifndef WAXWING_OWNERSHIP_OWNERSHIP_LEADER_BASE_H
 #define WAXWING_OWNERSHIP_OWNERSHIP_LEADER_BASE_H
 
-#include "ownership/ownership_leader_type.h"
-
+#include "ownership/candidacy_base.h"
+#include "ownership/confirmation_base.h"
+#include "ownership/grant_ledger_base.h"
+#include "ownership/order_book_base.h"
 #include "ownership/ownership_record_cmd.h"
 
 #include <random>
@@ -15,7 +18,10 @@
 
 namespace waxwing {
 
-/// See docs/DESIGN.md, "Ownership".
+/// See docs/OWNERSHIP.md.
+/// Invariants: a record is taken over only when it is known to be written;
+/// Record->Rev never decreases; orders are sent only under a confirmed
+/// revision and only for units that the ledger holds clear.
 class OwnershipLeader {
 public:
   OwnershipLeader(ServiceId service, RecordMember self, OwnershipTerms terms,
@@ -28,47 +34,109 @@
 
   /// @return whether the newest known record names this process its leader
   bool isLeader() const;
+  /// @return whether this process leads and may act on the record now
+  bool isConfirmed(Time now) const;
+  /// @return whether all rights given by earlier leaders have ended
+  bool isQuietOver(Time now) const;
   /// @return the newest record known, absent before the first read
   const std::optional<OwnershipRecord> &record() const { return Record; }
 
 private:
-  struct UpstreamState {
-    UpstreamDefinition Definition;
-    std::optional<Incarnation> Current; ///< of its last answer
-    UpstreamTime Reading;               ///< of its last answer
-    Time AnsweredAt;                    ///< when that answer arrived
-    GrantSet Sent;                      ///< set of the last order
-    GrantStamp SentStamp;
-    bool IsAcknowledged = false; ///< Sent was accepted by Current
-  };
+  /// Who this process renews grants as.
+  enum class Role : std::uint8_t { None, Deputy, Leader };
+  enum class StoreCall : std::uint8_t { None, Read, Write };
 
   void on(const Tick &, Time now);
   void on(const RecordRead &event, Time now);
   void on(const RecordWritten &event, Time now);
+  void on(const RecordHeard &event, Time now);
   void on(const UpstreamAnswered &event, Time now);
   void on(const PeerSaid &event, Time now);
   void on(const ServiceChanged &event, Time now);
   void on(const ControllersChanged &event, Time now);
   void on(const HotKeysReported &event, Time now);
+  void onPeer(const RecordMember &from, const ConfirmRequest &request,
+              Time now);
+  void onPeer(const RecordMember &from, const ConfirmReply &reply, Time now);
+
+  // Store.
+  void readRecord(Time now);
+  void writeRecord(std::span<const RecordCommand> commands, Time now);
+  void endStoreCall() { PendingCall = StoreCall::None; }
+  void expireStoreCall(Time now);
+  void retryLater(Time now);
+  void adopt(const OwnershipRecord &record, Time now);
+  void adoptAsLeader(const std::optional<OwnershipRecord> &before, Time now);
+  void followQuiet(Time now);
+
+  // Standing by.
+  void standBy(Time now);
+  void takeLeadership(Time now);
+  bool isNamed() const;
+  CandidateRank rank() const;
+  void becomeDeputy(Time now);
+  void stopRenewing();
+
+  // Leading.
+  void lead(Time now);
+  void planChange(Time now);
+  std::vector<RecordCommand> planMembers(Time now);
+  std::vector<RecordCommand> planUnits(Time now);
+  std::vector<RecordCommand> planHotKeys(const std::set<UpstreamId> &usable,
+                                         Time now);
+  bool isHandoverFast(Time now) const;
+  void publishDue(Time now);
+  bool isTransferDone(Time now) const;
 
-  void readRecord();
-  void writeRecord(std::span<const RecordCommand> commands);
-  void assignUnowned();
-  void renewGrants(Time now);
-  GrantSet grantSetOf(const UpstreamId &upstream) const;
+  // Renewing, as leader or deputy.
+  void renew(Time now);
+  bool isRenewalConfirmed(Time now) const;
+  void beginRound(Time now);
+  void clearEnded(Time now);
+  void updateGrants(Time now);
 
   ServiceId Service;
   RecordMember Self;
   OwnershipTerms Terms;
   std::mt19937_64 Random;
   ServiceDefinition Definition;
-  std::vector<ControllerMember> Controllers;
+  bool HasDefinition = false;
+  std::vector<ControllerMember> Controllers; ///< without this one
   std::optional<OwnershipRecord> Record;
-  Revision StoreRevision;
-  std::map<UpstreamId, UpstreamState> Upstreams;
+
+  Revision StoreRevision; ///< of the store's value that holds Record
+  bool IsStoreRevisionKnown = false;
   std::uint64_t NextOperation = 1;
-  std::optional<std::uint64_t> PendingOperation;
-  std::optional<OwnershipRecord> PendingRecord;
+  std::uint64_t PendingOperation = 0;
+  StoreCall PendingCall = StoreCall::None;
+  Time PendingSince;
+  std::optional<OwnershipRecord> PendingRecord; ///< of a write in flight
+  std::optional<OwnershipRecord> LostWrite;     ///< its answer was lost
+  bool WantsLead = false; ///< the read in flight precedes a takeover
+  Time NextStoreCall;
+  Time NewerSeenAt; ///< when a peer first told of a newer revision
+
+  Role Renewing = Role::None;
+  Witness OwnWitness;
+  ConfirmationRounds Rounds;
+  QuietTracker Quiet;
+  GrantLedger Ledger;
+  OrderBook Orders;
+  Candidacy Standby;
+  Time NextRound;
+  Revision LedSince;     ///< revision that began this leadership
+  Revision MembersSince; ///< revision that named the present members
+  std::map<RecordMember, Time> HeardMembers;
+  Time NextMemberChange;
+  Time MoveWantedSince; ///< a handover waits for a fast way since then
+  Revision Published;
+  std::optional<Time> PublishBy;
+
+  struct HotKey {
+    double Rate = 0;
+    Time HotAt; ///< when its rate was last high
+  };
+  std::map<KeyHash, HotKey> HotKeys;
   std::vector<OwnershipAction> Actions;
 };
 
--- a/src/ownership/ownership_leader_type.h
+++ b/src/ownership/ownership_leader_type.h
@@ -1,7 +1,7 @@
 /**
  * @file ownership_leader_type.h
  * Events and actions of the ownership state machine that each controller
- * runs for each service divided by key.
+ * runs for each service.
  */
 #ifndef WAXWING_OWNERSHIP_OWNERSHIP_LEADER_TYPE_H
 #define WAXWING_OWNERSHIP_OWNERSHIP_LEADER_TYPE_H
@@ -15,6 +15,25 @@
 
 namespace waxwing {
 
+/// What a renewal has to be confirmed by. All but Witnessed stand for
+/// alternatives that the benchmark compares.
+enum class ConfirmationPolicy : std::uint8_t {
+  Witnessed, ///< the store or a majority of the record's members
+  StoreOnly, ///< the store alone
+  Unbounded, ///< nothing; unsafe
+};
+
+/// Deliberate faults, each of which the fuzz test must find. Never set in
+/// production.
+struct OwnershipFaults {
+  bool HasNoDriftBound = false;   ///< waits ignore that clocks drift
+  bool KeepsToken = false;        ///< a move does not raise the token
+  bool SkipsTakeoverWait = false; ///< rights by earlier leaders count as ended
+  bool RewritesBlindly = false;   ///< a lost answer leads to a second write
+  bool IgnoresFence = false;      ///< witnesses confirm old revisions
+  bool HasDeadlineFromReceipt = false; ///< upstreams count the term themselves
+};
+
 /// Terms and bounds, from the settings table.
 struct OwnershipTerms {
   Duration Heartbeat;        ///< between renewals and between confirmations
@@ -22,6 +41,13 @@
   Duration ConfirmationTerm; ///< validity of a confirmation from its request
   Duration Suspicion;        ///< silence after which a peer is suspected
   std::int64_t DriftPpm = 0; ///< bound on the relative rate of two clocks
+  ConfirmationPolicy Policy = ConfirmationPolicy::Witnessed;
+  OwnershipFaults Faults;
+
+  /// @return a wait here that covers @p span by any other clock
+  Duration covering(Duration span) const {
+    return Faults.HasNoDriftBound ? span : withDrift(span, DriftPpm);
+  }
 };
 
 /// An upstream as the configuration and the VM list describe it.
@@ -65,6 +91,10 @@
   WriteOutcome Outcome = WriteOutcome::Unknown;
   Revision StoreRevision; ///< after the write when Applied
 };
+/// Another controller published a record that it knows to be written.
+struct RecordHeard {
+  OwnershipRecord Record;
+};
 /// An upstream answered an order or a query.
 struct UpstreamAnswered {
   GrantAnswer Answer;
@@ -88,8 +118,8 @@
 };
 
 using OwnershipEvent =
-    std::variant<Tick, RecordRead, RecordWritten, UpstreamAnswered, PeerSaid,
-                 ServiceChanged, ControllersChanged, HotKeysReported>;
+    std::variant<Tick, RecordRead, RecordWritten, RecordHeard, UpstreamAnswered,
+                 PeerSaid, ServiceChanged, ControllersChanged, HotKeysReported>;
 
 // Actions.
 
@@ -113,8 +143,8 @@
   VmId To;
   OwnershipMessage Message;
 };
-/// Tell routers who may be sent requests now: owners whose grant was
-/// acknowledged.
+/// Tell routers and controllers of a written record, once its moved units
+/// were granted or this took longer than a heartbeat.
 struct PublishRecord {
   OwnershipRecord Record;
 };
--- a/src/ownership/ownership_record.cpp
+++ b/src/ownership/ownership_record.cpp
@@ -36,6 +36,23 @@
           Token(owner.at(1).get<std::uint64_t>())};
 }
 
+Json encodeMembers(const MemberSet &set) {
+  Json members = Json::array();
+  for (const RecordMember &member : set)
+    members.push_back(
+        {member.Vm.Value, member.Process.Value, member.Domain.Value});
+  return members;
+}
+
+MemberSet decodeMembers(const Json &members) {
+  MemberSet set;
+  for (const Json &member : members)
+    set.push_back({VmId(member.at(0).get<std::string>()),
+                   Incarnation(member.at(1).get<std::uint64_t>()),
+                   DomainId(member.at(2).get<std::string>())});
+  return set;
+}
+
 } // namespace
 
 std::string encodeRecord(const OwnershipRecord &record) {
@@ -43,10 +60,9 @@
   const auto encodeOwner = [&](const UnitOwner &owner) {
     return Json::array({owners.indexOf(owner.Owner), owner.Fence.Value});
   };
-  Json members = Json::array();
-  for (const RecordMember &member : record.Members)
-    members.push_back(
-        {member.Vm.Value, member.Process.Value, member.Domain.Value});
+  Json former = Json::array();
+  for (const MemberSet &set : record.Former)
+    former.push_back(encodeMembers(set));
   Json shards = Json::array();
   for (const UnitOwner &owner : record.Shards)
     shards.push_back(encodeOwner(owner));
@@ -58,7 +74,8 @@
     changes.push_back({change.Change.Value, change.Record.Value});
   const Json json{{"service", record.Service.Value},
                   {"rev", record.Rev.Value},
-                  {"members", members},
+                  {"members", encodeMembers(record.Members)},
+                  {"former", former},
                   {"shards", shards},
                   {"splits", splits},
                   {"owners", owners.Names},
@@ -74,10 +91,9 @@
     OwnershipRecord record;
     record.Service = ServiceId(json.at("service").get<std::string>());
     record.Rev = Revision(json.at("rev").get<std::uint64_t>());
-    for (const Json &member : json.at("members"))
-      record.Members.push_back({VmId(member.at(0).get<std::string>()),
-                                Incarnation(member.at(1).get<std::uint64_t>()),
-                                DomainId(member.at(2).get<std::string>())});
+    record.Members = decodeMembers(json.at("members"));
+    for (const Json &set : json.at("former"))
+      record.Former.push_back(decodeMembers(set));
     const auto names = json.at("owners").get<std::vector<std::string>>();
     for (const Json &shard : json.at("shards"))
       record.Shards.push_back(decodeOwner(names, shard));
--- a/src/ownership/ownership_record_base.h
+++ b/src/ownership/ownership_record_base.h
@@ -21,7 +21,7 @@
   VmId Vm;
   Incarnation Process; ///< a restarted controller is another member
   DomainId Domain;
-  bool operator==(const RecordMember &) const = default;
+  auto operator<=>(const RecordMember &) const = default;
 };
 
 /// Owner of one shard or split key.
@@ -38,16 +38,25 @@
   bool operator==(const RecordChange &) const = default;
 };
 
+/// The leader, then the witnesses.
+using MemberSet = std::vector<RecordMember>;
+
+/// Former member sets that a record remembers.
+constexpr std::size_t FormerMembersKept = 64;
+
 /// Changes that a record remembers.
 constexpr std::size_t RecordChangesKept = 32;
 
 /// The record of one service.
 /// Invariants: Rev grows by one with each write. Members[0] leads; the
 /// members are distinct VMs. Changes.back() is the write that made Rev.
+/// Former names each set of members of an earlier revision whose
+/// confirmations, and the rights based on them, are not proven to have ended.
 struct OwnershipRecord {
   ServiceId Service;
   Revision Rev; ///< own version number, also the witnesses' fence level
-  std::vector<RecordMember> Members;
+  MemberSet Members;
+  std::vector<MemberSet> Former;
   std::vector<UnitOwner> Shards;       ///< indexed by ShardId
   std::map<KeyHash, UnitOwner> Splits; ///< keys split off from their shard
   std::vector<RecordChange> Changes;   ///< oldest first, bounded
--- a/src/ownership/ownership_record_cmd.cpp
+++ b/src/ownership/ownership_record_cmd.cpp
@@ -33,8 +33,19 @@
     if (command.Members.empty() || vms.size() != command.Members.size())
       return absl::FailedPreconditionError(
           "members must be at least one and distinct");
+    if (Record.Former.size() >= FormerMembersKept)
+      return absl::ResourceExhaustedError("too many former member sets");
+    if (Mode == CommandMode::Execute) {
+      keepFormer(std::exchange(Record.Members, command.Members));
+    }
+    return absl::OkStatus();
+  }
+
+  absl::Status operator()(const DropFormer &) {
+    if (Record.Former.empty())
+      return absl::FailedPreconditionError("there are no former members");
     if (Mode == CommandMode::Execute)
-      Record.Members = command.Members;
+      Record.Former.clear();
     return absl::OkStatus();
   }
 
@@ -76,6 +87,13 @@
 private:
   Token nextToken() const { return Token(Record.Rev.Value + 1); }
 
+  void keepFormer(MemberSet set) {
+    std::ranges::sort(set);
+    if (!set.empty() &&
+        std::ranges::find(Record.Former, set) == Record.Former.end())
+      Record.Former.push_back(std::move(set));
+  }
+
   const UnitOwner &shardOwner(KeyHash key) const {
     return Record.Shards[shardOf(key, Record.Shards.size()).Value];
   }
--- a/src/ownership/ownership_record_cmd.h
+++ b/src/ownership/ownership_record_cmd.h
@@ -20,10 +20,13 @@
 struct CreateShards {
   std::uint32_t Count = 0;
 };
-/// Makes Members the leader (first) and the witnesses.
+/// Makes Members the leader (first) and the witnesses; the set before is
+/// kept in Former.
 struct TakeLeadership {
-  std::vector<RecordMember> Members;
+  MemberSet Members;
 };
+/// Forgets former members, whose confirmations and rights have ended.
+struct DropFormer {};
 /// Gives a unit to another owner and raises its token.
 struct MoveUnit {
   OwnedUnit Unit;
@@ -38,8 +41,8 @@
   KeyHash Key;
 };
 
-using RecordCommand =
-    std::variant<CreateShards, TakeLeadership, MoveUnit, SplitKey, JoinKey>;
+using RecordCommand = std::variant<CreateShards, TakeLeadership, DropFormer,
+                                   MoveUnit, SplitKey, JoinKey>;
 
 /// Applies one command as part of the write that makes revision
 /// `record.Rev + 1`; Rev itself is left to finishChange().
--- a/src/ownership/ownership_type.h
+++ b/src/ownership/ownership_type.h
@@ -65,10 +65,11 @@
   std::optional<GrantSet> Set; ///< set held; told in answer to a query
 };
 
-/// Leader to witness: may a renewal be based on this record revision?
+/// Leader to witness: may a renewal be based on this record revision? It
+/// also fences: the witness confirms no lower revision from then on.
 struct ConfirmRequest {
   ServiceId Service;
-  Revision Record;
+  Revision Record;         ///< 0: only asks whether the receiver is alive
   std::uint64_t Round = 0; ///< echoed in the reply
 };
 
@@ -79,23 +80,12 @@
   std::uint64_t Round = 0;
   bool Confirmed = false;
   Revision Fence; ///< revisions below it get no confirmations any more
-};
-
-/// New leader to witness: stop confirming revisions below Fence.
-struct FenceRequest {
-  ServiceId Service;
-  Revision Fence;
-};
-
-/// Witness to new leader.
-struct FenceReply {
-  ServiceId Service;
-  Revision Fence;
+  /// Nobody but the asker was confirmed so recently that rights may last.
+  bool IsSole = false;
 };
 
 /// Ownership messages between controllers.
-using OwnershipMessage =
-    std::variant<ConfirmRequest, ConfirmReply, FenceRequest, FenceReply>;
+using OwnershipMessage = std::variant<ConfirmRequest, ConfirmReply>;
 
 } // namespace waxwing
 
--- a/src/standin/upstream_base.h
+++ b/src/standin/upstream_base.h
@@ -1,16 +1,15 @@
 /**
  * @file upstream_base.h
- * State of the upstream stand-in: grants, slots, cold start and the record
+ * State of the upstream stand-in: slots, cold start and the record
  * of what it executed. The record is the oracle of the process tests.
  */
 #ifndef WAXWING_STANDIN_UPSTREAM_BASE_H
 #define WAXWING_STANDIN_UPSTREAM_BASE_H
 
-#include "core/verdict_type.h"
-#include "ownership/ownership_type.h"
+#include "core/id_type.h"
+#include "core/time_type.h"
 
 #include <map>
-#include <optional>
 #include <string>
 
 namespace waxwing {
@@ -27,29 +26,6 @@
   bool IsDividedByKey = false;
 };
 
-/// Holds the fenced grant of one upstream.
-class GrantHolder {
-public:
-  GrantHolder(UpstreamTraits traits, Incarnation current);
-
-  /// Takes an order or a query.
-  GrantAnswer answer(const std::optional<GrantOrder> &order, UpstreamTime now);
-
-  /// @return None when a request for @p unit under @p fence may run now
-  Reason check(const OwnedUnit &unit, Token fence, KeyHash key,
-               UpstreamTime now) const;
-
-private:
-  bool accept(const GrantOrder &order, UpstreamTime now);
-
-  UpstreamTraits Traits;
-  Incarnation Current;
-  GrantStamp Held;
-  UpstreamTime HeldUntil;
-  GrantSet Set;
-  std::map<OwnedUnit, Token> Fences; ///< index of Set.Units
-};
-
 /// What the upstream did since its start.
 struct UpstreamRecord {
   std::uint64_t Executed = 0;
--- a/src/standin/upstream_main.cpp
+++ b/src/standin/upstream_main.cpp
@@ -6,6 +6,7 @@
 #include "standin/standin_func.h"
 #include "standin/upstream_base.h"
 #include "table/reasons.h"
+#include "upstream/grant_holder.h"
 #include "upstream/upstream_protocol.h"
 
 #include <absl/strings/numbers.h>
@@ -31,7 +32,8 @@
 public:
   UpstreamServer(UpstreamTraits traits, std::size_t connections)
       : Traits(std::move(traits)),
-        Grants(Traits, Incarnation(std::random_device()())),
+        Grants(Traits.Id, Incarnation(std::random_device()()),
+               Traits.ChecksOrders ? OrderChecking::On : OrderChecking::Off),
         StartedAt(readClock()),
         Main(Io, HttpServerLimits{connections},
              [this](HttpExchange it) { take(std::move(it)); }),
--- /dev/null
+++ b/tests/ownership_fuzz.h
@@ -0,0 +1,281 @@
+/**
+ * @file ownership_fuzz.h
+ * Random histories of failures over a World: commands, their generator and
+ * how a history is run and judged.
+ */
+#ifndef WAXWING_TESTS_OWNERSHIP_FUZZ_H
+#define WAXWING_TESTS_OWNERSHIP_FUZZ_H
+
+#include "ownership_world.h"
+
+#include <array>
+#include <ostream>
+#include <rapidcheck.h>
+#include <string_view>
+
+namespace waxwing {
+
+enum class FuzzAction : std::uint8_t {
+  Advance,
+  CutOneWay,
+  CutBoth,
+  Isolate,
+  IsolateTogether,
+  Split,
+  Duel,
+  CutAnswers,
+  Heal,
+  Pause,
+  Stop,
+  Restart,
+  RestartController,
+  RestartUpstream,
+  RestartAll,
+  StopDomain,
+  StoreDown,
+  StoreUp,
+  StoreSlow,
+  LoseAnswers,
+  Delay,
+  Loss,
+  Duplicate,
+  SetLeaving,
+  SetStaying,
+  Hot,
+  LastAction = Hot
+};
+
+constexpr std::size_t FuzzActionCount =
+    static_cast<std::size_t>(FuzzAction::LastAction) + 1;
+
+constexpr std::array<std::string_view, FuzzActionCount> FuzzActionNames{
+    "advance",
+    "cut-one-way",
+    "cut",
+    "isolate",
+    "isolate-together",
+    "split",
+    "duel",
+    "cut-answers",
+    "heal",
+    "pause",
+    "stop",
+    "restart",
+    "restart-controller",
+    "restart-upstream",
+    "restart-all",
+    "stop-domain",
+    "store-down",
+    "store-up",
+    "store-slow",
+    "lose-answers",
+    "delay",
+    "loss",
+    "duplicate",
+    "leave",
+    "stay",
+    "hot"};
+
+/// One step of a history; what A, B and Amount mean depends on Action.
+struct FuzzCommand {
+  FuzzAction Action = FuzzAction::Advance;
+  std::uint8_t A = 0;
+  std::uint8_t B = 0;
+  std::uint16_t Amount = 0; ///< ms where it is a time
+};
+
+inline void showValue(const FuzzCommand &it, std::ostream &os) {
+  os << FuzzActionNames[static_cast<std::size_t>(it.Action)] << "("
+     << static_cast<int>(it.A) << "," << static_cast<int>(it.B) << ","
+     << it.Amount << ")";
+}
+
+/// Carries a command out on a world.
+inline void runCommand(World &world, const FuzzCommand &it) {
+  const std::size_t nodes = world.storeNode() + 1;
+  const std::size_t a = it.A % nodes;
+  const std::size_t b = it.B % nodes;
+  const std::size_t vm = it.A % world.storeNode();
+  const ModelTime time = it.Amount * ModelMillisecond;
+  const auto restart = [&](std::size_t node) {
+    if (node < world.controllers())
+      world.startController(node);
+    else
+      world.startUpstream(node - world.controllers());
+  };
+  switch (it.Action) {
+  case FuzzAction::Advance:
+    return world.advance(time % (600 * ModelMillisecond));
+  case FuzzAction::CutOneWay:
+    return world.cut(a, b);
+  case FuzzAction::CutBoth:
+    return world.cutBoth(a, b);
+  case FuzzAction::Isolate:
+    return world.isolate(a);
+  case FuzzAction::IsolateTogether: {
+    // A controller keeps one upstream and nothing else.
+    const std::size_t controller = it.A % world.controllers();
+    const std::size_t upstream = world.upstreamNode(it.B % world.upstreams());
+    for (std::size_t n = 0; n < nodes; ++n) {
+      if (n != upstream)
+        world.cutBoth(controller, n);
+      if (n != controller)
+        world.cutBoth(upstream, n);
+    }
+    return;
+  }
+  case FuzzAction::Split:
+    for (std::size_t n = 0; n < nodes; ++n)
+      for (std::size_t m = 0; m < n; ++m)
+        if (((it.Amount >> n) & 1) != ((it.Amount >> m) & 1))
+          world.cutBoth(n, m);
+    return;
+  case FuzzAction::Duel: {
+    // The leader loses the store and one controller, which loses an
+    // upstream; both still reach the witnesses.
+    const std::size_t leader = world.leaderIndex().value_or(0);
+    const std::size_t rival = it.A % world.controllers();
+    if (rival == leader)
+      return;
+    world.cutBoth(leader, world.storeNode());
+    world.cutBoth(leader, rival);
+    return world.cutBoth(rival, world.upstreamNode(it.B % world.upstreams()));
+  }
+  case FuzzAction::CutAnswers:
+    // An upstream hears everybody and nobody hears it.
+    for (std::size_t n = 0; n < world.controllers(); ++n)
+      world.cut(world.upstreamNode(it.A % world.upstreams()), n);
+    return;
+  case FuzzAction::Heal:
+    return world.heal();
+  case FuzzAction::Pause:
+    return world.pause(vm, time);
+  case FuzzAction::Stop:
+    return world.stop(vm);
+  case FuzzAction::Restart:
+    return restart(vm);
+  case FuzzAction::RestartController:
+    return restart(it.A % world.controllers());
+  case FuzzAction::RestartUpstream:
+    return restart(world.upstreamNode(it.A % world.upstreams()));
+  case FuzzAction::RestartAll:
+    for (std::size_t n = 0; n < world.controllers(); ++n)
+      world.startController(n);
+    return;
+  case FuzzAction::StopDomain:
+    for (std::size_t n = 0; n < world.storeNode(); ++n)
+      if (world.domainOf(n) == world.domain(it.A))
+        world.stop(n);
+    return;
+  case FuzzAction::StoreDown:
+    return world.setStoreDown(true);
+  case FuzzAction::StoreUp:
+    return world.setStoreDown(false);
+  case FuzzAction::StoreSlow:
+    return world.setStoreDelay(time);
+  case FuzzAction::LoseAnswers:
+    return world.loseStoreAnswers(1 + it.A % 4);
+  case FuzzAction::Delay:
+    world.network().MostDelay = 300 + time % (400 * ModelMillisecond);
+    return;
+  case FuzzAction::Loss:
+    world.network().LossPercent = it.A % 40;
+    return;
+  case FuzzAction::Duplicate:
+    world.network().DuplicatePercent = it.A % 40;
+    return;
+  case FuzzAction::SetLeaving:
+    return world.setLeaving(it.A % world.upstreams(), true);
+  case FuzzAction::SetStaying:
+    return world.setLeaving(it.A % world.upstreams(), false);
+  case FuzzAction::Hot:
+    return world.reportHot(it.A, 50.0 * it.B);
+  }
+}
+
+/// Every key is served again this long after all faults have ended.
+constexpr ModelTime RecoveryBound = 8 * ModelSecond;
+/// A planned handover takes less than this.
+constexpr ModelTime HandoverBound = 500 * ModelMillisecond;
+
+/// What a history led to; empty texts mean that all went well.
+struct HistoryResult {
+  std::string Violation; ///< of exclusive ownership or of the record
+  std::string Outage;    ///< a key was not served after recovery
+};
+
+/// @return keys that are not served at any moment of the next HandoverBound
+inline std::size_t lastingOutages(World &world) {
+  std::set<KeyHash> unserved(world.probeKeys().begin(),
+                             world.probeKeys().end());
+  world.sample(HandoverBound, 10 * ModelMillisecond, [&] {
+    std::erase_if(unserved, [&](KeyHash key) { return world.isServed(key); });
+  });
+  return unserved.size();
+}
+
+/// Runs a history, then lets the world recover.
+inline HistoryResult runHistory(const WorldShape &shape,
+                                const std::vector<FuzzCommand> &commands) {
+  World world(shape);
+  world.advance(3 * ModelSecond);
+  for (const FuzzCommand &it : commands) {
+    runCommand(world, it);
+    if (!world.violation().empty())
+      return {world.violation(), ""};
+  }
+  world.healAll();
+  world.advance(RecoveryBound);
+  const std::size_t outages = lastingOutages(world);
+  if (!world.violation().empty())
+    return {world.violation(), ""};
+  if (outages != 0)
+    return {"", std::to_string(outages) + " keys are not served"};
+  return {};
+}
+
+inline rc::Gen<FuzzCommand> genCommand() {
+  using A = FuzzAction;
+  const auto action = rc::gen::weightedElement<A>({{12, A::Advance},
+                                                   {2, A::CutOneWay},
+                                                   {2, A::CutBoth},
+                                                   {2, A::Isolate},
+                                                   {2, A::IsolateTogether},
+                                                   {1, A::Split},
+                                                   {2, A::Duel},
+                                                   {2, A::CutAnswers},
+                                                   {3, A::Heal},
+                                                   {3, A::Pause},
+                                                   {1, A::Stop},
+                                                   {2, A::Restart},
+                                                   {1, A::RestartController},
+                                                   {1, A::RestartUpstream},
+                                                   {1, A::RestartAll},
+                                                   {1, A::StopDomain},
+                                                   {2, A::StoreDown},
+                                                   {2, A::StoreUp},
+                                                   {1, A::StoreSlow},
+                                                   {2, A::LoseAnswers},
+                                                   {1, A::Delay},
+                                                   {1, A::Loss},
+                                                   {1, A::Duplicate},
+                                                   {2, A::SetLeaving},
+                                                   {2, A::SetStaying},
+                                                   {1, A::Hot}});
+  return rc::gen::build<FuzzCommand>(
+      rc::gen::set(&FuzzCommand::Action, action),
+      rc::gen::set(&FuzzCommand::A, rc::gen::inRange<std::uint8_t>(0, 60)),
+      rc::gen::set(&FuzzCommand::B, rc::gen::inRange<std::uint8_t>(0, 60)),
+      rc::gen::set(&FuzzCommand::Amount,
+                   rc::gen::inRange<std::uint16_t>(0, 1500)));
+}
+
+/// Histories several times as long as RapidCheck's size.
+inline rc::Gen<std::vector<FuzzCommand>> genHistory() {
+  return rc::gen::scale(2, rc::gen::container<std::vector<FuzzCommand>>(
+                               rc::gen::resize(100, genCommand())));
+}
+
+} // namespace waxwing
+
+#endif
--- /dev/null
+++ b/tests/ownership_world.h
@@ -0,0 +1,576 @@
+/**
+ * @file ownership_world.h
+ * Fakes around the ownership state machines for tests and benchmarks:
+ * controllers with drifting clocks, upstreams, the store and the network
+ * between them, in model time. The oracle watches what upstreams accept.
+ */
+#ifndef WAXWING_TESTS_OWNERSHIP_WORLD_H
+#define WAXWING_TESTS_OWNERSHIP_WORLD_H
+
+#include "ownership/ownership_leader_base.h"
+#include "upstream/grant_holder.h"
+
+#include <algorithm>
+#include <functional>
+#include <memory>
+#include <queue>
+#include <random>
+#include <string>
+
+namespace waxwing {
+
+/// Model time, us.
+using ModelTime = std::int64_t;
+constexpr ModelTime ModelMillisecond = 1000;
+constexpr ModelTime ModelSecond = 1'000'000;
+
+/// How a world is built.
+struct WorldShape {
+  std::size_t Controllers = 5;
+  std::size_t Upstreams = 4;
+  std::size_t NonChecking = 1; ///< the first upstreams check no stamps
+  std::size_t Domains = 3;
+  std::uint32_t Shards = 6;
+  OwnershipTerms Terms{milliseconds(100), milliseconds(300), milliseconds(200),
+                       milliseconds(250), 50'000};
+  std::uint64_t Seed = 1;
+};
+
+/// Faults of the network, for each message.
+struct NetworkFaults {
+  ModelTime LeastDelay = 200;
+  ModelTime MostDelay = 1200;
+  int LossPercent = 0;
+  int DuplicatePercent = 0;
+};
+
+struct WorldCounts {
+  std::uint64_t StoreReads = 0;
+  std::uint64_t StoreWrites = 0;
+  std::uint64_t PeerMessages = 0;
+  std::uint64_t Orders = 0;
+  std::uint64_t OrderUnits = 0;
+  std::uint64_t Queries = 0;
+  std::uint64_t Moves = 0; ///< changes of an owner in the record
+};
+
+/// All parts and the events between them.
+class World {
+public:
+  explicit World(const WorldShape &shape)
+
+      : Shape(shape), Random(Shape.Seed) {
+    for (std::size_t n = 0; n < Shape.Controllers; ++n)
+      Nodes.push_back(makeNode(n));
+    for (std::size_t n = 0; n < Shape.Upstreams; ++n)
+      Nodes.push_back(makeNode(n));
+    Nodes.push_back({});
+    IsCut.assign(Nodes.size(), std::vector<bool>(Nodes.size()));
+    Controllers.resize(Shape.Controllers);
+    Upstreams.resize(Shape.Upstreams);
+    for (std::uint32_t n = 0; n < Shape.Shards; ++n)
+      ProbeKeys.push_back(keyInShard(n, Shape.Shards));
+    for (std::size_t n = 0; n < Shape.Upstreams; ++n)
+      startUpstream(n);
+    for (std::size_t n = 0; n < Shape.Controllers; ++n)
+      startController(n);
+  }
+
+  static KeyHash keyInShard(std::uint32_t shard, std::uint32_t shards) {
+    const std::uint64_t width = ~std::uint64_t(0) / shards;
+    return KeyHash(width * shard + width / 2);
+  }
+
+  ModelTime now() const { return Now; }
+  const std::string &violation() const { return Violation; }
+  WorldCounts &counts() { return Counts; }
+  const std::optional<OwnershipRecord> &stored() const { return Stored; }
+  std::size_t controllers() const { return Shape.Controllers; }
+  std::size_t upstreams() const { return Shape.Upstreams; }
+  std::size_t storeNode() const { return Nodes.size() - 1; }
+  std::size_t upstreamNode(std::size_t n) const {
+    return Shape.Controllers + n;
+  }
+  NetworkFaults &network() { return Network; }
+  OwnershipLeader &controller(std::size_t n) { return *Controllers[n].Leader; }
+
+  /// Runs events until @p length has passed or the oracle objects.
+  void advance(ModelTime length) {
+    const ModelTime end = Now + length;
+    while (Violation.empty() && !Events.empty() && Events.top().At <= end) {
+      Now = std::max(Now, Events.top().At);
+      auto action = std::move(const_cast<Event &>(Events.top()).Action);
+      Events.pop();
+      action();
+    }
+    Now = end;
+  }
+
+  // What may go wrong.
+
+  void cut(std::size_t from, std::size_t to) { IsCut[from][to] = true; }
+  void cutBoth(std::size_t a, std::size_t b) {
+    cut(a, b);
+    cut(b, a);
+  }
+  void isolate(std::size_t node) {
+    for (std::size_t n = 0; n < Nodes.size(); ++n)
+      cutBoth(node, n);
+  }
+  void heal() {
+    for (auto &row : IsCut)
+      row.assign(row.size(), false);
+  }
+  void pause(std::size_t node, ModelTime length) {
+    Nodes[node].PausedUntil = std::max(Nodes[node].PausedUntil, Now + length);
+  }
+  void resume(std::size_t node) {
+    Nodes[node].PausedUntil = std::min(Nodes[node].PausedUntil, Now);
+  }
+  void startController(std::size_t n) {
+    Node &node = Nodes[n];
+    ++node.Process;
+    node.PausedUntil = 0;
+    ControllerFake &controller = Controllers[n];
+    controller.Self = {VmId("c" + std::to_string(n)),
+                       Incarnation(n * 1000 + node.Process), node.Domain};
+    controller.Leader = std::make_unique<OwnershipLeader>(
+        ServiceId("t/s"), controller.Self, Shape.Terms, Random());
+    handle(n, ServiceChanged{Definition});
+    tick(n, node.Process);
+    // Links come up a little later.
+    for (std::size_t other = 0; other < Shape.Controllers; ++other)
+      at(Now + 5 * ModelMillisecond,
+         [this, other] { handle(other, linked()); });
+  }
+  void startUpstream(std::size_t n) {
+    Node &node = Nodes[upstreamNode(n)];
+    ++node.Process;
+    node.PausedUntil = 0;
+    Upstreams[n].Holder = std::make_unique<GrantHolder>(
+        upstreamId(n), Incarnation(node.Process), checking(n));
+    defineUpstream(n);
+  }
+  /// Stops a node for good; a start follows or not.
+  void stop(std::size_t node) {
+    pause(node, ModelSecond * 1'000'000);
+    if (node >= Shape.Controllers && node < storeNode()) {
+      const std::size_t n = node - Shape.Controllers;
+      Upstreams[n].Holder = std::make_unique<GrantHolder>(
+          upstreamId(n), Incarnation(++Nodes[node].Process), checking(n));
+    }
+  }
+  bool isStopped(std::size_t node) const {
+    return Nodes[node].PausedUntil > Now + ModelSecond * 1000;
+  }
+  void setLeaving(std::size_t upstream, bool isLeaving) {
+    Definition.Upstreams[upstream].IsLeaving = isLeaving;
+    tellDefinition();
+  }
+  void reportHot(std::uint32_t shard, double rate) {
+    const KeyHash key(ProbeKeys[shard % Shape.Shards].Value + 1);
+    if (std::ranges::find(ProbeKeys, key) == ProbeKeys.end()) {
+      ProbeKeys.push_back(key);
+    }
+    for (std::size_t n = 0; n < Shape.Controllers; ++n)
+      handle(n, HotKeysReported{{{key, rate}}});
+  }
+  void setStoreDown(bool isDown) { IsStoreDown = isDown; }
+  void setStoreDelay(ModelTime most) { StoreDelay = most; }
+  void loseStoreAnswers(int n) { StoreAnswersToLose += n; }
+  const DomainId &domainOf(std::size_t node) const {
+    return Nodes[node].Domain;
+  }
+  DomainId domain(std::size_t n) const {
+    return DomainId("d" + std::to_string(n % Shape.Domains));
+  }
+
+  /// Ends all faults; stopped nodes start again.
+  void healAll() {
+    heal();
+    Network = {};
+    IsStoreDown = false;
+    StoreDelay = 0;
+    StoreAnswersToLose = 0;
+    for (std::size_t n = 0; n < Shape.Controllers; ++n)
+      isStopped(n) ? startController(n) : resume(n);
+    for (std::size_t n = 0; n < Shape.Upstreams; ++n)
+      isStopped(upstreamNode(n)) ? startUpstream(n) : resume(upstreamNode(n));
+    for (UpstreamDefinition &it : Definition.Upstreams)
+      it.IsLeaving = false;
+    tellDefinition();
+  }
+
+  // What is seen.
+
+  /// @return upstreams that accept requests for a key now
+  std::vector<std::size_t> holdersOf(KeyHash key) const {
+    std::vector<std::size_t> holders;
+    for (std::size_t n = 0; n < Shape.Upstreams; ++n)
+      if (Upstreams[n].Holder->tokenOf(key, Shape.Shards, upstreamNow(n)))
+        holders.push_back(n);
+    return holders;
+  }
+  const std::vector<KeyHash> &probeKeys() const { return ProbeKeys; }
+  /// @return whether a key is served: held by a running upstream
+  bool isServed(KeyHash key) const {
+    return std::ranges::any_of(holdersOf(key), [&](std::size_t n) {
+      return Nodes[upstreamNode(n)].PausedUntil <= Now;
+    });
+  }
+  /// @return keys that are not served
+  std::size_t unservedKeys() const {
+    return static_cast<std::size_t>(std::ranges::count_if(
+        ProbeKeys, [&](KeyHash key) { return !isServed(key); }));
+  }
+  std::optional<std::size_t> leaderIndex() const {
+    if (!Stored || Stored->Members.empty())
+      return std::nullopt;
+    for (std::size_t n = 0; n < Shape.Controllers; ++n)
+      if (Controllers[n].Self == Stored->Members[0])
+        return n;
+    return std::nullopt;
+  }
+  std::size_t ownedBy(std::size_t upstream) const {
+    if (!Stored)
+      return 0;
+    return static_cast<std::size_t>(std::ranges::count(
+        Stored->Shards, upstreamId(upstream), &UnitOwner::Owner));
+  }
+  /// Calls @p probe each @p step of model time during @p length.
+  template <class F> void sample(ModelTime length, ModelTime step, F &&probe) {
+    for (ModelTime end = Now + length; Now < end;) {
+      advance(step);
+      probe();
+    }
+  }
+  static UpstreamId upstreamId(std::size_t n) {
+    return UpstreamId("u" + std::to_string(n));
+  }
+  bool IsTwoOwnersAllowed = false; ///< counts instead of objecting
+  std::uint64_t TwoOwners = 0;
+
+private:
+  struct Node {
+    ModelTime Offset = 0;
+    std::int64_t RatePpm = 0; ///< against model time
+    ModelTime PausedUntil = 0;
+    std::uint64_t Process = 0; ///< number of its present process
+    DomainId Domain;
+  };
+  struct ControllerFake {
+    RecordMember Self;
+    std::unique_ptr<OwnershipLeader> Leader;
+    Time LastNow;
+  };
+  struct UpstreamFake {
+    std::unique_ptr<GrantHolder> Holder;
+  };
+  struct Event {
+    ModelTime At = 0;
+    std::uint64_t Number = 0;
+    std::function<void()> Action;
+    bool operator<(const Event &other) const {
+      return std::tie(At, Number) > std::tie(other.At, other.Number);
+    }
+  };
+
+  Node makeNode(std::size_t n) {
+    const std::int64_t most = Shape.Terms.DriftPpm * 48 / 100;
+    Node node;
+    node.Offset = 1 + draw(1000 * ModelSecond);
+    node.RatePpm = (draw(3) - 1) * most;
+    node.Domain = domain(n);
+    return node;
+  }
+  std::int64_t draw(std::int64_t below) {
+    return static_cast<std::int64_t>(Random() %
+                                     static_cast<std::uint64_t>(below));
+  }
+  void at(ModelTime time, std::function<void()> action) {
+    Events.push({time, NextEvent++, std::move(action)});
+  }
+  std::int64_t localMicroseconds(std::size_t node) const {
+    const Node &it = Nodes[node];
+    return it.Offset + Now + Now * it.RatePpm / 1'000'000;
+  }
+  Time controllerNow(std::size_t n) const {
+    return Time(Duration(localMicroseconds(n)));
+  }
+  UpstreamTime upstreamNow(std::size_t n) const {
+    return UpstreamTime(Duration(localMicroseconds(upstreamNode(n))));
+  }
+  OrderChecking checking(std::size_t n) const {
+    return n < Shape.NonChecking ? OrderChecking::Off : OrderChecking::On;
+  }
+
+  /// Delivers to a process of a node when it runs; @p process 0: any.
+  void deliver(std::size_t to, std::uint64_t process,
+               std::function<void()> action) {
+    Node &node = Nodes[to];
+    if (process != 0 && node.Process != process)
+      return;
+    if (node.PausedUntil > Now) {
+      if (isStopped(to))
+        return;
+      return at(node.PausedUntil + draw(1000),
+                [this, to, process, action = std::move(action)] {
+                  deliver(to, process, action);
+                });
+    }
+    action();
+  }
+  void send(std::size_t from, std::size_t to, std::uint64_t process,
+            const std::function<void()> &action, ModelTime extra = 0) {
+    if (draw(100) < Network.LossPercent)
+      return;
+    const int copies = draw(100) < Network.DuplicatePercent ? 2 : 1;
+    for (int n = 0; n < copies; ++n) {
+      const ModelTime delay = Network.LeastDelay +
+                              draw(Network.MostDelay - Network.LeastDelay + 1) +
+                              extra;
+      at(Now + delay, [this, from, to, process, action] {
+        if (!IsCut[from][to])
+          deliver(to, process, action);
+      });
+    }
+  }
+
+  void tick(std::size_t n, std::uint64_t process) {
+    deliver(n, process, [this, n, process] {
+      handle(n, Tick());
+      const ModelTime half = Shape.Terms.Heartbeat.count() / 2;
+      at(Now + half - draw(half / 5), [this, n, process] { tick(n, process); });
+    });
+  }
+  ControllersChanged linked() const {
+    ControllersChanged event;
+    for (const ControllerFake &it : Controllers)
+      if (it.Leader)
+        event.Members.push_back({it.Self, false});
+    return event;
+  }
+  void defineUpstream(std::size_t n) {
+    if (n < Definition.Upstreams.size())
+      return;
+    Definition.ShardCount = Shape.Shards;
+    Definition.Upstreams.push_back({upstreamId(n),
+                                    Nodes[upstreamNode(n)].Domain, false,
+                                    checking(n) == OrderChecking::On});
+  }
+  void tellDefinition() {
+    for (std::size_t n = 0; n < Shape.Controllers; ++n)
+      handle(n, ServiceChanged{Definition});
+  }
+
+  void handle(std::size_t n, const OwnershipEvent &event) {
+    ControllerFake &controller = Controllers[n];
+    if (!controller.Leader || isStopped(n))
+      return;
+    for (OwnershipAction &action :
+         controller.Leader->handle(event, controllerNow(n)))
+      std::visit([&](auto &it) { carryOut(n, it); }, action);
+  }
+
+  void carryOut(std::size_t n, const ReadRecord &action) {
+    ++Counts.StoreReads;
+    const std::uint64_t process = Nodes[n].Process;
+    const auto seen = std::make_shared<bool>(false);
+    const std::uint64_t operation = action.Operation;
+    send(
+        n, storeNode(), 0,
+        [this, n, process, operation, seen] {
+          if (IsStoreDown || draw100(StoreAnswersToLose > 0 ? 30 : 0))
+            return;
+          answerStore(n, process, seen,
+                      RecordRead{operation, true, StoreRevision, Stored});
+        },
+        storeDelay());
+    timeOutStore(n, process, seen, RecordRead{operation});
+  }
+  void carryOut(std::size_t n, const WriteRecord &action) {
+    ++Counts.StoreWrites;
+    const std::uint64_t process = Nodes[n].Process;
+    const auto seen = std::make_shared<bool>(false);
+    const auto write = std::make_shared<WriteRecord>(action);
+    send(
+        n, storeNode(), 0,
+        [this, n, process, write, seen] {
+          if (IsStoreDown)
+            return;
+          const bool isApplied = write->Expected == StoreRevision;
+          if (isApplied)
+            store(write->Record);
+          if (StoreAnswersToLose > 0) {
+            --StoreAnswersToLose;
+            return;
+          }
+          answerStore(n, process, seen,
+                      RecordWritten{write->Operation,
+                                    isApplied ? WriteOutcome::Applied
+                                              : WriteOutcome::Conflict,
+                                    StoreRevision});
+        },
+        storeDelay());
+    timeOutStore(n, process, seen, RecordWritten{write->Operation});
+  }
+  bool draw100(int percent) { return draw(100) < percent; }
+  ModelTime storeDelay() { return StoreDelay == 0 ? 0 : draw(StoreDelay); }
+  template <class E>
+  void answerStore(std::size_t n, std::uint64_t process,
+                   const std::shared_ptr<bool> &seen, E event) {
+    send(
+        storeNode(), n, process,
+        [this, n, seen, event = std::move(event)] {
+          if (std::exchange(*seen, true))
+            return;
+          handle(n, event);
+        },
+        storeDelay());
+  }
+  template <class E>
+  void timeOutStore(std::size_t n, std::uint64_t process,
+                    const std::shared_ptr<bool> &seen, const E &event) {
+    at(Now + 500 * ModelMillisecond, [this, n, process, seen, event] {
+      deliver(n, process, [this, n, seen, event] {
+        if (!std::exchange(*seen, true))
+          handle(n, event);
+      });
+    });
+  }
+  void store(const OwnershipRecord &record) {
+    checkChange(record);
+    if (Stored)
+      for (std::size_t n = 0;
+           n < std::min(Stored->Shards.size(), record.Shards.size()); ++n)
+        Counts.Moves += Stored->Shards[n].Owner != record.Shards[n].Owner &&
+                                !Stored->Shards[n].Owner.Value.empty()
+                            ? 1
+                            : 0;
+    Stored = record;
+    StoreRevision = Revision(StoreRevision.Value + 1);
+    History[record.Rev] = record;
+    if (History.size() > 200)
+      History.erase(History.begin());
+  }
+
+  /// The record may only go forward, and each change builds on the last.
+  void checkChange(const OwnershipRecord &next) {
+    if (!Stored)
+      return;
+    if (next.Rev.Value != Stored->Rev.Value + 1)
+      return object("revision " + std::to_string(next.Rev.Value) +
+                    " written over " + std::to_string(Stored->Rev.Value));
+    const auto last = Stored->Changes.back();
+    if (std::ranges::find(next.Changes, last) == next.Changes.end())
+      return object("an acknowledged change is lost");
+    for (std::size_t n = 0; n < Stored->Shards.size(); ++n)
+      if (next.Shards.at(n).Fence < Stored->Shards[n].Fence)
+        return object("the token of a shard went back");
+  }
+
+  void carryOut(std::size_t n, const SendPeer &action) {
+    ++Counts.PeerMessages;
+    for (std::size_t to = 0; to < Shape.Controllers; ++to) {
+      if (VmId("c" + std::to_string(to)) != action.To)
+        continue;
+      const RecordMember from = Controllers[n].Self;
+      send(n, to, 0, [this, to, event = PeerSaid{from, action.Message}] {
+        handle(to, event);
+      });
+    }
+  }
+  void carryOut(std::size_t n, const PublishRecord &action) {
+    const auto it = History.find(action.Record.Rev);
+    if (it != History.end() && it->second != action.Record)
+      return object("a record was published that was never written");
+    const auto record = std::make_shared<OwnershipRecord>(action.Record);
+    for (std::size_t to = 0; to < Shape.Controllers; ++to)
+      if (to != n)
+        send(n, to, 0,
+             [this, to, record] { handle(to, RecordHeard{*record}); });
+  }
+  void carryOut(std::size_t n, const QueryUpstream &action) {
+    ++Counts.Queries;
+    order(n, action.To, std::nullopt);
+  }
+  void carryOut(std::size_t n, const SendOrder &action) {
+    ++Counts.Orders;
+    if (action.Order.Set)
+      Counts.OrderUnits += action.Order.Set->Units.size();
+    order(n, action.To, action.Order);
+  }
+  void order(std::size_t from, const UpstreamId &to,
+             std::optional<GrantOrder> order) {
+    const std::uint64_t process = Nodes[from].Process;
+    for (std::size_t n = 0; n < Shape.Upstreams; ++n) {
+      if (upstreamId(n) != to)
+        continue;
+      send(from, upstreamNode(n), 0,
+           [this, from, n, process, order = std::move(order)] {
+             takeOrder(from, n, process, order);
+           });
+      return;
+    }
+  }
+  void takeOrder(std::size_t from, std::size_t n, std::uint64_t process,
+                 std::optional<GrantOrder> order) {
+    const UpstreamTime local = upstreamNow(n);
+    if (order && Shape.Terms.Faults.HasDeadlineFromReceipt)
+      order->Deadline = local + Shape.Terms.GrantTerm;
+    const GrantAnswer answer = Upstreams[n].Holder->answer(order, local);
+    if (answer.Accepted)
+      checkOwners(n);
+    send(upstreamNode(n), from, process,
+         [this, from, answer] { handle(from, UpstreamAnswered{answer}); });
+  }
+
+  /// Rights begin only when an order is accepted, so this is the only
+  /// moment at which a second owner can appear.
+  void checkOwners(std::size_t changed) {
+    for (const KeyHash &key : ProbeKeys) {
+      if (!Upstreams[changed].Holder->tokenOf(key, Shape.Shards,
+                                              upstreamNow(changed)))
+        continue;
+      for (std::size_t n = 0; n < Shape.Upstreams; ++n) {
+        if (n == changed ||
+            !Upstreams[n].Holder->tokenOf(key, Shape.Shards, upstreamNow(n)))
+          continue;
+        ++TwoOwners;
+        if (!IsTwoOwnersAllowed)
+          return object("u" + std::to_string(n) + " and u" +
+                        std::to_string(changed) + " both own key " +
+                        std::to_string(key.Value));
+      }
+    }
+  }
+  void object(std::string why) {
+    if (Violation.empty())
+      Violation = std::move(why) + " at " + std::to_string(Now) + " us";
+  }
+
+  WorldShape Shape;
+  std::mt19937_64 Random;
+  ModelTime Now = 0;
+  std::priority_queue<Event> Events;
+  std::uint64_t NextEvent = 0;
+  std::vector<Node> Nodes;
+  std::vector<std::vector<bool>> IsCut;
+  NetworkFaults Network;
+  std::vector<ControllerFake> Controllers;
+  std::vector<UpstreamFake> Upstreams;
+  ServiceDefinition Definition;
+  std::vector<KeyHash> ProbeKeys;
+  std::optional<OwnershipRecord> Stored;
+  Revision StoreRevision;
+  bool IsStoreDown = false;
+  ModelTime StoreDelay = 0;
+  int StoreAnswersToLose = 0;
+  std::map<Revision, OwnershipRecord> History;
+  WorldCounts Counts;
+  std::string Violation;
+};
+
+} // namespace waxwing
+
+#endif
