--- a/src/traffic/router_core_type.h
+++ b/src/traffic/router_core_type.h
@@ -18,6 +18,12 @@
 
 namespace waxwing {
 
+/// Why a router forwards a request to another one.
+enum class ForwardPurpose : std::uint8_t {
+  UpstreamHome,    ///< the other router is the home of the upstream
+  IdempotencyHome, ///< the other router remembers the idempotency key
+};
+
 /// A request as the edge read it.
 struct CallerRequest {
   RequestId Id;
@@ -31,6 +37,10 @@
   /// Set when another router forwarded the request: the caller's tier, which
   /// that router has checked.
   std::optional<TierId> ForwardedTier;
+  ForwardPurpose ForwardedFor = ForwardPurpose::UpstreamHome;
+  CallerId ForwardedCaller; ///< valid with ForwardedTier
+  WallTime ArrivedAt;
+  std::uint64_t Fingerprint = 0; ///< hash of method, target and body
   std::shared_ptr<const HttpRequest> Message; ///< as sent to upstreams
 };
 
@@ -43,6 +53,8 @@
 struct AttemptEnded {
   AttemptId Attempt;
   Reason Why = Reason::None;      ///< None: an upstream's whole answer
+  Verdict Proven = Verdict::Ran;  ///< of this attempt
+  Duration RetryAfter{};          ///< stated by a refusal
   std::uint64_t ConnectionId = 0; ///< 0: no connection
   HttpResponse Answer;            ///< valid when Why is None
 };
@@ -58,7 +70,9 @@
 };
 
 /// Time passed.
-struct RouterTick {};
+struct RouterTick {
+  WallTime Wall;
+};
 
 /// This router takes no more requests; those in flight go on.
 struct DrainStarted {};
@@ -67,6 +81,13 @@
     std::variant<CallerRequest, CallerLost, AttemptEnded, ConfigurationChanged,
                  OwnersChanged, RouterTick, DrainStarted>;
 
+/// Attempts at the home of an idempotency key have ids from here on; those
+/// of the dispatcher are below.
+constexpr std::uint64_t FirstSend = 1ull << 63;
+
+/// @return whether the dispatcher does not know @p attempt
+inline bool isSend(AttemptId attempt) { return attempt.Value >= FirstSend; }
+
 /// Send a request to an upstream.
 struct UpstreamTarget {
   UpstreamId Upstream;
@@ -80,6 +101,7 @@
   VmId Router;
   Endpoint Address;
   TierId Tier;
+  ForwardPurpose Purpose = ForwardPurpose::UpstreamHome;
 };
 
 using AttemptTarget = std::variant<UpstreamTarget, RouterTarget>;
@@ -89,6 +111,7 @@
   RequestId Request;
   AttemptTarget Target;
   Time Deadline;
+  CallerId Caller;
   std::shared_ptr<const HttpRequest> Message;
 };
 
@@ -104,6 +127,7 @@
   Verdict Proven = Verdict::Ran;
   Duration RetryAfter{}; ///< stated when Proven is NotRun
   HttpResponse Answer;   ///< the upstream's when Why is None
+  std::string Detail;    ///< told beside the reason; may be empty
 };
 
 using RouterAction = std::variant<StartAttempt, CancelAttempt, AnswerCaller>;
