--- a/src/controller/configuration_host.cpp
+++ b/src/controller/configuration_host.cpp
@@ -146,7 +146,8 @@
                action.Error);
 }
 
-void ConfigurationHost::carryOut(RecordKnown &action, Time) {
+void ConfigurationHost::carryOut(RecordKnown &action, Time now) {
+  Handlers.OnRecord(action.Record, now);
   send({std::nullopt, ProcessRole::Router,
         OwnersUpdate{std::move(action.Record)}});
 }
--- a/src/controller/ownership_host.h
+++ b/src/controller/ownership_host.h
@@ -1,6 +1,6 @@
 /**
  * @file ownership_host.h
- * Runs the ownership state machine of each service divided by key and
+ * Runs the ownership state machine of each service and
  * carries out what they ask for.
  */
 #ifndef WAXWING_CONTROLLER_OWNERSHIP_HOST_H
@@ -38,6 +38,8 @@
     return it == Leaders.end() ? nullptr : &it->second;
   }
 
+  /// Another controller published a record.
+  void hear(const OwnershipRecord &record, Time now);
   /// The configuration in force changed.
   void define(const Configuration &config, Time now);
   /// Membership's view changed.
--- a/src/standin/upstream_server.cpp
+++ b/src/standin/upstream_server.cpp
@@ -42,7 +42,8 @@
 
 UpstreamServer::UpstreamServer(UpstreamTraits traits, std::size_t connections)
     : Traits(std::move(traits)),
-      Grants(Traits, Incarnation(std::random_device()())),
+      Grants(Traits.Id, Incarnation(std::random_device()()),
+             Traits.ChecksOrders ? OrderChecking::On : OrderChecking::Off),
       StartedAt(readClock()),
       Main(Io, HttpServerLimits{connections},
            [this](HttpExchange it) { take(std::move(it)); }),
