--- a/tests/support/deployment.cpp
+++ b/tests/support/deployment.cpp
@@ -9,6 +9,7 @@
 #include "net/url_func.h"
 
 #include <algorithm>
+#include <cstdlib>
 #include <filesystem>
 #include <fmt/format.h>
 #include <fstream>
@@ -48,16 +49,23 @@
   return call(port, std::move(request)).Response.Body;
 }
 
+/// @return what WAXWING_PORT_OFFSET adds to all ports, so that two checkouts
+///   can run the same test at a time
+std::uint16_t portOffset() {
+  const char *text = std::getenv("WAXWING_PORT_OFFSET");
+  return static_cast<std::uint16_t>(text == nullptr ? 0 : std::atoi(text));
+}
+
 void writeFile(const std::string &path, const std::string &text) {
   std::ofstream(path) << text;
 }
 
 } // namespace
 
-Deployment::Deployment(DeploymentSpec spec)
-    : Spec(std::move(spec)),
-      Folder(std::filesystem::temp_directory_path() /
-             fmt::format("waxwing-{}-{}", Spec.Name, Spec.BasePort)) {
+Deployment::Deployment(DeploymentSpec spec) : Spec(std::move(spec)) {
+  Spec.BasePort = static_cast<std::uint16_t>(Spec.BasePort + portOffset());
+  Folder = std::filesystem::temp_directory_path() /
+           fmt::format("waxwing-{}-{}", Spec.Name, Spec.BasePort);
   std::filesystem::remove_all(Folder);
   std::filesystem::create_directories(Folder);
   auto port = static_cast<std::uint16_t>(Spec.BasePort + UpstreamPortOffset);
