Fix: [Router] Forwarded requests were bounded by the connections of one upstream

Cause: one client's limit of 12 connections for each address held for other routers too; with home routers that made send_failed (95 of 1199 requests in EndToEnd.ControllersLostOneAfterAnotherCostNoAnswer). Change: forwards have a client of their own. Readiness in the deployment support now covers writes under idempotency keys, whose homes refuse keys older than their lease.

--- a/src/router/upstream_port.cpp
+++ b/src/router/upstream_port.cpp
@@ -72,7 +72,7 @@
 
 UpstreamPort::UpstreamPort(std::size_t connections,
                            std::function<void()> wakeDecisions)
-    : Client(Io, connections),
+    : Client(Io, connections), Forwards(Io, ForwardConnections),
       Commands(AttemptLimit,
                [this] {
                  Io.post([this] {
@@ -98,7 +98,7 @@
   exchange.To = addressOf(attempt.Target);
   exchange.WireId = wireId;
   exchange.IsForwarded = std::holds_alternative<RouterTarget>(attempt.Target);
-  exchange.ClientId = Client.send(
+  exchange.ClientId = clientOf(exchange).send(
       exchange.To, std::move(request), attempt.Deadline,
       [this, id](HttpOutcome outcome) { finish(id, std::move(outcome)); });
 }
@@ -106,7 +106,7 @@
 void UpstreamPort::carryOut(const CancelAttempt &attempt) {
   const auto it = Exchanges.find(attempt.Attempt);
   if (it != Exchanges.end())
-    Client.cancel(it->second.ClientId);
+    clientOf(it->second).cancel(it->second.ClientId);
 }
 
 void UpstreamPort::carryOut(const ProbeUpstream &probe) {
@@ -124,7 +124,7 @@
 void UpstreamPort::carryOut(const DropIdle &drop) {
   const auto it = Exchanges.find(drop.Attempt);
   if (it != Exchanges.end())
-    Client.closeIdle(it->second.To, drop.StartedAt);
+    clientOf(it->second).closeIdle(it->second.To, drop.StartedAt);
 }
 
 void UpstreamPort::finish(AttemptId attempt, HttpOutcome outcome) {
@@ -136,7 +136,7 @@
                                    : judgeUpstream(outcome, exchange.WireId);
   // Whatever else this connection brings belongs to another request.
   if (end.Why == Reason::CrossedAnswer)
-    Client.closeConnection(exchange.To, outcome.ConnectionId);
+    clientOf(exchange).closeConnection(exchange.To, outcome.ConnectionId);
   if (outcome.Progress == HttpProgress::Cancelled && !exchange.IsForwarded)
     tellCancelled(exchange);
   report({attempt, end.Why, end.Proven, end.RetryAfter, outcome.ConnectionId,
--- a/src/router/upstream_port.h
+++ b/src/router/upstream_port.h
@@ -21,6 +21,8 @@
 
 /// Attempts in flight at most; as many as the ring of their ends.
 constexpr std::size_t AttemptLimit = 16384;
+/// Connections to one other router at most.
+constexpr std::size_t ForwardConnections = 1024;
 /// Ends of probes that may wait for the decisions.
 constexpr std::size_t ProbeLimit = 1024;
 
@@ -48,6 +50,9 @@
     bool IsForwarded = false;
   };
 
+  HttpClient &clientOf(const Exchange &exchange) {
+    return exchange.IsForwarded ? Forwards : Client;
+  }
   void carryOut(StartAttempt attempt);
   void carryOut(const CancelAttempt &attempt);
   void carryOut(const ProbeUpstream &probe);
@@ -60,6 +65,7 @@
 
   IoThread Io{"upstreams"};
   HttpClient Client;
+  HttpClient Forwards; ///< to other routers
   BoundedRing<PortCommand> Commands;
   BoundedRing<AttemptEnded> Ends;
   BoundedRing<UpstreamProbed> Probes;
--- a/src/traffic/idempotency_type.h
+++ b/src/traffic/idempotency_type.h
@@ -32,9 +32,9 @@
 
 /// Bounds on civil clocks.
 struct IdempotencyTerms {
-  Duration VmClockError = milliseconds(250); ///< of a router against true time
+  Duration VmClockError = milliseconds(100); ///< of a router against true time
   Duration AheadLimit =
-      milliseconds(500); ///< a key's time of issue may be so late
+      milliseconds(250); ///< a key's time of issue may be so late
 
   /// A home has seen every execution of keys that were issued later than its
   /// start and this.
--- a/tests/support/deployment.h
+++ b/tests/support/deployment.h
@@ -87,7 +87,8 @@
   /// @return false when it did not within 20 s
   bool waitUntilServed(int vm, const std::string &service);
 
-  /// Asks until each service answers through each router.
+  /// Asks until each service answers through each router, and takes writes
+  /// under idempotency keys.
   bool waitUntilAllServed();
 
   /// Starts a load; wait() for its exit code, 0 when all was right.
@@ -107,6 +108,7 @@
     std::uint16_t Port = 0; ///< the admin port follows it
   };
 
+  bool waitUntilKeysServed(const std::string &service);
   void writeVmSettings();
   std::string buildDocument() const;
   const UpstreamPlace &place(const std::string &service, int number) const;
