--- /dev/null
+++ b/bench/relay_bench.cpp
@@ -0,0 +1,182 @@
+/**
+ * @file relay_bench.cpp
+ * Cost of control on one node and calls to the store against the number of
+ * members, and the time until a change is in force everywhere. Drives the
+ * shipped state machines and codec in model time; CPU time is real and holds
+ * the fake network's share too.
+ */
+#include "../tests/control_net.h"
+
+#include <ctime>
+#include <fmt/core.h>
+#include <malloc.h>
+
+namespace waxwing {
+namespace {
+
+constexpr Duration Settling = seconds(30);
+constexpr Duration IdleSpan = seconds(60);
+constexpr int Changes = 10;
+constexpr Duration ChangePeriod = seconds(10);
+/// Size of a team's document in characters, near that of the demo's.
+constexpr std::size_t DocumentSize = 8000;
+
+double cpuSeconds() {
+  return static_cast<double>(std::clock()) / CLOCKS_PER_SEC;
+}
+
+struct Sample {
+  double BytesPerNode;    ///< sent, a second
+  double MessagesPerNode; ///< sent, a second
+  double CpuShare;        ///< of one core, on one node
+  double StoreCalls;      ///< a second, of all nodes
+};
+
+/// Counts over a span of model time.
+class Meter {
+public:
+  explicit Meter(const ControlNet &net)
+      : Net(net), Before(net.Counts), Begin(net.Now), Cpu(cpuSeconds()) {}
+
+  Sample read() const {
+    const double span = std::chrono::duration<double>(Net.Now - Begin).count();
+    const double nodes = static_cast<double>(Net.Hosts.size()) * span;
+    const auto calls = Net.Counts.StoreLists + Net.Counts.StoreWaits -
+                       Before.StoreLists - Before.StoreWaits;
+    return {static_cast<double>(Net.Counts.Bytes - Before.Bytes) / nodes,
+            static_cast<double>(Net.Counts.Messages - Before.Messages) / nodes,
+            (cpuSeconds() - Cpu) / nodes, static_cast<double>(calls) / span};
+  }
+
+private:
+  const ControlNet &Net;
+  NetCounts Before;
+  Time Begin;
+  double Cpu;
+};
+
+void print(std::size_t members, const char *phase, const Sample &it,
+           const std::string &more) {
+  fmt::print("{:>7}  {:<22}{:>10.0f}{:>9.1f}{:>10.3f}{:>12.2f}  {}\n", members,
+             phase, it.BytesPerNode, it.MessagesPerNode, it.CpuShare * 100,
+             it.StoreCalls, more);
+}
+
+Duration timeToConverge(ControlNet &net) {
+  const Time begin = net.Now;
+  while (!net.isConverged() && net.Now < begin + ChangePeriod)
+    net.runFor(milliseconds(5));
+  return net.Now - begin;
+}
+
+double milli(Duration it) { return static_cast<double>(it.count()) / 1000; }
+
+void measureChanges(ControlNet &net) {
+  Duration worst{};
+  Duration sum{};
+  const Meter meter(net);
+  for (int n = 0; n < Changes; ++n) {
+    const Time begin = net.Now;
+    net.write("dakar", std::string(DocumentSize, ' '));
+    const Duration span = timeToConverge(net);
+    worst = std::max(worst, span);
+    sum += span;
+    net.run(begin + ChangePeriod);
+  }
+  print(net.Hosts.size(), "a change every 10 s", meter.read(),
+        fmt::format("in force everywhere: mean {:.0f} ms, worst {:.0f} ms",
+                    milli(sum) / Changes, milli(worst)));
+}
+
+void measureReplacement(ControlNet &net) {
+  const Meter meter(net);
+  std::size_t right = 0;
+  for (std::size_t n = 0; n < 6; ++n) {
+    net.leave(n);
+    net.runFor(milliseconds(200));
+    net.crash(n);
+    net.runFor(seconds(2));
+    net.start(n);
+    net.runFor(seconds(8));
+    right += net.areViewsRight() ? 1 : 0;
+  }
+  print(net.Hosts.size(), "a VM replaced in 10 s", meter.read(),
+        fmt::format("views right after each: {}/6", right));
+}
+
+void measureOutage(ControlNet &net) {
+  net.IsStoreDown = true;
+  const Meter meter(net);
+  net.runFor(IdleSpan);
+  const Sample sample = meter.read();
+  net.IsStoreDown = false;
+  net.runFor(seconds(15));
+  print(net.Hosts.size(), "store down", sample, "");
+}
+
+void measureRegions(ControlNet &net) {
+  for (auto &host : net.Hosts)
+    host.Side = host.Region == "region0" ? 0 : 1;
+  const Meter apart(net);
+  net.runFor(seconds(30));
+  print(net.Hosts.size(), "regions apart 30 s", apart.read(), "");
+  for (auto &host : net.Hosts)
+    host.Side = 0;
+  const Meter again(net);
+  const Time begin = net.Now;
+  while (!net.areViewsRight() && net.Now < begin + seconds(60))
+    net.runFor(milliseconds(100));
+  print(
+      net.Hosts.size(), "and together again", again.read(),
+      fmt::format("views right after {:.1f} s", milli(net.Now - begin) / 1000));
+}
+
+void measure(std::size_t members) {
+  ControlNet net(members, 6, members > 10 ? 2 : 1, members);
+  for (std::size_t n = 0; n < members; ++n) {
+    net.start(n);
+    if (n % 8 == 7)
+      net.runFor(milliseconds(100));
+  }
+  net.write("dakar", std::string(DocumentSize, ' '));
+  net.runFor(Settling);
+  const double heap = static_cast<double>(mallinfo2().uordblks) / 1e6;
+  std::size_t links = 0;
+  std::size_t most = 0;
+  for (std::size_t n = 0; n < members; ++n) {
+    links += net.linksOf(n);
+    most = std::max(most, net.linksOf(n));
+  }
+  net.IsEncoding = true;
+  net.runFor(seconds(1));
+  const Meter idle(net);
+  net.runFor(IdleSpan);
+  print(members, "idle", idle.read(),
+        fmt::format("links: mean {:.1f}, most {}; heap {:.2f} MB a node; "
+                    "views right: {}",
+                    static_cast<double>(links) / static_cast<double>(members),
+                    most, heap / static_cast<double>(members),
+                    net.areViewsRight()));
+  measureChanges(net);
+  measureReplacement(net);
+  measureOutage(net);
+  if (members > 10)
+    measureRegions(net);
+  for (const std::string &violation : net.Violations)
+    fmt::print("violation: {}\n", violation);
+  std::fflush(stdout);
+}
+
+} // namespace
+} // namespace waxwing
+
+int main(int argc, char **argv) {
+  fmt::print("1 ms between VMs, 40 ms between regions; bytes are of frames' "
+             "payload, sent\n{:>7}  {:<22}{:>10}{:>9}{:>10}{:>12}\n",
+             "members", "phase", "bytes/s", "msg/s", "core %", "store/s");
+  std::vector<std::size_t> sizes{10, 100, 730};
+  if (argc > 1)
+    sizes = {static_cast<std::size_t>(std::atoi(argv[1]))};
+  for (const std::size_t members : sizes)
+    waxwing::measure(members);
+}
--- a/src/controller/configuration_host.cpp
+++ b/src/controller/configuration_host.cpp
@@ -19,6 +19,8 @@
 constexpr Duration JoinLimit = seconds(2);
 constexpr std::size_t JoinPeers = 3;
 constexpr std::size_t MeshVms = 12;
+/// Tells routers that the link and this controller live.
+constexpr Duration RouterHeartbeatPeriod = seconds(1);
 /// Controllers named to a router, for the loss of its own.
 constexpr std::size_t ControllersForRouter = 8;
 
@@ -57,6 +59,15 @@
       Node(entryOf(self, settings), membershipTerms(settings),
            {PullTimeout, JoinLimit, JoinPeers, MeshVms}, now) {}
 
+void ConfigurationHost::tick(Time now) {
+  handle(ControlTick(), now);
+  if (now < NextRouterHeartbeat)
+    return;
+  NextRouterHeartbeat = now + RouterHeartbeatPeriod;
+  send({std::nullopt, ProcessRole::Router,
+        MembershipEnvelope{Heartbeat{RouterHeartbeatPeriod}}});
+}
+
 void ConfigurationHost::on(DocumentsRead &read, Time now) {
   handle(DocumentsWatched{read.IsAnswered, std::move(read.Documents)}, now);
 }
--- a/src/controller/configuration_host.h
+++ b/src/controller/configuration_host.h
@@ -44,7 +44,7 @@
     return Node.membership().others();
   }
 
-  void tick(Time now) { handle(ControlTick(), now); }
+  void tick(Time now);
   /// This process is shutting down.
   void leave(Time now) { handle(LeaveStarted(), now); }
   /// Puts a document into force whose write is known to have taken effect.
@@ -84,6 +84,7 @@
   ConfigurationHandlers Handlers;
   ControlNode Node;
   std::map<VmId, Endpoint> Targets;
+  Time NextRouterHeartbeat;
   std::map<VmId, MemberState> Logged; ///< states that were logged last
 };
 
--- a/src/membership/membership.cpp
+++ b/src/membership/membership.cpp
@@ -53,7 +53,10 @@
                                                  Time now) {
   Actions.clear();
   std::visit([&](const auto &it) { on(it, now); }, event);
-  flushRumours();
+  // A large group sends rumours with its ticks, many in one message.
+  if (heartbeatStretch() == 1 || std::holds_alternative<MembershipTick>(event))
+    flushRumours();
+  flushReplies();
   return std::exchange(Actions, {});
 }
 
@@ -218,6 +221,9 @@
   const auto [it, isNew] = Members.try_emplace(entry.Vm);
   MemberData &member = it->second;
   if (!isNew && !isNewer(entry, member.Entry)) {
+    if (const auto rumour = Rumours.find(entry.Vm);
+        rumour != Rumours.end() && rumour->second.Entry == entry)
+      rumour->second.KnownBy.insert(from);
     if (isNewer(member.Entry, entry))
       Replies[from].push_back(member.Entry);
     return false;
@@ -238,7 +244,7 @@
   Cached.reset();
   IsChanged = true;
   Actions.push_back(MembersChanged());
-  spread(entry);
+  spread(entry, from);
   return true;
 }
 
@@ -249,7 +255,7 @@
       now < member.NextSuspicion)
     return;
   setState(member, MemberState::Suspected, now);
-  spread(member.Entry);
+  spread(member.Entry, Self.Vm);
 }
 
 void Membership::setState(MemberData &member, MemberState state, Time now) {
@@ -263,20 +269,28 @@
 void Membership::speakForSelf(std::uint64_t version) {
   Self.Version = version;
   Cached.reset();
-  spread(Self);
+  spread(Self, Self.Vm);
 }
 
-void Membership::spread(const MemberEntry &entry) { Rumours[entry.Vm] = entry; }
+void Membership::spread(const MemberEntry &entry, const VmId &from) {
+  Rumours[entry.Vm] = {entry, {from}};
+}
 
 void Membership::flushRumours() {
-  if (!Rumours.empty()) {
+  if (Rumours.empty())
+    return;
+  for (const auto &[peer, link] : Links) {
     MembersUpdate news;
-    std::ranges::copy(Rumours | std::views::values,
-                      std::back_inserter(news.Entries));
-    for (const auto &[vm, link] : Links)
-      Actions.push_back(SendMembership{vm, news});
-    Rumours.clear();
+    for (const auto &[vm, rumour] : Rumours)
+      if (!rumour.KnownBy.contains(peer))
+        news.Entries.push_back(rumour.Entry);
+    if (!news.Entries.empty())
+      Actions.push_back(SendMembership{peer, std::move(news)});
   }
+  Rumours.clear();
+}
+
+void Membership::flushReplies() {
   for (auto &[vm, entries] : Replies)
     Actions.push_back(SendMembership{vm, MembersUpdate{std::move(entries)}});
   Replies.clear();
--- a/src/membership/membership_base.h
+++ b/src/membership/membership_base.h
@@ -49,6 +49,11 @@
     Time NextSuspicion;            ///< backs off while it is refuted
     Duration Backoff{};
   };
+  /// An entry to be sent on all links but to those that have it.
+  struct Rumour {
+    MemberEntry Entry;
+    std::set<VmId> KnownBy;
+  };
   struct LinkData {
     Time HeardAt;
     Duration Period;                  ///< of the peer's heartbeats
@@ -83,8 +88,9 @@
   void suspect(MemberData &member, Time now);
   void setState(MemberData &member, MemberState state, Time now);
   void speakForSelf(std::uint64_t version);
-  void spread(const MemberEntry &entry);
+  void spread(const MemberEntry &entry, const VmId &from);
   void flushRumours();
+  void flushReplies();
   const BucketDigests &buckets() const;
   template <class F> void forEachEntry(F &&visit) const;
 
@@ -92,7 +98,7 @@
   MembershipTerms Terms;
   std::map<VmId, MemberData> Members; ///< without Self
   std::map<VmId, LinkData> Links;
-  std::map<VmId, MemberEntry> Rumours; ///< to be sent on all links
+  std::map<VmId, Rumour> Rumours; ///< by the member that they are about
   std::map<VmId, std::vector<MemberEntry>> Replies;
   std::map<VmId, Endpoint> Targets;
   std::optional<VmId> Retried; ///< dead member that is tried just now
--- a/src/router/controller_link.cpp
+++ b/src/router/controller_link.cpp
@@ -6,16 +6,23 @@
 
 #include "link/link_message_func.h"
 
+#include <spdlog/spdlog.h>
+
 namespace waxwing {
 namespace {
 
 constexpr Duration ReconnectPeriod = milliseconds(200);
+/// A controller sends a heartbeat each second; a link that is silent for
+/// longer than this is given up.
+constexpr Duration SilenceLimit = seconds(3);
+/// Between attempts to return to the VM's own controller.
+constexpr Duration OwnTrialPeriod = seconds(2);
 
 } // namespace
 
 ControllerLink::ControllerLink(RecordMember self, Endpoint controller,
                                std::function<void()> wakeDecisions)
-    : Self(std::move(self)), Controller(std::move(controller)),
+    : Self(std::move(self)), Controllers{std::move(controller)},
       Messages(LinkRingCapacity, std::move(wakeDecisions)) {}
 
 ControllerLink::~ControllerLink() { stop(); }
@@ -23,31 +30,99 @@
 void ControllerLink::start() {
   Io.post([this] {
     Host.emplace(Io.context(),
-                 LinkHandlers{[this](LinkId id) {
-                                Host->send(id, encodeLinkMessage(LinkHello{
-                                                   Self, ProcessRole::Router}));
-                              },
-                              [this](LinkId, const std::string &bytes) {
-                                onMessage(bytes);
+                 LinkHandlers{[this](LinkId id) { onOpen(id); },
+                              [this](LinkId id, const std::string &bytes) {
+                                onMessage(id, bytes);
                               },
-                              [this](LinkId) { Link.reset(); }});
-    connect();
+                              [this](LinkId id) { onClose(id); }});
+    maintain();
   });
-  Io.runEvery(ReconnectPeriod, [this] { connect(); });
+  Io.runEvery(ReconnectPeriod, [this] { maintain(); });
 }
 
 void ControllerLink::stop() { Io.stop(); }
 
-void ControllerLink::connect() {
+void ControllerLink::maintain() {
+  if (Link && readClock() >= Link->HeardAt + SilenceLimit) {
+    const LinkId silent = Link->Id;
+    Host->close(silent);
+    onClose(silent); // a silent peer does not answer the closing
+  }
   if (!Link)
-    Link = Host->connect(Controller.Address, Controller.Port);
+    connect();
+  else if (!isOwn())
+    tryOwn();
+}
+
+void ControllerLink::connect() {
+  const Endpoint &endpoint = Controllers[Choice];
+  Link = {Host->connect(endpoint.Address, endpoint.Port), readClock(), false};
 }
 
-void ControllerLink::onMessage(const std::string &bytes) {
+void ControllerLink::tryOwn() {
+  if (readClock() < NextTrial)
+    return;
+  NextTrial = readClock() + OwnTrialPeriod;
+  if (OwnTrial)
+    Host->close(*OwnTrial);
+  OwnTrial = Host->connect(Controllers[0].Address, Controllers[0].Port);
+}
+
+void ControllerLink::onOpen(LinkId id) {
+  if (OwnTrial == id) {
+    spdlog::info("links to its own controller again");
+    OwnTrial.reset();
+    if (Link)
+      Host->close(std::exchange(Link, std::nullopt)->Id);
+    Choice = 0;
+    Link = {id, readClock(), false};
+  }
+  if (!Link || Link->Id != id)
+    return Host->close(id);
+  Link->IsOpen = true;
+  Link->HeardAt = readClock();
+  Host->send(id, encodeLinkMessage(LinkHello{Self, ProcessRole::Router}));
+}
+
+void ControllerLink::onClose(LinkId id) {
+  if (OwnTrial == id)
+    OwnTrial.reset();
+  if (!Link || Link->Id != id)
+    return;
+  // The own controller may just have restarted; others follow in turn.
+  const bool hasStood = Link->IsOpen;
+  Choice = hasStood ? 0 : (Choice + 1) % Controllers.size();
+  NextTrial = readClock() + OwnTrialPeriod;
+  if (Choice != 0)
+    spdlog::info("links to controller {} instead of its own",
+                 formatEndpoint(Controllers[Choice]));
+  Link.reset();
+}
+
+void ControllerLink::onMessage(LinkId id, const std::string &bytes) {
+  if (!Link || Link->Id != id)
+    return;
+  Link->HeardAt = readClock();
   auto message = decodeLinkMessage(bytes);
+  if (!message.ok())
+    return;
+  if (const auto *envelope = std::get_if<MembershipEnvelope>(&*message)) {
+    if (const auto *update = std::get_if<MembersUpdate>(&envelope->Message))
+      takeControllers(*update);
+    return;
+  }
   // A message that finds the ring full is sent again after a reconnect.
-  if (message.ok() && !Messages.push(*std::move(message)) && Link)
-    Host->close(*Link);
+  if (!Messages.push(*std::move(message)))
+    Host->close(id);
+}
+
+/// Keeps the last ones named while there are none.
+void ControllerLink::takeControllers(const MembersUpdate &update) {
+  if (update.Entries.empty() || !isOwn())
+    return;
+  Controllers.resize(1);
+  for (const MemberEntry &it : update.Entries)
+    Controllers.push_back(it.Link);
 }
 
 } // namespace waxwing
--- a/src/router/controller_link.h
+++ b/src/router/controller_link.h
@@ -11,13 +11,15 @@
 #include "net/link.h"
 
 #include <optional>
+#include <vector>
 
 namespace waxwing {
 
 /// Link messages that may wait for the decisions.
 constexpr std::size_t LinkRingCapacity = 4096;
 
-/// Used on its own thread, but for messages().
+/// Links to the VM's own controller; while that is gone, to one of those
+/// that it named. Used on its own thread, but for messages().
 class ControllerLink {
 public:
   /// @param self as told in the hello
@@ -32,15 +34,31 @@
   void stop();
 
 private:
+  /// One link that is opening or open.
+  struct LinkData {
+    LinkId Id = 0;
+    Time HeardAt; ///< or when its opening began
+    bool IsOpen = false;
+  };
+
+  void maintain();
   void connect();
-  void onMessage(const std::string &bytes);
+  void tryOwn();
+  void onOpen(LinkId id);
+  void onMessage(LinkId id, const std::string &bytes);
+  void onClose(LinkId id);
+  void takeControllers(const MembersUpdate &update);
+  bool isOwn() const { return Choice == 0; }
 
   IoThread Io{"control-link"};
   RecordMember Self;
-  Endpoint Controller;
+  std::vector<Endpoint> Controllers; ///< the own one first
+  std::size_t Choice = 0;            ///< of Controllers, that Link goes to
   BoundedRing<LinkMessage> Messages;
   std::optional<LinkHost> Host;
-  std::optional<LinkId> Link; ///< opening or open
+  std::optional<LinkData> Link;
+  std::optional<LinkId> OwnTrial; ///< opening, while Link goes elsewhere
+  Time NextTrial;
 };
 
 } // namespace waxwing
--- a/tests/control_net.h
+++ b/tests/control_net.h
@@ -128,9 +128,10 @@
     }
   }
 
-  Revision write(const std::string &team) {
+  Revision write(const std::string &team, const std::string &padding = "") {
     const Revision rev(++StoreRevision);
-    Documents[team] = {TeamId(team), rev, "[tier t]\nweight = 1\n"};
+    Documents[team] = {TeamId(team), rev,
+                       "[tier t]\nweight = 1\n;" + padding + "\n"};
     return rev;
   }
 
@@ -277,7 +278,7 @@
     if (link == Links.end() || link->second.Id != it.Link ||
         !isReachable(it.From, it.To) || !Hosts[it.To].Node)
       return;
-    if (IsEncoding) {
+    if (!it.Bytes.empty()) {
       auto decoded = decodeLinkMessage(it.Bytes);
       if (!decoded.ok()) {
         Violations.push_back(std::string(decoded.status().message()));
