--- a/bench/relay_bench.cpp
+++ b/bench/relay_bench.cpp
@@ -18,8 +18,8 @@
 constexpr Duration IdleSpan = seconds(60);
 constexpr int Changes = 10;
 constexpr Duration ChangePeriod = seconds(10);
-/// Size of a team's document in characters, near that of the demo's.
-constexpr std::size_t DocumentSize = 8000;
+/// Lines of 100 characters in a team's document, near the demo's size.
+constexpr std::size_t DocumentLines = 80;
 
 double cpuSeconds() {
   return static_cast<double>(std::clock()) / CLOCKS_PER_SEC;
@@ -77,7 +77,7 @@
   const Meter meter(net);
   for (int n = 0; n < Changes; ++n) {
     const Time begin = net.Now;
-    net.write("dakar", std::string(DocumentSize, ' '));
+    net.write("dakar", DocumentLines);
     const Duration span = timeToConverge(net);
     worst = std::max(worst, span);
     sum += span;
@@ -138,7 +138,7 @@
     if (n % 8 == 7)
       net.runFor(milliseconds(100));
   }
-  net.write("dakar", std::string(DocumentSize, ' '));
+  net.write("dakar", DocumentLines);
   net.runFor(Settling);
   const double heap = static_cast<double>(mallinfo2().uordblks) / 1e6;
   std::size_t links = 0;
--- a/tests/control_net.h
+++ b/tests/control_net.h
@@ -128,10 +128,13 @@
     }
   }
 
-  Revision write(const std::string &team, const std::string &padding = "") {
+  /// @param lines of comment, to give the document a size
+  Revision write(const std::string &team, std::size_t lines = 0) {
     const Revision rev(++StoreRevision);
-    Documents[team] = {TeamId(team), rev,
-                       "[tier t]\nweight = 1\n;" + padding + "\n"};
+    std::string text = "[tier t]\nweight = 1\n";
+    for (std::size_t n = 0; n < lines; ++n)
+      text += "; " + std::string(97, '-') + "\n";
+    Documents[team] = {TeamId(team), rev, text};
     return rev;
   }
 
