--- a/bench/relay_bench.cpp
+++ b/bench/relay_bench.cpp
@@ -17,7 +17,7 @@
 constexpr Duration Settling = seconds(30);
 constexpr Duration IdleSpan = seconds(60);
 constexpr int Changes = 10;
-constexpr Duration ChangePeriod = seconds(10);
+constexpr Duration ChangePeriod = milliseconds(10'013);
 /// Lines of 100 characters in a team's document, near the demo's size.
 constexpr std::size_t DocumentLines = 80;
 
@@ -60,6 +60,7 @@
   fmt::print("{:>7}  {:<22}{:>10.0f}{:>9.1f}{:>10.3f}{:>12.2f}  {}\n", members,
              phase, it.BytesPerNode, it.MessagesPerNode, it.CpuShare * 100,
              it.StoreCalls, more);
+  std::fflush(stdout);
 }
 
 Duration timeToConverge(ControlNet &net) {
--- a/src/membership/membership.cpp
+++ b/src/membership/membership.cpp
@@ -62,6 +62,7 @@
 
 std::vector<MemberEntry> Membership::others() const {
   std::vector<MemberEntry> result;
+  result.reserve(Members.size());
   for (const auto &[vm, member] : Members)
     result.push_back(member.Entry);
   return result;
--- a/src/relay/control_node.cpp
+++ b/src/relay/control_node.cpp
@@ -21,7 +21,7 @@
 
 } // namespace
 
-ControlNode::ControlNode(MemberEntry self, MembershipTerms membership,
+ControlNode::ControlNode(const MemberEntry &self, MembershipTerms membership,
                          RelayTerms relay, Time now)
     : Members(self, membership, now), Items(relay, now),
       Reports(self.Vm, self.Process), JoinUntil(now + WatchJoinDelay),
--- a/src/relay/control_node_base.h
+++ b/src/relay/control_node_base.h
@@ -19,8 +19,8 @@
 /// Invariant: a document in force is never replaced by an older one.
 class ControlNode {
 public:
-  ControlNode(MemberEntry self, MembershipTerms membership, RelayTerms relay,
-              Time now);
+  ControlNode(const MemberEntry &self, MembershipTerms membership,
+              RelayTerms relay, Time now);
 
   /// Takes one event.
   /// @param now this process's clock, never before an earlier now
@@ -67,8 +67,8 @@
   Relay Items;
   RevisionReports Reports;
   Configuration Config;
-  Time JoinUntil; ///< nothing is decided on watching before
-  bool IsWatchWanted = false; ///< told to watch
+  Time JoinUntil;                    ///< nothing is decided on watching before
+  bool IsWatchWanted = false;        ///< told to watch
   bool IsChosenWatcher = false;      ///< by the present members
   bool IsChoiceStale = true;         ///< members changed since it was made
   std::optional<Time> WatchChangeAt; ///< when the choice takes effect
--- a/tests/control_net.h
+++ b/tests/control_net.h
@@ -57,10 +57,9 @@
     Time NextWatch;
     Revision SeenUpto;
     bool HasListed = false;
-    Time StartedAt;
-    Time DisturbedAt; ///< last fault that may have cut it off while joining
     std::vector<PeerMessage> Backlog; ///< arrived while paused
     std::map<TeamId, Revision> InForce;
+    std::map<TeamId, Revision> FirstInForce; ///< of this process
     std::uint64_t SentBytes = 0;
     std::size_t MaxLinks = 0;
   };
@@ -105,8 +104,8 @@
     self.Link = {"10.0.0.1", static_cast<std::uint16_t>(n + 1)};
     host.Node.emplace(self, testMembershipTerms(), testRelayTerms(), Now);
     host.InForce.clear();
+    host.FirstInForce.clear();
     host.IsWatching = host.IsPaused = host.IsLeaving = host.HasListed = false;
-    host.StartedAt = Now;
     Ticks.push({Now + microseconds(Random() % 50'000), n});
     Lists.push({Now + microseconds(Random() % 100'000), n});
   }
@@ -480,6 +479,7 @@
             "{} put revision {} of {} into force after {}", Hosts[n].Vm.Value,
             document.Rev.Value, document.Team.Value, known.Value));
       known = document.Rev;
+      Hosts[n].FirstInForce.try_emplace(document.Team, document.Rev);
     }
   }
 
--- a/tests/relay_net_test.cpp
+++ b/tests/relay_net_test.cpp
@@ -90,6 +90,51 @@
   EXPECT_TRUE(net.areViewsRight());
 }
 
+TEST(Relay, StartingProcessDoesNotTakeTheWordOfOneStalePeer) {
+  ControlNet net(8, 8, 2, 9);
+  net.FarDelay = milliseconds(300); // the stale peer answers first
+  startAll(net);
+  net.write("dakar");
+  net.runFor(seconds(8));
+  net.Hosts[2].Side = 1;
+  net.IsStoreDown = true; // host 2 may watch
+  net.runFor(seconds(3));
+  net.IsStoreDown = false;
+  net.Hosts[2].IsPaused = true;
+  const Revision newest = net.write("dakar");
+  net.runFor(seconds(3));
+  net.IsStoreDown = true;
+  for (const std::size_t n : {0U, 4U, 6U})
+    net.crash(n);
+  net.Hosts[2].IsPaused = false;
+  net.Hosts[2].Side = 0;
+  net.start(0);
+  net.runFor(seconds(5));
+  EXPECT_EQ(net.Hosts[0].FirstInForce[TeamId("dakar")], newest);
+}
+
+TEST(Relay, LostAnnouncementsAreMendedByDigests) {
+  ControlNet net(12, 6, 2, 10);
+  startAll(net);
+  net.runFor(seconds(8));
+  net.DropChance = 1;
+  net.write("dakar");
+  net.runFor(milliseconds(150));
+  net.DropChance = 0;
+  EXPECT_LT(timeToConverge(net, seconds(10)), seconds(2));
+}
+
+TEST(Relay, LostAnswersToPullsAreAskedForAgain) {
+  ControlNet net(12, 6, 2, 11);
+  startAll(net);
+  net.runFor(seconds(8));
+  net.DropChance = 0.5;
+  net.write("dakar");
+  net.runFor(seconds(1));
+  net.DropChance = 0;
+  EXPECT_LT(timeToConverge(net, seconds(10)), seconds(4));
+}
+
 TEST(Relay, StartingAloneInAnOutageHasNothingInForce) {
   ControlNet net(1, 1, 1, 5);
   net.write("dakar");
@@ -208,7 +253,7 @@
       it.Side = 0;
     return;
   case Fault::Drop:
-    net.DropChance = 0.3;
+    net.DropChance = step.Host % 2 == 0 ? 0.3 : 1;
     return;
   case Fault::Keep:
     net.DropChance = 0;
