--- a/src/relay/control_node_base.h
+++ b/src/relay/control_node_base.h
@@ -19,8 +19,8 @@
 /// Invariant: a document in force is never replaced by an older one.
 class ControlNode {
 public:
-  ControlNode(MemberEntry self, MembershipTerms membership, RelayTerms relay,
-              Time now);
+  ControlNode(const MemberEntry &self, MembershipTerms membership,
+              RelayTerms relay, Time now);
 
   /// Takes one event.
   /// @param now this process's clock, never before an earlier now
