--- a/src/admin/token_reader.cpp
+++ b/src/admin/token_reader.cpp
@@ -10,7 +10,6 @@
 namespace {
 
 constexpr const char *TokensKey = "/tokens";
-constexpr const char *SettingsOperator = "settings-operator";
 
 } // namespace
 
@@ -18,7 +17,8 @@
                          const std::string &operatorSha256)
     : Store(store) {
   if (!operatorSha256.empty())
-    Operators.Tokens[SettingsOperator] = {operatorSha256, {true, {}}};
+    Operators.Tokens[std::string(SettingsOperatorName)] = {operatorSha256,
+                                                           {true, {}}};
 }
 
 void TokenReader::recognize(const std::string &secret, bool mayBeOld,
--- a/src/config/token_config.cpp
+++ b/src/config/token_config.cpp
@@ -29,18 +29,29 @@
          });
 }
 
-TokenScope readScope(const std::string &teams) {
-  TokenScope scope;
-  if (teams == AllTeams) {
-    scope.IsOperator = true;
-    return scope;
-  }
+bool isTeamName(const std::string &name) {
+  return !name.empty() && std::ranges::all_of(name, [](unsigned char c) {
+    return std::isalnum(c) != 0 || c == '-' || c == '_' || c == '.';
+  });
+}
+
+std::optional<TokenScope> readScope(const std::string &teams) {
+  if (teams == AllTeams)
+    return TokenScope{true, {}};
   const std::vector<std::string> names = absl::StrSplit(teams, ',');
+  if (!std::ranges::all_of(names, isTeamName))
+    return std::nullopt;
+  TokenScope scope;
   for (const std::string &name : names)
     scope.Teams.insert(TeamId(name));
   return scope;
 }
 
+absl::Status faulty(const IniSection &section, std::string_view cause) {
+  return absl::InvalidArgumentError(
+      fmt::format("/tokens:{}: [{}] {}", section.Line, section.Name, cause));
+}
+
 } // namespace
 
 absl::StatusOr<TokenConfig> parseTokenConfig(const std::string &text) {
@@ -57,12 +68,17 @@
         readSection(TokenSettingTable, "token", *document, section.Name);
     if (!values.ok())
       return values.status();
+    const std::string name = section.Name.substr(SectionPrefix.size());
+    if (name == SettingsOperatorName)
+      return faulty(section, "is the name of the token in VMs' settings; "
+                             "choose another");
     if (!isDigest(values->text("sha256")))
-      return absl::InvalidArgumentError(fmt::format(
-          "/tokens:{}: [{}] sha256 needs 64 lower-case hexadecimal digits",
-          section.Line, section.Name));
-    config.Tokens[section.Name.substr(SectionPrefix.size())] = {
-        values->text("sha256"), readScope(values->text("teams"))};
+      return faulty(section, "sha256 needs 64 lower-case hexadecimal digits");
+    const auto scope = readScope(values->text("teams"));
+    if (!scope)
+      return faulty(section, "teams needs names separated by commas without "
+                             "blanks, or *");
+    config.Tokens[name] = {values->text("sha256"), *scope};
   }
   return config;
 }
--- a/src/config/token_config_base.h
+++ b/src/config/token_config_base.h
@@ -15,6 +15,9 @@
 
 namespace waxwing {
 
+/// Name of the operator's token in a VM's settings; no other may bear it.
+constexpr std::string_view SettingsOperatorName = "settings-operator";
+
 /// What a token allows.
 struct TokenScope {
   bool IsOperator = false; ///< all teams, and tokens
--- a/src/controller/admin_port.cpp
+++ b/src/controller/admin_port.cpp
@@ -9,6 +9,8 @@
 AdminPort::AdminPort(const VmSettings &settings,
                      std::function<void()> wakeDecisions)
     : Address(parseEndpoint(settings.Controller.text("admin"))),
+      Certificate(settings.Controller.text("admin_certificate")),
+      Key(settings.Controller.text("admin_key")),
       Store(Io, parseEndpoint(settings.Store.text("address")),
             settings.Store.duration("timeout")),
       Questions(AdminRingCapacity, std::move(wakeDecisions)),
@@ -29,6 +31,15 @@
   Io.runEvery(AdminApi::TickPeriod, [this] { Api.tick(); });
 }
 
-absl::Status AdminPort::listen() { return Server.listen(Address); }
+absl::Status AdminPort::listen() {
+  if (Certificate.empty() != Key.empty())
+    return absl::InvalidArgumentError(
+        "[controller] admin_certificate and admin_key belong together; set "
+        "both for TLS or none");
+  if (!Certificate.empty())
+    if (absl::Status status = Server.useTls(Certificate, Key); !status.ok())
+      return status;
+  return Server.listen(Address);
+}
 
 } // namespace waxwing
--- a/src/controller/admin_port.h
+++ b/src/controller/admin_port.h
@@ -32,6 +32,8 @@
 private:
   IoThread Io{"administration"};
   Endpoint Address;
+  std::string Certificate; ///< PEM file, "" for plain HTTP
+  std::string Key;         ///< PEM file
   HttpStore Store;
   BoundedRing<AdminQuery> Questions;
   BoundedRing<AdminAnswer> Answers;
--- a/src/ctl/ctl_view.cpp
+++ b/src/ctl/ctl_view.cpp
@@ -108,7 +108,7 @@
     viewTeams, viewOwner,  viewRevisions, viewCounters, viewChange,
 };
 
-CtlOutput showError(const Json &json) {
+CtlOutput showError(const CtlRequest &request, const Json &json) {
   const AdminErrorInfo &info =
       adminErrorInfo(findAdminError(json.value("code", "")));
   std::string text =
@@ -123,19 +123,17 @@
     text += fmt::format("what to do: {}\n", info.Advice);
   if (info.Exit == CtlExit::Unresolved)
     text += fmt::format("change id: {}\n", json.value("change", std::string()));
-  return {"", std::move(text), info.Exit};
+  // A token that may have been stored must not be lost.
+  const bool mayBeStored = info.Exit == CtlExit::Unresolved;
+  return {"", std::move(text), mayBeStored ? request.Secret : "", info.Exit};
 }
 
 CtlOutput showSuccess(const CtlRequest &request, const Json &json) {
   CtlOutput output;
   const auto view = static_cast<std::size_t>(request.View);
+  output.Secret = request.Secret;
   // A token goes alone to standard output, so that it can be redirected.
-  if (request.View == CtlView::NewToken) {
-    output.Error = Views.at(view)(json);
-    output.Text = request.Secret + "\n";
-  } else {
-    output.Text = Views.at(view)(json);
-  }
+  (request.Secret.empty() ? output.Text : output.Error) = Views.at(view)(json);
   return output;
 }
 
@@ -149,19 +147,19 @@
     return {"",
             fmt::format("the server answered {} without JSON: {}\n",
                         response.Status, response.Body),
-            CtlExit::Refused};
+            "", CtlExit::Refused};
   try {
-    CtlOutput output =
-        response.Status == 200 ? showSuccess(request, json) : showError(json);
-    if (isJson && request.View != CtlView::NewToken)
-      output.Text = response.Body;
+    CtlOutput output = response.Status == 200 ? showSuccess(request, json)
+                                              : showError(request, json);
+    if (isJson)
+      (request.Secret.empty() ? output.Text : output.Error) = response.Body;
     return output;
   } catch (const Json::exception &error) {
     return {"",
             fmt::format("the answer lacks a field ({}); the versions of "
                         "server and waxwingctl may differ\n",
                         error.what()),
-            CtlExit::Failure};
+            "", CtlExit::Failure};
   }
 }
 
--- a/src/ctl/ctl_view.h
+++ b/src/ctl/ctl_view.h
@@ -12,8 +12,9 @@
 
 /// What to print, and the exit code.
 struct CtlOutput {
-  std::string Text;  ///< for standard output
-  std::string Error; ///< for standard error
+  std::string Text;   ///< for standard output
+  std::string Error;  ///< for standard error
+  std::string Secret; ///< a new token, "" for none
   CtlExit Exit = CtlExit::Success;
 };
 
--- a/src/ctl/main.cpp
+++ b/src/ctl/main.cpp
@@ -8,6 +8,7 @@
 
 #include <cstdlib>
 #include <cxxopts.hpp>
+#include <filesystem>
 #include <fmt/format.h>
 #include <fstream>
 #include <iostream>
@@ -79,6 +80,43 @@
           options["server-name"].as<std::string>()};
 }
 
+/// Makes sure that a file which its owner alone can read may be written; its
+/// old content stays until the new token is accepted.
+absl::Status prepareSecretFile(const std::string &path) {
+  std::error_code ec;
+  const bool isWritable = std::ofstream(path, std::ios::app).good();
+  std::filesystem::permissions(path,
+                               std::filesystem::perms::owner_read |
+                                   std::filesystem::perms::owner_write,
+                               ec);
+  if (ec || !isWritable)
+    return absl::NotFoundError(path + ": cannot be written");
+  return absl::OkStatus();
+}
+
+int print(const CtlOutput &output, const std::string &secretFile) {
+  std::cout << output.Text;
+  std::cerr << output.Error;
+  const bool isForFile = !secretFile.empty() && output.Exit == CtlExit::Success;
+  if (!output.Secret.empty() && isForFile)
+    std::ofstream(secretFile, std::ios::trunc) << output.Secret << "\n";
+  if (!output.Secret.empty() && !isForFile)
+    std::cout << output.Secret << "\n";
+  return toInt(output.Exit);
+}
+
+/// Reports a request without answer.
+int printUnanswered(const absl::Status &status, const CtlRequest &request,
+                    const std::string &change) {
+  const int exit = fail(status);
+  if (request.Request.Method == "GET" || toExit(status) != CtlExit::Unresolved)
+    return exit;
+  std::cerr << "repeat with --change " << change << "\n";
+  if (!request.Secret.empty())
+    std::cout << request.Secret << "\n";
+  return exit;
+}
+
 int run(const cxxopts::ParseResult &options, std::vector<std::string> words) {
   const auto command = takeCommand(words);
   if (!command.ok())
@@ -95,19 +133,14 @@
     return fail(CtlExit::Denied, std::string(token.status().message()));
   request->Request.Headers.add("Authorization", "Bearer " + *token);
   request->Request.Headers.add("Content-Type", "application/json");
+  const auto out = options["out"].as<std::string>();
+  if (!request->Secret.empty() && !out.empty())
+    if (absl::Status status = prepareSecretFile(out); !status.ok())
+      return fail(status);
   const auto response = sendToServer(readServer(options), request->Request);
-  if (!response.ok()) {
-    const bool isChange = request->Request.Method != "GET";
-    const int exit = fail(response.status());
-    if (isChange && toExit(response.status()) == CtlExit::Unresolved)
-      std::cerr << "repeat with --change " << arguments.Change << "\n";
-    return exit;
-  }
-  const CtlOutput output =
-      showAnswer(*request, *response, options.count("json") > 0);
-  std::cout << output.Text;
-  std::cerr << output.Error;
-  return toInt(output.Exit);
+  if (!response.ok())
+    return printUnanswered(response.status(), *request, arguments.Change);
+  return print(showAnswer(*request, *response, options.count("json") > 0), out);
 }
 
 std::string defaultServer() {
@@ -128,10 +161,11 @@
                         "from WAXWING_SERVER",
                         text(defaultServer()))(
       "token-file", "file whose first line is the token; else WAXWING_TOKEN",
-      text(environment("WAXWING_TOKEN_FILE")))("tls", "speak TLS")(
-      "ca", "PEM file of the trusted authority",
-      text(""))("server-name", "name that the server's certificate must carry",
-                text("waxwing"))("json", "print the answer's JSON")(
+      text(environment("WAXWING_TOKEN_FILE")))(
+      "out", "file that gets a new token; else standard output", text(""))(
+      "tls", "speak TLS")("ca", "PEM file of the trusted authority", text(""))(
+      "server-name", "name that the server's certificate must carry",
+      text("waxwing"))("json", "print the answer's JSON")(
       "base",
       "revision that the change is based on; refused when the path "
       "changed since",
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -4,10 +4,13 @@
  */
 #include "net/http_server.h"
 
+#include "net/tls_context.h"
+
 #include <atomic>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
+#include <boost/beast/ssl.hpp>
 #include <fmt/format.h>
 #include <optional>
 
@@ -21,6 +24,11 @@
 using Parser = http::request_parser<http::string_body>;
 using Serializer = http::response<http::string_body>;
 
+/// Input of a refused caller that is read and thrown away at most.
+constexpr std::size_t DiscardBytes = 16u << 20;
+constexpr std::size_t DiscardChunk = 64u << 10;
+constexpr std::chrono::seconds DiscardTimeout{2};
+
 std::string toString(beast::string_view text) {
   return {text.data(), text.size()};
 }
@@ -49,6 +57,7 @@
   HttpServerLimits Limits;
   HttpHandler Handler;
   Tcp::acceptor Acceptor;
+  std::optional<TlsContext> Tls; ///< absent: plain HTTP
   std::function<void(std::uint64_t)> LostHandler;
   std::atomic<std::size_t> OpenCount{0};
   std::uint64_t NextConnection = 1;
@@ -57,32 +66,73 @@
 
 namespace {
 
-/// One connection.
-class Session : public std::enable_shared_from_this<Session> {
+using PlainStream = beast::tcp_stream;
+
+/// A TLS stream with the context that it was opened by.
+struct TlsStream {
+  TlsStream(Tcp::socket socket, std::shared_ptr<asio::ssl::context> context)
+      : Context(std::move(context)), Stream(std::move(socket), *Context) {}
+  std::shared_ptr<asio::ssl::context> Context;
+  beast::ssl_stream<beast::tcp_stream> Stream;
+};
+
+beast::tcp_stream &streamOf(PlainStream &channel) { return channel; }
+beast::ssl_stream<beast::tcp_stream> &streamOf(TlsStream &channel) {
+  return channel.Stream;
+}
+
+/// One connection over a channel, PlainStream or TlsStream.
+template <class Channel>
+class Session : public std::enable_shared_from_this<Session<Channel>> {
 public:
-  Session(Tcp::socket socket, std::shared_ptr<HttpServerImpl> server,
-          std::uint64_t id)
-      : Stream(std::move(socket)), Server(std::move(server)), Id(id) {
+  /// @param channel arguments of the channel
+  template <class... Arguments>
+  Session(std::shared_ptr<HttpServerImpl> server, std::uint64_t id,
+          Arguments &&...channel)
+      : Connected(std::forward<Arguments>(channel)...),
+        Server(std::move(server)), Id(id) {
     ++Server->OpenCount;
   }
   ~Session() { --Server->OpenCount; }
   Session(const Session &) = delete;
   Session &operator=(const Session &) = delete;
 
+  /// Begins the exchange of messages.
+  void start() {
+    if constexpr (std::is_same_v<Channel, TlsStream>)
+      handshake();
+    else
+      read();
+  }
+
   void read() {
     Request.emplace();
     Request->body_limit(Server->Limits.BodyBytes);
     Request->header_limit(
         static_cast<std::uint32_t>(Server->Limits.HeaderBytes));
-    Stream.expires_after(Server->Limits.IdleTimeout);
+    tcp().expires_after(Server->Limits.IdleTimeout);
     http::async_read(
-        Stream, Buffer, *Request,
-        [self = shared_from_this()](beast::error_code ec, std::size_t) {
+        streamOf(Connected), Buffer, *Request,
+        [self = this->shared_from_this()](beast::error_code ec, std::size_t) {
           self->onRead(ec);
         });
   }
 
 private:
+  beast::tcp_stream &tcp() {
+    return beast::get_lowest_layer(streamOf(Connected));
+  }
+
+  void handshake() {
+    tcp().expires_after(Server->Limits.IdleTimeout);
+    streamOf(Connected).async_handshake(
+        asio::ssl::stream_base::server,
+        [self = this->shared_from_this()](beast::error_code ec) {
+          if (!ec)
+            self->read();
+        });
+  }
+
   void onRead(beast::error_code ec) {
     if (ec == http::error::body_limit || ec == http::error::header_limit) {
       refuse(413, "request too large\n");
@@ -99,11 +149,11 @@
         close();
       return;
     }
-    Stream.expires_never();
+    tcp().expires_never();
     IsKeptAlive = Request->get().keep_alive();
     IsAnswerDue = true;
     HttpExchange exchange{toPlain(Request->release()), {}, Id};
-    exchange.Reply = [self = shared_from_this()](HttpResponse response) {
+    exchange.Reply = [self = this->shared_from_this()](HttpResponse response) {
       self->write(std::move(response));
     };
     watchForLoss();
@@ -112,15 +162,15 @@
 
   /// Notices that the caller closed its connection while it waits.
   void watchForLoss() {
-    Stream.socket().async_wait(
+    tcp().socket().async_wait(
         Tcp::socket::wait_read,
-        [self = shared_from_this()](beast::error_code ec) {
+        [self = this->shared_from_this()](beast::error_code ec) {
           if (ec || !self->IsAnswerDue)
             return;
           char byte = 0;
           beast::error_code peekError;
-          self->Stream.socket().non_blocking(true, peekError);
-          const std::size_t n = self->Stream.socket().receive(
+          self->tcp().socket().non_blocking(true, peekError);
+          const std::size_t n = self->tcp().socket().receive(
               asio::buffer(&byte, 1), Tcp::socket::message_peek, peekError);
           const bool isClosed = n == 0 && peekError != asio::error::would_block;
           if (isClosed && self->Server->LostHandler)
@@ -129,6 +179,7 @@
   }
 
   void refuse(int status, std::string body) {
+    IsRefused = true;
     IsKeptAlive = false;
     IsAnswerDue = true;
     HttpResponse response{status, {}, std::move(body)};
@@ -147,10 +198,10 @@
     Response->body() = std::move(response.Body);
     Response->keep_alive(IsKeptAlive && !Server->IsDraining);
     Response->prepare_payload();
-    Stream.expires_after(Server->Limits.IdleTimeout);
+    tcp().expires_after(Server->Limits.IdleTimeout);
     http::async_write(
-        Stream, *Response,
-        [self = shared_from_this()](beast::error_code ec, std::size_t) {
+        streamOf(Connected), *Response,
+        [self = this->shared_from_this()](beast::error_code ec, std::size_t) {
           if (ec || !self->Response->keep_alive())
             self->close();
           else
@@ -160,19 +211,47 @@
 
   void close() {
     beast::error_code ec;
-    Stream.socket().shutdown(Tcp::socket::shutdown_send, ec);
+    tcp().socket().shutdown(Tcp::socket::shutdown_send, ec);
+    if (IsRefused)
+      discardInput(DiscardBytes);
+  }
+
+  /// Discards what a refused caller still sends: a socket closed with unread
+  /// bytes is reset, and the reset may overtake the refusal.
+  void discardInput(std::size_t bytesLeft) {
+    tcp().expires_after(DiscardTimeout);
+    Discarded.resize(DiscardChunk);
+    tcp().async_read_some(asio::buffer(Discarded),
+                          [self = this->shared_from_this(),
+                           bytesLeft](beast::error_code ec, std::size_t n) {
+                            if (!ec && n < bytesLeft)
+                              self->discardInput(bytesLeft - n);
+                          });
   }
 
-  beast::tcp_stream Stream;
+  Channel Connected;
   std::shared_ptr<HttpServerImpl> Server;
   std::uint64_t Id;
   beast::flat_buffer Buffer;
   std::optional<Parser> Request;
   std::optional<Serializer> Response;
+  std::vector<char> Discarded;
   bool IsKeptAlive = true;
+  bool IsRefused = false;   ///< the request was not read whole
   bool IsAnswerDue = false; ///< a request was read and not answered yet
 };
 
+void open(const std::shared_ptr<HttpServerImpl> &server, Tcp::socket socket) {
+  const std::uint64_t id = server->NextConnection++;
+  if (server->Tls)
+    std::make_shared<Session<TlsStream>>(server, id, std::move(socket),
+                                         server->Tls->current(readClock()))
+        ->start();
+  else
+    std::make_shared<Session<PlainStream>>(server, id, std::move(socket))
+        ->start();
+}
+
 void accept(const std::shared_ptr<HttpServerImpl> &server) {
   server->Acceptor.async_accept(
       [server](beast::error_code ec, Tcp::socket socket) {
@@ -181,9 +260,7 @@
         if (!ec && server->OpenCount < server->Limits.Connections) {
           beast::error_code optionError;
           socket.set_option(Tcp::no_delay(true), optionError);
-          std::make_shared<Session>(std::move(socket), server,
-                                    server->NextConnection++)
-              ->read();
+          open(server, std::move(socket));
         }
         accept(server);
       });
@@ -218,6 +295,12 @@
   return absl::OkStatus();
 }
 
+absl::Status HttpServer::useTls(const std::string &certificateFile,
+                                const std::string &keyFile) {
+  Impl->Tls.emplace(certificateFile, keyFile);
+  return Impl->Tls->load();
+}
+
 void HttpServer::onConnectionLost(std::function<void(std::uint64_t)> handler) {
   Impl->LostHandler = std::move(handler);
 }
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -44,6 +44,12 @@
   HttpServer(IoThread &io, HttpServerLimits limits, HttpHandler handler);
   ~HttpServer();
 
+  /// Speaks TLS only, by PEM files that are read again when they change; to
+  /// be called before listen().
+  /// @return Ok, or InvalidArgument naming the file and the cause
+  absl::Status useTls(const std::string &certificateFile,
+                      const std::string &keyFile);
+
   /// Binds and accepts.
   /// @return Ok, or Unavailable naming endpoint and cause
   absl::Status listen(const Endpoint &endpoint);
--- a/tests/config_cmd_test.cpp
+++ b/tests/config_cmd_test.cpp
@@ -222,6 +222,17 @@
                    .ok());
 }
 
+TEST(TokenConfig, FaultyTokensAreRefused) {
+  const std::string digest = "sha256 = " + sha256Hex("s") + "\n";
+  EXPECT_TRUE(parseTokenConfig("[token a]\n" + digest + "teams = x\n").ok());
+  for (const std::string text :
+       {"[token a]\n" + digest + "teams = x, y\n",
+        "[token a]\n" + digest + "teams = x,\n", "[token a]\n" + digest,
+        "[token settings-operator]\n" + digest + "teams = x\n",
+        std::string("[tokens a]\n"), std::string("[token a]\nteams = x\n")})
+    EXPECT_FALSE(parseTokenConfig(text).ok()) << text;
+}
+
 /// Values as a map and as INI text stay the same under any edits.
 RC_GTEST_PROP(
     IniEdit, MatchesAMap,
--- a/tests/config_writer_test.cpp
+++ b/tests/config_writer_test.cpp
@@ -304,9 +304,10 @@
     ConfigWriter, AcceptedStaysAndRefusedLeavesNoTrace,
     (const std::vector<std::tuple<std::uint8_t, std::uint8_t, std::uint8_t>>
          &numbers)) {
-  std::vector<Step> steps;
-  for (const auto &[kind, a, b] : numbers)
-    steps.push_back({kind, a, b});
+  std::vector<Step> steps(numbers.size());
+  std::ranges::transform(numbers, steps.begin(), [](const auto &it) {
+    return Step{std::get<0>(it), std::get<1>(it), std::get<2>(it)};
+  });
   RC_ASSERT(violationOf(BuiltInFault::None, steps) == "");
 }
 
--- /dev/null
+++ b/tests/parser_fuzz_test.cpp
@@ -0,0 +1,221 @@
+/**
+ * @file parser_fuzz_test.cpp
+ * Everything that comes from the network, as random bytes and as valid
+ * input with some bytes changed: parsers refuse or read, and never fail.
+ */
+#include "admin/admin_call_func.h"
+#include "config/config_cmd.h"
+#include "config/token_config_base.h"
+#include "core/sha256_func.h"
+#include "link/link_message_func.h"
+#include "membership/vm_list_type.h"
+#include "net/url_func.h"
+#include "settings/ini_func.h"
+#include "settings/vm_settings_base.h"
+#include "upstream/upstream_protocol.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+namespace waxwing {
+namespace {
+
+using Mutations =
+    std::vector<std::tuple<std::uint16_t, std::uint8_t, std::uint8_t>>;
+
+/// Overwrites, inserts, removes or repeats bytes, or cuts the end off.
+std::string mutate(std::string text, const Mutations &mutations) {
+  for (const auto &[place, kind, byte] : mutations) {
+    const std::size_t n = text.empty() ? 0 : place % text.size();
+    switch (kind % 5) {
+    case 0:
+      if (!text.empty())
+        text[n] = static_cast<char>(byte);
+      break;
+    case 1:
+      text.insert(n, 1, static_cast<char>(byte));
+      break;
+    case 2:
+      text.erase(n, byte % 8);
+      break;
+    case 3:
+      text.insert(n, text.substr(n, byte));
+      break;
+    default:
+      text.resize(n);
+      break;
+    }
+  }
+  return text;
+}
+
+const std::string Document =
+    ";@ [\"id\",\"f\",3,\"now\",\"who\",[[\"a/b/c\",null,\"1\"]]]\n;@ end\n"
+    "# c\n[domain d]\n[tier p]\nweight = 1\n[service s]\nslots = 3\n"
+    "  continued\n[upstream u]\nservice = s\naddress = 127.0.0.1:1\n"
+    "domain = d\n";
+
+OwnershipRecord makeRecord() {
+  OwnershipRecord record;
+  record.Service = ServiceId("t/s");
+  record.Rev = Revision(3);
+  record.Members = {{VmId("a"), Incarnation(7), DomainId("d")}};
+  record.Shards = {{UpstreamId("t/u"), Token(2)}, {}};
+  record.Splits[KeyHash(9)] = {UpstreamId("t/u"), Token(3)};
+  record.Changes = {{ChangeId(5), Revision(3)}};
+  return record;
+}
+
+std::vector<std::string> validLinkMessages() {
+  return {
+      encodeLinkMessage(LinkHello{{VmId("a"), Incarnation(1), DomainId("d")},
+                                  ProcessRole::Controller}),
+      encodeLinkMessage(
+          DocumentsUpdate{{{TeamId("t"), Revision(1), Document}}}),
+      encodeLinkMessage(OwnersUpdate{makeRecord()}),
+      encodeLinkMessage(OwnershipEnvelope{
+          ConfirmReply{ServiceId("t/s"), Revision(3), 4, true, Revision(3)}}),
+      encodeLinkMessage(
+          OwnershipEnvelope{FenceRequest{ServiceId("t/s"), Revision(3)}})};
+}
+
+void parseDocumentBytes(const std::string &bytes) {
+  parseIni(bytes, "f").status().IgnoreError();
+  parseTeamConfig(TeamId("t"), bytes).status().IgnoreError();
+  parseTokenConfig(bytes).status().IgnoreError();
+  parseVmSettings(bytes, "f").status().IgnoreError();
+  hideSecrets(bytes).status().IgnoreError();
+}
+
+RC_GTEST_PROP(ParserFuzz, LinkMessageOfAnyBytes, (const std::string &bytes)) {
+  decodeLinkMessage(bytes).status().IgnoreError();
+}
+
+RC_GTEST_PROP(ParserFuzz, LinkMessageMutated, (const Mutations &mutations)) {
+  for (const std::string &valid : validLinkMessages()) {
+    RC_ASSERT(decodeLinkMessage(valid).ok());
+    const auto decoded = decodeLinkMessage(mutate(valid, mutations));
+    // What is read can be written again.
+    if (decoded.ok())
+      RC_ASSERT(decodeLinkMessage(encodeLinkMessage(*decoded)).ok());
+  }
+}
+
+RC_GTEST_PROP(ParserFuzz, GrantOrderAndAnswer,
+              (const std::string &bytes, const Mutations &mutations)) {
+  GrantOrder order;
+  order.Service = ServiceId("t/s");
+  order.Set =
+      GrantSet{{{ShardId(1), Token(2)}, {KeyHash(3), Token(4)}}, {KeyHash(3)}};
+  GrantAnswer answer;
+  answer.From = UpstreamId("t/u");
+  answer.Set = order.Set;
+  RC_ASSERT(decodeOrder(encodeOrder(order)).ok());
+  RC_ASSERT(decodeGrantAnswer(encodeGrantAnswer(answer)).ok());
+  decodeOrder(bytes).status().IgnoreError();
+  decodeGrantAnswer(bytes).status().IgnoreError();
+  decodeOrder(mutate(encodeOrder(order), mutations)).status().IgnoreError();
+  decodeGrantAnswer(mutate(encodeGrantAnswer(answer), mutations))
+      .status()
+      .IgnoreError();
+  static_cast<void>(parseUnit(bytes));
+  static_cast<void>(parseUnit(mutate("shard:17", mutations)));
+}
+
+RC_GTEST_PROP(ParserFuzz, RecordMutated, (const Mutations &mutations)) {
+  decodeRecord(mutate(encodeRecord(makeRecord()), mutations))
+      .status()
+      .IgnoreError();
+}
+
+RC_GTEST_PROP(ParserFuzz, VmList,
+              (const std::string &bytes, const Mutations &mutations)) {
+  const std::string valid =
+      R"([{"name":"vm1","domain":"d","link":"127.0.0.1:1",)"
+      R"("forward":"127.0.0.1:2"}])";
+  RC_ASSERT(parseVmList(valid).ok());
+  parseVmList(bytes).status().IgnoreError();
+  parseVmList(mutate(valid, mutations)).status().IgnoreError();
+}
+
+RC_GTEST_PROP(ParserFuzz, Documents,
+              (const std::string &bytes, const Mutations &mutations)) {
+  parseDocumentBytes(bytes);
+  parseDocumentBytes(mutate(Document, mutations));
+}
+
+RC_GTEST_PROP(ParserFuzz, DocumentSurvivesTheStore,
+              (const Mutations &mutations)) {
+  ConfigDocument document{{}, mutate(Document, mutations)};
+  document.History.push_back(
+      {"id", "f", Revision(1), "now", "who", {{"p", std::nullopt, "\xff\n"}}});
+  const ConfigDocument back = splitDocument(joinDocument(document));
+  RC_ASSERT(back.Body == document.Body);
+  RC_ASSERT(back.History.size() == 1U);
+}
+
+/// A segment of a target that was accepted never leaves its place.
+RC_GTEST_PROP(ParserFuzz, TargetsStayInTheirSubtree,
+              (const std::string &bytes, const Mutations &mutations)) {
+  for (const std::string &text :
+       {bytes, "/" + bytes,
+        mutate("/v1/teams/two%2e/settings/a/b?base=1&change=x", mutations)}) {
+    const auto target = parseTarget(text);
+    if (!target)
+      continue;
+    for (const std::string &part : target->Parts) {
+      RC_ASSERT(part != "" && part != "." && part != "..");
+      RC_ASSERT(part.find_first_of("/\\\n\r") == std::string::npos);
+      RC_ASSERT(part.find('\0') == std::string::npos);
+    }
+    target->number("base");
+  }
+}
+
+/// Whatever an API request says, its call stays in one team's document.
+RC_GTEST_PROP(ParserFuzz, AdminCalls,
+              (const std::string &bytes, const Mutations &inTarget,
+               const Mutations &inBody, std::uint8_t method)) {
+  const std::array<std::string, 4> methods{"GET", "PUT", "POST", "DELETE"};
+  const std::array<std::string, 3> bodies{
+      R"({"commands":[{"set":"tier/p/weight","value":"1"},)"
+      R"({"remove":"tier/p"}],"base":3,"change":"x"})",
+      R"({"value":"1","text":"[domain d]\n","sha256":"ab","teams":"*"})",
+      bytes};
+  for (const std::string target :
+       {"/v1/teams/one/changes", "/v1/teams/one/settings/tier/p/weight",
+        "/v1/teams/one/validate", "/v1/tokens/n"})
+    for (const std::string &body : bodies) {
+      const HttpRequest request{methods[method % 4],
+                                mutate(target, inTarget),
+                                {},
+                                mutate(body, inBody)};
+      const auto parsed = parseAdminCall(request);
+      const auto *call = std::get_if<AdminCall>(&parsed);
+      if (call == nullptr)
+        continue;
+      if (const auto *change = std::get_if<ChangeCall>(call)) {
+        RC_ASSERT(change->Document.Team.Value.find('/') == std::string::npos);
+        makeDocumentChange(change->Document, Document, change->Commands)
+            .status()
+            .IgnoreError();
+      }
+    }
+}
+
+/// A value set by the API changes its own path only.
+RC_GTEST_PROP(ParserFuzz, SetValueTouchesItsPathOnly,
+              (const std::string &key, const std::string &value)) {
+  const std::string body = "[domain d]\n[tier p]\nweight = 1\n";
+  const std::vector<ConfigCommand> commands{
+      SetValue{{"tier", "p"}, key, value}};
+  const auto change =
+      makeDocumentChange({DocumentKind::Team, TeamId("t")}, body, commands);
+  if (!change.ok())
+    return;
+  for (const ValueChange &it : change->Values)
+    RC_ASSERT(it.Path == "tier/p/" + key);
+}
+
+} // namespace
+} // namespace waxwing
