--- a/src/controller/admin_port.cpp
+++ b/src/controller/admin_port.cpp
@@ -6,13 +6,14 @@
 
 namespace waxwing {
 
-AdminPort::AdminPort(const VmSettings &settings,
+AdminPort::AdminPort(const VmSettings &settings, ControlCounters &counters,
                      std::function<void()> wakeDecisions)
     : Address(parseEndpoint(settings.Controller.text("admin"))),
       Certificate(settings.Controller.text("admin_certificate")),
       Key(settings.Controller.text("admin_key")),
-      Store(Io, parseEndpoint(settings.Store.text("address")),
-            settings.Store.duration("timeout")),
+      Platform(Io, parseEndpoint(settings.Store.text("address")),
+               settings.Store.duration("timeout")),
+      Store(Platform, counters),
       Questions(AdminRingCapacity, std::move(wakeDecisions)),
       Answers(AdminRingCapacity,
               [this] {
--- a/src/controller/controller_process.cpp
+++ b/src/controller/controller_process.cpp
@@ -7,6 +7,8 @@
 #include "controller/admin_answer.h"
 #include "controller/admin_port.h"
 #include "controller/configuration_host.h"
+#include "controller/controller_metrics.h"
+#include "controller/home_host.h"
 #include "controller/link_port.h"
 #include "controller/order_port.h"
 #include "controller/ownership_host.h"
@@ -16,6 +18,9 @@
 
 #include <atomic>
 #include <optional>
+#include <set>
+#include <thread>
+#include <utility>
 
 namespace waxwing {
 namespace {
@@ -25,6 +30,9 @@
           DomainId(settings.Vm.text("domain"))};
 }
 
+/// Peers are told in this time that this process leaves.
+constexpr Duration LeaveTime = milliseconds(200);
+
 OwnershipTerms termsOf(const SettingSection &settings) {
   return {settings.duration("heartbeat"), settings.duration("grant_term"),
           settings.duration("confirmation_term"),
@@ -41,23 +49,40 @@
         Terms(termsOf(Settings.Ownership)),
         Store(parseEndpoint(Settings.Store.text("address")),
               Settings.Store.duration("timeout"),
-              parseEndpoint(Settings.Store.text("vm_list")),
+              parseEndpoint(Settings.Store.text("vm_list")), Counters,
               [this] { wake(); }),
-        Orders([this] { wake(); }), Links(Self, [this] { wake(); }),
-        Configurations(Self, Links,
-                       [this](Time now) {
-                         Ownership.define(Configurations.configuration(), now);
-                       }),
+        Orders(Counters, [this] { wake(); }),
+        Links(Self, Counters, [this] { wake(); }),
+        Configurations(
+            Self, Settings, Store, Links, Counters,
+            {[this](Time now) {
+               Ownership.define(Configurations.configuration(), now);
+               Homes.define(Configurations.configuration(), now);
+             },
+             [this](std::vector<ControllerMember> members, Time now) {
+               Ownership.setMembers(std::move(members), now);
+             }},
+            readClock()),
         Ownership(Self, Terms, Store, Orders, Links,
-                  [this](const OwnershipRecord &record, Time) {
-                    Configurations.publish(record);
+                  [this](const OwnershipRecord &record, Time now) {
+                    if (record.Rev == Revision(1))
+                      FirstLed.insert(record.Service);
+                    Configurations.publish(record, now);
                   }),
-        Admin(Settings, [this] { wake(); }) {}
+        Homes(Self, Links,
+              [this](const ServiceId &service, Time now) {
+                return leadershipOf(service, now);
+              }),
+        Admin(Settings, Counters, [this] { wake(); }) {}
 
   absl::Status start() {
     Decisions.emplace(System, Terms.Heartbeat / 2,
                       [this](DutyCall call) { decide(call); });
     IsReady = true;
+    if (absl::Status status =
+            Metrics.listen(parseEndpoint(Settings.Controller.text("metrics")));
+        !status.ok())
+      return status;
     Store.start();
     if (absl::Status status = Admin.listen(); !status.ok())
       return status;
@@ -65,6 +90,8 @@
   }
 
   void stop() {
+    IsLeaving = true;
+    std::this_thread::sleep_for(LeaveTime);
     Decisions->stop();
     Store.stop();
     Orders.stop();
@@ -73,6 +100,22 @@
   }
 
 private:
+  HomeLeadership leadershipOf(const ServiceId &service, Time now) const {
+    const OwnershipLeader *leader = Ownership.find(service);
+    if (leader == nullptr || !leader->record())
+      return {};
+    const OwnershipRecord &record = *leader->record();
+    HomeLeadership leadership{leader->isLeader(),
+                              leader->isConfirmed(now),
+                              leader->isQuietOver(now),
+                              FirstLed.contains(service),
+                              record.Rev,
+                              {}};
+    if (!record.Members.empty())
+      leadership.Leader = record.Members.front().Vm;
+    return leadership;
+  }
+
   void wake() {
     if (IsReady)
       Decisions->wake();
@@ -87,40 +130,59 @@
       std::visit([&](auto &it) { on(it, now); }, event);
     });
     Orders.answers().drain([&](OrderAnswered &&it) { Ownership.on(it, now); });
-    Admin.questions().drain([&](AdminQuery &&query) {
-      Admin.answers().push(
-          {query.Id, answerAdmin(query, Self.Vm, Configurations)});
-    });
-    if (call == DutyCall::Tick)
+    Admin.questions().drain(
+        [&](AdminQuery &&query) { on(std::move(query), now); });
+    if (call == DutyCall::Tick) {
+      if (IsLeaving && !std::exchange(IsLeaveTold, true))
+        Configurations.leave(now);
+      Configurations.tick(now);
       Ownership.tick(now);
+      Homes.tick(now);
+    }
   }
 
   void on(RecordResult &result, Time now) { Ownership.on(result, now); }
 
-  void on(DocumentsRead &read, Time now) {
-    Configurations.apply(read.Documents, now);
-  }
+  void on(DocumentsRead &read, Time now) { Configurations.on(read, now); }
 
   void on(VmListRead &read, Time now) { Configurations.on(read, now); }
 
   void on(LinkReceived &received, Time now) {
     Configurations.on(received, now);
+    Homes.on(received, now);
     if (auto *envelope = std::get_if<OwnershipEnvelope>(&received.Message))
       Ownership.onPeer(received.From.Self, envelope->Message, now);
   }
 
+  void on(AdminQuery &&query, Time now) {
+    if (const auto *news = std::get_if<DocumentAccepted>(&query.Call))
+      Configurations.apply(news->Document, now);
+    else
+      Admin.answers().push(
+          {query.Id,
+           AdminAnswerer{Self.Vm, Configurations, Counters, now}.answer(
+               query)});
+  }
+
   void on(LinkLost &lost, Time now) { Configurations.on(lost, now); }
 
   VmSettings Settings;
   RecordMember Self;
   OwnershipTerms Terms;
+  ControlCounters Counters;
   std::atomic<bool> IsReady{false};
+  std::atomic<bool> IsLeaving{false};
+  bool IsLeaveTold = false;
   DutySystem System;
   StorePort Store;
   OrderPort Orders;
   LinkPort Links;
   ConfigurationHost Configurations;
   OwnershipHost Ownership;
+  ControllerMetrics Metrics{Counters};
+  HomeHost Homes;
+  /// Services whose record began with this process: no earlier home exists.
+  std::set<ServiceId> FirstLed;
   AdminPort Admin;
   std::optional<Duty> Decisions;
 };
--- a/src/router/router_process.cpp
+++ b/src/router/router_process.cpp
@@ -46,6 +46,8 @@
         Metrics(Core, Latency) {}
 
   absl::Status start() {
+    Core.leaseHomes(Self.Process,
+                    parseEndpoint(Settings.Router.text("forward")));
     Decisions.emplace(System, DecisionPeriod,
                       [this](DutyCall call) { decide(call); });
     IsReady = true;
@@ -62,8 +64,14 @@
     spdlog::info("draining");
     IsDraining = true;
     Edge.drain();
-    const Time deadline = readClock() + Settings.Router.duration("drain");
-    while (Edge.requestsInFlight() > 0 && readClock() < deadline)
+    Metrics.drain();
+    const Time start = readClock();
+    const Time deadline = start + Settings.Router.duration("drain");
+    // Requests may still be on their way on connections that are kept alive.
+    const Time quiet = std::min(deadline, start + DrainGrace);
+    while (readClock() < deadline &&
+           (Edge.requestsInFlight() > 0 ||
+            (Edge.openConnections() > 0 && readClock() < quiet)))
       std::this_thread::sleep_for(DrainPollPeriod);
     spdlog::info("stopped with {} requests in flight", Edge.requestsInFlight());
     Decisions->stop();
@@ -83,7 +91,7 @@
     if (call == DutyCall::Tick) {
       if (IsDraining && !std::exchange(IsDrainTold, true))
         handle(DrainStarted(), now);
-      handle(RouterTick(), now);
+      handle(RouterTick{readWallClock()}, now);
     }
     Link.messages().drain(
         [&](LinkMessage &&it) { handleLink(std::move(it), now); });
@@ -110,6 +118,13 @@
       handle(OwnersChanged{std::make_shared<const OwnershipRecord>(
                  std::move(update->Record))},
              now);
+    if (auto *update = std::get_if<HomesUpdate>(&message))
+      handle(
+          HomesChanged{std::make_shared<const HomesUpdate>(std::move(*update))},
+          now);
+    if (auto *answer = std::get_if<HomeAnswer>(&message))
+      if (answer->Router == Self.Vm && answer->Process == Self.Process)
+        handle(HomesLeased{std::move(*answer)}, now);
   }
 
   void handle(RouterEvent event, Time now) {
@@ -122,11 +137,13 @@
   void carryOut(StartAttempt &action, Time now) {
     const AttemptId attempt = action.Attempt;
     if (!Port.commands().push(std::move(action)))
-      handle(AttemptEnded{attempt, Reason::RingFull, 0, {}}, now);
+      handle(AttemptEnded{attempt, Reason::RingFull, Verdict::NotRun}, now);
   }
 
   void carryOut(CancelAttempt &action, Time) { Port.commands().push(action); }
 
+  void carryOut(SendHomeAsk &action, Time) { Link.send(std::move(action.Ask)); }
+
   void carryOut(AnswerCaller &action, Time now) {
     if (const auto it = Arrivals.find(action.Request); it != Arrivals.end()) {
       if (action.Why == Reason::None)
--- a/src/traffic/router_core_type.h
+++ b/src/traffic/router_core_type.h
@@ -10,6 +10,7 @@
 #include "core/verdict_type.h"
 #include "net/http_type.h"
 #include "ownership/ownership_record_base.h"
+#include "traffic/home_type.h"
 
 #include <memory>
 #include <optional>
@@ -18,6 +19,12 @@
 
 namespace waxwing {
 
+/// Why a router forwards a request to another one.
+enum class ForwardPurpose : std::uint8_t {
+  UpstreamHome,    ///< the other router is the home of the upstream
+  IdempotencyHome, ///< the other router remembers the idempotency key
+};
+
 /// A request as the edge read it.
 struct CallerRequest {
   RequestId Id;
@@ -31,6 +38,10 @@
   /// Set when another router forwarded the request: the caller's tier, which
   /// that router has checked.
   std::optional<TierId> ForwardedTier;
+  ForwardPurpose ForwardedFor = ForwardPurpose::UpstreamHome;
+  CallerId ForwardedCaller; ///< valid with ForwardedTier
+  WallTime ArrivedAt;
+  std::uint64_t Fingerprint = 0; ///< hash of method, target and body
   std::shared_ptr<const HttpRequest> Message; ///< as sent to upstreams
 };
 
@@ -43,6 +54,8 @@
 struct AttemptEnded {
   AttemptId Attempt;
   Reason Why = Reason::None;      ///< None: an upstream's whole answer
+  Verdict Proven = Verdict::Ran;  ///< of this attempt
+  Duration RetryAfter{};          ///< stated by a refusal
   std::uint64_t ConnectionId = 0; ///< 0: no connection
   HttpResponse Answer;            ///< valid when Why is None
 };
@@ -57,15 +70,35 @@
   std::shared_ptr<const OwnershipRecord> Record;
 };
 
+/// The homes of a service's upstreams and partitions changed.
+struct HomesChanged {
+  std::shared_ptr<const HomesUpdate> Homes;
+};
+
+/// The leader of a service answered this router's question.
+struct HomesLeased {
+  HomeAnswer Answer;
+};
+
 /// Time passed.
-struct RouterTick {};
+struct RouterTick {
+  WallTime Wall;
+};
 
 /// This router takes no more requests; those in flight go on.
 struct DrainStarted {};
 
 using RouterEvent =
     std::variant<CallerRequest, CallerLost, AttemptEnded, ConfigurationChanged,
-                 OwnersChanged, RouterTick, DrainStarted>;
+                 OwnersChanged, HomesChanged, HomesLeased, RouterTick,
+                 DrainStarted>;
+
+/// Attempts at the home of an idempotency key have ids from here on; those
+/// of the dispatcher are below.
+constexpr std::uint64_t FirstSend = 1ull << 63;
+
+/// @return whether the dispatcher does not know @p attempt
+inline bool isSend(AttemptId attempt) { return attempt.Value >= FirstSend; }
 
 /// Send a request to an upstream.
 struct UpstreamTarget {
@@ -80,6 +113,8 @@
   VmId Router;
   Endpoint Address;
   TierId Tier;
+  UpstreamId Upstream; ///< that the request is for; empty when any will do
+  ForwardPurpose Purpose = ForwardPurpose::UpstreamHome;
 };
 
 using AttemptTarget = std::variant<UpstreamTarget, RouterTarget>;
@@ -89,6 +124,7 @@
   RequestId Request;
   AttemptTarget Target;
   Time Deadline;
+  CallerId Caller;
   std::shared_ptr<const HttpRequest> Message;
 };
 
@@ -104,9 +140,16 @@
   Verdict Proven = Verdict::Ran;
   Duration RetryAfter{}; ///< stated when Proven is NotRun
   HttpResponse Answer;   ///< the upstream's when Why is None
+  std::string Detail;    ///< told beside the reason; may be empty
+};
+
+/// Send a question about home leases to the leader of its service.
+struct SendHomeAsk {
+  HomeAsk Ask;
 };
 
-using RouterAction = std::variant<StartAttempt, CancelAttempt, AnswerCaller>;
+using RouterAction =
+    std::variant<StartAttempt, CancelAttempt, AnswerCaller, SendHomeAsk>;
 
 } // namespace waxwing
 
--- a/tests/config_writer_test.cpp
+++ b/tests/config_writer_test.cpp
@@ -40,7 +40,7 @@
 /// A call of a writer that the store has not answered.
 struct PendingCall {
   std::size_t Writer = 0;
-  std::variant<ReadDocument, WriteDocument> Call;
+  std::variant<ReadText, WriteText> Call;
 };
 
 /// One request as a client sent it, perhaps with an id used before.
@@ -159,9 +159,9 @@
     for (ConfigAction &action : Writers[writer].handle(std::move(event), Now)) {
       if (const auto *answer = std::get_if<AnswerRequest>(&action))
         take(*answer);
-      if (const auto *read = std::get_if<ReadDocument>(&action))
+      if (const auto *read = std::get_if<ReadText>(&action))
         Calls.push_back({writer, *read});
-      if (const auto *write = std::get_if<WriteDocument>(&action))
+      if (const auto *write = std::get_if<WriteText>(&action))
         Calls.push_back({writer, *write});
     }
   }
@@ -184,13 +184,13 @@
     const bool isLost = step.B % 4 == 1;
     const bool isLate = step.B % 8 == 2;
     const bool isAnswerLost = step.B % 4 == 3;
-    if (const auto *read = std::get_if<ReadDocument>(&call.Call)) {
+    if (const auto *read = std::get_if<ReadText>(&call.Call)) {
       StoreGetResult result{StoreStatus::Done, {"", Rev, Text}};
       if (isLost || isAnswerLost)
         result = {};
-      return handle(call.Writer, DocumentRead{read->Operation, result});
+      return handle(call.Writer, TextRead{read->Operation, result});
     }
-    const auto &write = std::get<WriteDocument>(call.Call);
+    const auto &write = std::get<WriteText>(call.Call);
     StorePutResult result;
     if (isLate)
       Late.push_back(write);
@@ -202,8 +202,7 @@
   }
 
   /// Passes the store's answer on, or what a faulty writer makes of it.
-  void answerWrite(std::size_t writer, WriteDocument write,
-                   StorePutResult result) {
+  void answerWrite(std::size_t writer, WriteText write, StorePutResult result) {
     const bool isUnanswered = result.Status == StoreStatus::Unanswered;
     const bool isRewritten =
         (Fault == BuiltInFault::BlindRewrite && isUnanswered) ||
@@ -215,7 +214,7 @@
     }
     if (Fault == BuiltInFault::AcceptBeforeKnown && isUnanswered)
       result = {StoreStatus::Done, Rev};
-    handle(writer, DocumentWritten{write.Operation, result});
+    handle(writer, TextWritten{write.Operation, result});
   }
 
   void landLate(const Step &step) {
@@ -226,7 +225,7 @@
     Late.erase(it);
   }
 
-  StorePutResult compareAndSwap(const WriteDocument &write) {
+  StorePutResult compareAndSwap(const WriteText &write) {
     if (write.Expected != Rev)
       return {StoreStatus::Conflict, Rev};
     apply(write.Text);
@@ -265,7 +264,7 @@
   Time Now{};
   std::array<ConfigWriter, WriterCount> Writers;
   std::vector<PendingCall> Calls;
-  std::vector<WriteDocument> Late; ///< writes that may land any time
+  std::vector<WriteText> Late; ///< writes that may land any time
   std::vector<Sent> Requests;
   Revision Rev;
   std::string Text;
@@ -354,8 +353,8 @@
     EXPECT_EQ(actions.size(), 1U);
     return std::get<Action>(actions.at(0));
   }
-  DocumentRead read(std::uint64_t operation, Revision rev,
-                    const std::string &text) {
+  TextRead read(std::uint64_t operation, Revision rev,
+                const std::string &text) {
     return {operation, {StoreStatus::Done, {"/teams/t", rev, text}}};
   }
 
@@ -364,8 +363,8 @@
 };
 
 TEST_F(SingleWriter, StoreThatIsDownGivesAClearAnswer) {
-  const auto first = take<ReadDocument>(makeRequest("c"));
-  EXPECT_TRUE(Writer.handle(DocumentRead{first.Operation, {}}, Now).empty());
+  const auto first = take<ReadText>(makeRequest("c"));
+  EXPECT_TRUE(Writer.handle(TextRead{first.Operation, {}}, Now).empty());
   Now += RequestTerm;
   const auto answer = take<AnswerRequest>(ConfigTick());
   EXPECT_EQ(answer.Answer.Verdict, ConfigVerdict::Unavailable);
@@ -374,12 +373,12 @@
 }
 
 TEST_F(SingleWriter, LostAnswerIsReadBack) {
-  const auto first = take<ReadDocument>(makeRequest("c"));
-  const auto write = take<WriteDocument>(
+  const auto first = take<ReadText>(makeRequest("c"));
+  const auto write = take<WriteText>(
       read(first.Operation, Revision(4), "[tier p]\nweight = 1\n"));
-  EXPECT_TRUE(Writer.handle(DocumentWritten{write.Operation, {}}, Now).empty());
+  EXPECT_TRUE(Writer.handle(TextWritten{write.Operation, {}}, Now).empty());
   Now += seconds(1);
-  const auto again = take<ReadDocument>(ConfigTick());
+  const auto again = take<ReadText>(ConfigTick());
   const auto answer =
       take<AnswerRequest>(read(again.Operation, Revision(5), write.Text));
   EXPECT_EQ(answer.Answer.Verdict, ConfigVerdict::Accepted);
@@ -387,10 +386,10 @@
 }
 
 TEST_F(SingleWriter, UnresolvedWriteIsSaidToBeSo) {
-  const auto first = take<ReadDocument>(makeRequest("c"));
-  const auto write = take<WriteDocument>(
+  const auto first = take<ReadText>(makeRequest("c"));
+  const auto write = take<WriteText>(
       read(first.Operation, Revision(4), "[tier p]\nweight = 1\n"));
-  Writer.handle(DocumentWritten{write.Operation, {}}, Now);
+  Writer.handle(TextWritten{write.Operation, {}}, Now);
   Now += RequestTerm;
   EXPECT_EQ(take<AnswerRequest>(ConfigTick()).Answer.Verdict,
             ConfigVerdict::Unresolved);
@@ -406,7 +405,7 @@
                               {{"tier/p/weight", "1", "7"}}});
   ConfigRequest request = makeRequest("c");
   request.Base = Revision(4);
-  const auto first = take<ReadDocument>(std::move(request));
+  const auto first = take<ReadText>(std::move(request));
   const auto answer = take<AnswerRequest>(
       read(first.Operation, Revision(5), joinDocument(document)));
   EXPECT_EQ(answer.Answer.Verdict, ConfigVerdict::Conflict);
@@ -419,7 +418,7 @@
 TEST_F(SingleWriter, BaseBeforeTheHistoryIsRefused) {
   ConfigRequest request = makeRequest("c");
   request.Base = Revision(1);
-  const auto first = take<ReadDocument>(std::move(request));
+  const auto first = take<ReadText>(std::move(request));
   EXPECT_EQ(take<AnswerRequest>(
                 read(first.Operation, Revision(5), "[tier p]\nweight = 1\n"))
                 .Answer.Verdict,
@@ -430,7 +429,7 @@
   ConfigDocument document{{}, "[tier p]\nweight = 7\n"};
   document.History.push_back(
       {"c", "other commands", Revision(4), "noon", "anna", {}});
-  const auto first = take<ReadDocument>(makeRequest("c"));
+  const auto first = take<ReadText>(makeRequest("c"));
   EXPECT_EQ(take<AnswerRequest>(
                 read(first.Operation, Revision(5), joinDocument(document)))
                 .Answer.Verdict,
