--- a/src/ctl/ctl_view.cpp
+++ b/src/ctl/ctl_view.cpp
@@ -90,10 +90,8 @@
     text += vm.at("vm").get<std::string>();
     for (const auto &[team, rev] : vm.at("teams").items())
       text += fmt::format("  {}@{}", team, rev.get<std::uint64_t>());
-    text += fmt::format("  (heard {} ms ago)
-                        ",
-                        vm.at("age_ms")
-                            .get<std::uint64_t>());
+    text += fmt::format("  (heard {} ms ago)\n",
+                        vm.at("age_ms").get<std::uint64_t>());
   }
   return text;
 }
--- a/tests/config_cmd_test.cpp
+++ b/tests/config_cmd_test.cpp
@@ -225,7 +225,7 @@
 TEST(TokenConfig, FaultyTokensAreRefused) {
   const std::string digest = "sha256 = " + sha256Hex("s") + "\n";
   EXPECT_TRUE(parseTokenConfig("[token a]\n" + digest + "teams = x\n").ok());
-  for (const std::string text :
+  for (const std::string &text :
        {"[token a]\n" + digest + "teams = x, y\n",
         "[token a]\n" + digest + "teams = x,\n", "[token a]\n" + digest,
         "[token settings-operator]\n" + digest + "teams = x\n",
