--- a/src/controller/admin_answer.cpp
+++ b/src/controller/admin_answer.cpp
@@ -66,8 +66,7 @@
   return answer;
 }
 
-AdminAnswerer::Result
-AdminAnswerer::operator()(const DocumentAccepted &) const {
+AdminAnswerer::Result AdminAnswerer::operator()(const DocumentNews &) const {
   return CountersAnswer();
 }
 
--- a/src/controller/configuration_host.h
+++ b/src/controller/configuration_host.h
@@ -53,7 +53,7 @@
   void leave(Time now) { handle(LeaveStarted(), now); }
   /// Puts a document into force whose write is known to have taken effect.
   void apply(const TeamDocument &document, Time now) {
-    handle(DocumentWritten{document}, now);
+    handle(DocumentAccepted{document}, now);
   }
   /// Passes on a record that this VM's state machine published.
   void publish(const OwnershipRecord &record, Time now) {
--- a/src/controller/controller_process.cpp
+++ b/src/controller/controller_process.cpp
@@ -155,7 +155,7 @@
   }
 
   void on(AdminQuery &&query, Time now) {
-    if (const auto *news = std::get_if<DocumentAccepted>(&query.Call))
+    if (const auto *news = std::get_if<DocumentNews>(&query.Call))
       Configurations.apply(news->Document, now);
     else
       Admin.answers().push(
