--- a/src/traffic/idempotency_type.h
+++ b/src/traffic/idempotency_type.h
@@ -33,7 +33,8 @@
 /// Bounds on civil clocks.
 struct IdempotencyTerms {
   Duration VmClockError = milliseconds(250); ///< of a router against true time
-  Duration AheadLimit = seconds(1); ///< a key's time of issue may be so late
+  Duration AheadLimit =
+      milliseconds(500); ///< a key's time of issue may be so late
 
   /// A home has seen every execution of keys that were issued later than its
   /// start and this.
