--- a/src/controller/controller_process.cpp
+++ b/src/controller/controller_process.cpp
@@ -62,6 +62,9 @@
              },
              [this](std::vector<ControllerMember> members, Time now) {
                Ownership.setMembers(std::move(members), now);
+             },
+             [this](const OwnershipRecord &record, Time now) {
+               Ownership.hear(record, now);
              }},
             readClock()),
         Ownership(Self, Terms, Store, Orders, Links,
