--- a/src/config/config_change.cpp
+++ b/src/config/config_change.cpp
@@ -78,14 +78,14 @@
 ConfigAction ConfigChange::read(std::uint64_t operation) {
   Operation = operation;
   RetryAt.reset();
-  return ReadDocument{operation, documentKey(Request.Document)};
+  return ReadText{operation, documentKey(Request.Document)};
 }
 
 ConfigAction ConfigChange::write(std::uint64_t operation) {
   Operation = operation;
   RetryAt.reset();
-  return WriteDocument{operation, documentKey(Request.Document), Sent->Expected,
-                       Sent->Text};
+  return WriteText{operation, documentKey(Request.Document), Sent->Expected,
+                   Sent->Text};
 }
 
 ConfigAction ConfigChange::answer(ConfigAnswer answer) {
@@ -209,8 +209,12 @@
   Operation = 0;
   switch (result.Status) {
   case StoreStatus::Done:
-    return answer(
-        {ConfigVerdict::Accepted, result.Rev, "", {}, std::move(Sent->Values)});
+    return answer({ConfigVerdict::Accepted,
+                   result.Rev,
+                   "",
+                   {},
+                   std::move(Sent->Values),
+                   std::move(Sent->Text)});
   case StoreStatus::Conflict:
     // Read back: an earlier copy of this write may be what came first.
     return read(nextOperation);
--- a/src/controller/admin_answer.h
+++ b/src/controller/admin_answer.h
@@ -7,14 +7,27 @@
 
 #include "admin/admin_type.h"
 #include "controller/configuration_host.h"
+#include "metrics/control_counters.h"
 
 namespace waxwing {
 
-/// Answers @p query by what this VM knows; used on the decision thread.
-decltype(AdminAnswer::Result)
-answerAdmin(const AdminQuery &query, const VmId &self,
-            const ConfigurationHost &configurations,
-            const ControlCounters &counters);
+/// Answers by what this VM knows; used on the decision thread.
+struct AdminAnswerer {
+  using Result = decltype(AdminAnswer::Result);
+
+  const VmId &Self;
+  const ConfigurationHost &Configurations;
+  const ControlCounters &Counters;
+  Time Now;
+
+  Result answer(const AdminQuery &query) const;
+
+  Result operator()(const OwnerCall &call) const;
+  Result operator()(const RevisionsCall &call) const;
+  Result operator()(const CountersCall &call) const;
+  /// News have no answer.
+  Result operator()(const DocumentNews &news) const;
+};
 
 } // namespace waxwing
 
