--- /dev/null
+++ b/bench/dispatch_bench.cpp
@@ -0,0 +1,195 @@
+/**
+ * @file dispatch_bench.cpp
+ * Queue model of 9 routers and one service: the shipped dispatcher with one
+ * home for each upstream against other ways to share its slots. Prints
+ * tables; gives no verdict.
+ */
+#include "../tests/dispatch_fleet.h"
+
+#include <fmt/format.h>
+#include <iostream>
+
+namespace waxwing {
+namespace {
+
+struct Deployment {
+  const char *Name;
+  int Upstreams;
+  int Slots;
+  bool IsKeyed;
+};
+
+constexpr std::array Deployments{
+    Deployment{"dakar 8x4", 8, 4, false},
+    Deployment{"dakar keyed 13x4", 13, 4, true},
+    Deployment{"pl-centrum 9x3", 9, 3, false},
+    Deployment{"pl-centrum keyed 17x3", 17, 3, true},
+};
+
+struct PolicyRow {
+  FleetPolicy Policy;
+  const char *Name;
+};
+
+constexpr std::array Policies{
+    PolicyRow{FleetPolicy::Home, "one home"},
+    PolicyRow{FleetPolicy::StaticShares, "static shares"},
+    PolicyRow{FleetPolicy::LentCredits, "lent credits"},
+    PolicyRow{FleetPolicy::RoundRobin, "round robin"},
+    PolicyRow{FleetPolicy::LeastConnections, "least connections"},
+};
+
+double ms(Duration span) { return static_cast<double>(span.count()) / 1000; }
+
+FleetOptions optionsOf(const Deployment &deployment, FleetPolicy policy) {
+  FleetOptions options;
+  options.Policy = policy;
+  options.Upstreams = deployment.Upstreams;
+  options.Slots = deployment.Slots;
+  options.IsKeyed = deployment.IsKeyed;
+  return options;
+}
+
+/// Requests per second that all upstreams serve when warm.
+double capacity(const FleetOptions &options) {
+  return options.Upstreams * options.Slots * 1e6 /
+         static_cast<double>(options.ServiceTime.count());
+}
+
+/// Starts the fleet and lets it become warm under a small load.
+void warmUp(DispatchFleet &fleet, double rate) {
+  fleet.run(seconds(1));
+  fleet.load("paying", rate / 8, fleet.Now + seconds(4));
+  fleet.run(seconds(5));
+  fleet.Results.clear();
+  for (FleetUpstream &it : fleet.Upstreams)
+    it.Served = it.Peak = 0;
+  fleet.Messages = 0;
+}
+
+void printRow(const Deployment &deployment, const char *policy,
+              DispatchFleet &fleet, int peakCold) {
+  FleetResult &paying = fleet.Results["paying"];
+  int peak = 0;
+  for (const FleetUpstream &it : fleet.Upstreams)
+    peak = std::max(peak, it.Peak);
+  std::cout << fmt::format(
+      "{:<22} {:<18} {:>6.2f} {:>7.1f} {:>7.1f} {:>7.1f} {:>8.2f} {:>5} {:>9} "
+      "{:>9.2f}\n",
+      deployment.Name, policy, fleet.imbalance(), ms(paying.quantile(0.5)),
+      ms(paying.quantile(0.99)), ms(paying.quantile(0.999)),
+      100 * paying.success(), peak, peakCold,
+      static_cast<double>(fleet.Messages) / std::max(1, paying.Sent));
+}
+
+void printHead(const char *title) {
+  std::cout << "\n" << title << "\n";
+  std::cout << fmt::format(
+      "{:<22} {:<18} {:>6} {:>7} {:>7} {:>7} {:>8} {:>5} {:>9} {:>9}\n",
+      "deployment", "policy", "imbal", "p50 ms", "p99 ms", "p99.9", "right %",
+      "peak", "peak cold", "msgs/req");
+}
+
+/// @return most requests that a cold upstream had at a time, all cold
+int peakCold(const Deployment &deployment, FleetPolicy policy) {
+  const FleetOptions options = optionsOf(deployment, policy);
+  DispatchFleet fleet(options);
+  fleet.run(seconds(1));
+  fleet.load("paying", capacity(options) * 0.7, fleet.Now + seconds(1));
+  fleet.run(seconds(2));
+  int peak = 0;
+  for (const FleetUpstream &it : fleet.Upstreams)
+    peak = std::max(peak, it.PeakCold);
+  return peak;
+}
+
+/// Slows one upstream for some moments.
+void slow(DispatchFleet &fleet, int upstream) {
+  for (int n = 0; n < 5; ++n)
+    fleet.after(milliseconds(500 + 2000 * n + 700 * upstream),
+                [&fleet, upstream] {
+                  fleet.Upstreams[upstream].SlowFactor = 10;
+                  fleet.after(milliseconds(300), [&fleet, upstream] {
+                    fleet.Upstreams[upstream].SlowFactor = 1;
+                  });
+                });
+}
+
+void compareOne(const Deployment &deployment, const PolicyRow &policy,
+                double share, int slowed) {
+  const FleetOptions options = optionsOf(deployment, policy.Policy);
+  DispatchFleet fleet(options);
+  const double rate = capacity(options) * share;
+  warmUp(fleet, rate);
+  fleet.load("paying", rate, fleet.Now + seconds(10));
+  for (int n = 0; n < slowed; ++n)
+    slow(fleet, n);
+  fleet.run(seconds(13));
+  printRow(deployment, policy.Name, fleet,
+           slowed > 0 ? 0 : peakCold(deployment, policy.Policy));
+  if (policy.Policy == FleetPolicy::Home && slowed > 0)
+    std::cout << fmt::format(
+        "{:<22} hedges {:.2f} % of requests, latency jumps {}\n", "",
+        100.0 * static_cast<double>(fleet.count(DispatchCount::Hedged)) /
+            fleet.Results["paying"].Sent,
+        fleet.count(DispatchCount::LatencyJumps));
+}
+
+void compare(double share, int slowed, const char *title) {
+  printHead(title);
+  for (const Deployment &deployment : Deployments)
+    for (const PolicyRow &policy : Policies) {
+      const bool isBaseline = policy.Policy == FleetPolicy::RoundRobin ||
+                              policy.Policy == FleetPolicy::LeastConnections;
+      // A key leaves no choice of upstream.
+      if (!deployment.IsKeyed || (!isBaseline && slowed == 0))
+        compareOne(deployment, policy, share, slowed);
+    }
+}
+
+void surgeOne(const Deployment &deployment, FleetPolicy policy,
+              const char *name) {
+  const FleetOptions options = optionsOf(deployment, policy);
+  DispatchFleet fleet(options);
+  const double rate = capacity(options) * 0.4;
+  warmUp(fleet, rate);
+  fleet.load("paying", rate, fleet.Now + seconds(5));
+  fleet.run(seconds(8));
+  const Duration alone = fleet.Results["paying"].quantile(0.99);
+  fleet.Results.clear();
+  fleet.Messages = 0;
+  fleet.load("paying", rate, fleet.Now + seconds(5));
+  fleet.load("free", capacity(options) * 10, fleet.Now + seconds(5));
+  fleet.run(seconds(8));
+  FleetResult &paying = fleet.Results["paying"];
+  FleetResult &free = fleet.Results["free"];
+  std::cout << fmt::format(
+      "{:<22} {:<18} {:>10.1f} {:>10.1f} {:>10.3f} {:>8.2f} {:>9.2f}\n",
+      deployment.Name, name, ms(alone), ms(paying.quantile(0.99)),
+      100 * paying.success(), 100 * free.success(),
+      static_cast<double>(fleet.Messages) / (paying.Sent + free.Sent));
+}
+
+void surge() {
+  std::cout << "\nfree callers at ten times capacity, paying at 0.4\n";
+  std::cout << fmt::format("{:<22} {:<18} {:>10} {:>10} {:>10} {:>8} {:>9}\n",
+                           "deployment", "policy", "p99 alone", "p99 surge",
+                           "paying %", "free %", "msgs/req");
+  for (const Deployment &deployment : Deployments) {
+    surgeOne(deployment, FleetPolicy::Home, "one home");
+    if (!deployment.IsKeyed)
+      surgeOne(deployment, FleetPolicy::LeastConnections, "least connections");
+  }
+}
+
+} // namespace
+} // namespace waxwing
+
+int main() {
+  waxwing::compare(0.7, 0, "load 0.7 of capacity");
+  waxwing::compare(0.5, 0, "load 0.5 of capacity");
+  waxwing::compare(0.5, 2,
+                   "load 0.5, two upstreams slowed 10 times for 300 ms, five "
+                   "times each");
+  waxwing::surge();
+}
--- a/src/controller/home_host.cpp
+++ b/src/controller/home_host.cpp
@@ -18,6 +18,13 @@
   return resources;
 }
 
+std::map<UpstreamId, DomainId> domainsOf(const TeamConfig &team) {
+  std::map<UpstreamId, DomainId> domains;
+  for (const auto &[id, upstream] : team.Upstreams)
+    domains[id] = upstream.Domain;
+  return domains;
+}
+
 } // namespace
 
 HomeHost::HomeHost(RecordMember self, LinkPort &links, Lead lead)
@@ -27,7 +34,8 @@
   for (const auto &[team, teamConfig] : config.teams())
     for (const auto &[id, service] : teamConfig.Services)
       Lessors.try_emplace(id, id, HomeTerms())
-          .first->second.setResources(resourcesOf(teamConfig, id));
+          .first->second.setResources(resourcesOf(teamConfig, id),
+                                      domainsOf(teamConfig));
   tick(now);
 }
 
--- a/src/link/home_message.cpp
+++ b/src/link/home_message.cpp
@@ -39,17 +39,18 @@
         Json::array({encodeResource(row.Resource), row.IsWarm, row.IsEnded}));
   return Json::array({ask.Service.Value, ask.Router.Value, ask.Process.Value,
                       encodeEndpoint(ask.Forward), ask.Round, std::move(held),
-                      ask.IsLeaving});
+                      ask.IsLeaving, ask.Domain.Value});
 }
 
 HomeAsk decodeHomeAsk(const Json &body) {
-  HomeAsk ask{ServiceId(body.at(0).get<std::string>()),
-              VmId(body.at(1).get<std::string>()),
-              Incarnation(body.at(2).get<std::uint64_t>()),
-              decodeEndpoint(body.at(3)),
-              body.at(4).get<std::uint64_t>(),
-              {},
-              body.at(6).get<bool>()};
+  HomeAsk ask;
+  ask.Service = ServiceId(body.at(0).get<std::string>());
+  ask.Router = VmId(body.at(1).get<std::string>());
+  ask.Process = Incarnation(body.at(2).get<std::uint64_t>());
+  ask.Forward = decodeEndpoint(body.at(3));
+  ask.Round = body.at(4).get<std::uint64_t>();
+  ask.IsLeaving = body.at(6).get<bool>();
+  ask.Domain = DomainId(body.at(7).get<std::string>());
   for (const Json &row : body.at(5))
     ask.Held.push_back({decodeResource(row.at(0)), row.at(1).get<bool>(),
                         row.at(2).get<bool>()});
--- a/src/router/router_process.cpp
+++ b/src/router/router_process.cpp
@@ -46,8 +46,8 @@
         Metrics(Core, Latency) {}
 
   absl::Status start() {
-    Core.leaseHomes(Self.Process,
-                    parseEndpoint(Settings.Router.text("forward")));
+    Core.leaseHomes({Self.Vm, Self.Process, Self.Domain,
+                     parseEndpoint(Settings.Router.text("forward"))});
     Decisions.emplace(System, DecisionPeriod,
                       [this](DutyCall call) { decide(call); });
     IsReady = true;
--- a/src/traffic/dispatcher.cpp
+++ b/src/traffic/dispatcher.cpp
@@ -49,10 +49,7 @@
   placeHeld(now);
 }
 
-void Dispatcher::leaseHomes(Incarnation process, const Endpoint &forward) {
-  Process = process;
-  Forward = forward;
-}
+void Dispatcher::leaseHomes(const HomeIdentity &self) { Leasing = self; }
 
 void Dispatcher::setHomes(std::shared_ptr<const HomesUpdate> homes, Time now) {
   const ServiceId id = homes->Service;
@@ -90,7 +87,7 @@
 
 bool Dispatcher::isHomeHere(const ServiceId &service,
                             const HomeResource &resource, Time now) const {
-  if (!Forward)
+  if (!Leasing)
     return true;
   const auto it = Services.find(service);
   return it != Services.end() && it->second.Holder &&
@@ -153,13 +150,13 @@
 }
 
 void Dispatcher::poll(Time now) {
-  if (!Forward || !Config)
+  if (!Leasing || !Config)
     return;
   for (auto &[id, service] : Services) {
     if (service.Config == nullptr)
       continue;
     if (!service.Holder) {
-      service.Holder.emplace(id, Self, Process, *Forward, HomeTerms());
+      service.Holder.emplace(id, *Leasing, HomeTerms());
       if (IsLeaving)
         service.Holder->leave();
     }
@@ -226,7 +223,7 @@
     return std::ranges::binary_search(service.Eligible, it);
   };
   for (const UpstreamId &it : service.Eligible)
-    if (!Forward || (service.Holder && service.Holder->isKnown(it)))
+    if (!Leasing || (service.Holder && service.Holder->isKnown(it)))
       service.Own.push_back(it);
   service.Peers = Homes.peers(id, isUsable);
   std::erase_if(service.Peers,
@@ -235,7 +232,7 @@
 
 HomeRight Dispatcher::rightAt(const Service &service,
                               const UpstreamId &upstream, Time now) const {
-  if (!Forward)
+  if (!Leasing)
     return HomeRight::Full;
   return service.Holder ? service.Holder->right(upstream, now)
                         : HomeRight::None;
--- a/src/traffic/dispatcher_base.h
+++ b/src/traffic/dispatcher_base.h
@@ -39,7 +39,7 @@
   void setOwners(std::shared_ptr<const OwnershipRecord> owners, Time now);
 
   /// See RouterCore::leaseHomes().
-  void leaseHomes(Incarnation process, const Endpoint &forward);
+  void leaseHomes(const HomeIdentity &self);
   void setHomes(std::shared_ptr<const HomesUpdate> homes, Time now);
   void takeLeases(const HomeAnswer &answer, Time now);
   /// The router shuts down: its homes are given back as they fall idle.
@@ -75,8 +75,9 @@
   struct Request {
     DispatchRequest What;
     WaitPlace Place = WaitPlace::Nowhere;
-    GroupId Group;                      ///< when in a queue
-    Reason HeldWhy = Reason::None;      ///< when held
+    GroupId Group;                 ///< when in a queue
+    Reason HeldWhy = Reason::None; ///< when held
+    bool WasHeld = false;
     std::vector<AttemptId> Attempts;    ///< without an end
     std::optional<Time> HedgeStartedAt; ///< of the attempt to be hedged
   };
@@ -161,8 +162,7 @@
   void poll(Time now);
 
   VmId Self;
-  Incarnation Process;
-  std::optional<Endpoint> Forward; ///< set when homes are leased
+  std::optional<HomeIdentity> Leasing; ///< set when homes are leased
   bool IsLeaving = false;
   std::mt19937_64 Random;
   std::shared_ptr<const Configuration> Config;
--- a/src/traffic/dispatcher_place.cpp
+++ b/src/traffic/dispatcher_place.cpp
@@ -100,8 +100,8 @@
     return !isAvoided(request, it) &&
            rightAt(service, it, now) != HomeRight::None;
   });
-  if (request.IsForwarded || !Forward) {
-    if (isHome || (!Forward && !service.Own.empty()))
+  if (request.IsForwarded || !Leasing) {
+    if (isHome || (!Leasing && !service.Own.empty()))
       return enqueue(id, service, request.Service, now);
     return refuse(id, Reason::ForwardRefused, Duration());
   }
@@ -149,7 +149,7 @@
 }
 
 HomePeer Dispatcher::selfAsPeer(const Service &service) const {
-  return {Self, Forward.value_or(Endpoint()), service.Own};
+  return {Self, Leasing ? Leasing->Forward : Endpoint(), service.Own};
 }
 
 const HomePeer *Dispatcher::choosePeer(const Service &service,
@@ -199,10 +199,12 @@
   leaveWait(id);
   service.Loads.begin(attempt.Router, attempt.StartedAt);
   if (!isHedge) {
-    service.Hedges.onFirstAttempt();
+    // A forwarded request counts in the budget of the router it entered by.
+    if (!request.What.IsForwarded)
+      service.Hedges.onFirstAttempt();
     const bool mayHedge = request.What.IsIdempotent &&
                           !request.What.IsForwarded &&
-                          !service.Config->IsDividedByKey && Forward;
+                          !service.Config->IsDividedByKey && Leasing;
     if (mayHedge)
       service.Hedgeable.insert({attempt.StartedAt, id});
   }
--- a/src/traffic/dispatcher_wait.cpp
+++ b/src/traffic/dispatcher_wait.cpp
@@ -64,7 +64,8 @@
   if (count >= tierConfig(request.What).QueueLimit)
     return refuse(id, why, seconds(1));
   ++count;
-  Counters.add(DispatchCount::Held);
+  if (!std::exchange(request.WasHeld, true))
+    Counters.add(DispatchCount::Held);
   request.Place = WaitPlace::Held;
   request.HeldWhy = why;
   Held.push_back(id);
--- a/src/traffic/home_holder.cpp
+++ b/src/traffic/home_holder.cpp
@@ -8,10 +8,8 @@
 
 namespace waxwing {
 
-HomeHolder::HomeHolder(ServiceId service, VmId self, Incarnation process,
-                       Endpoint forward, HomeTerms terms)
-    : Service(std::move(service)), Self(std::move(self)), Process(process),
-      Forward(std::move(forward)), Terms(terms) {}
+HomeHolder::HomeHolder(ServiceId service, HomeIdentity self, HomeTerms terms)
+    : Service(std::move(service)), Self(std::move(self)), Terms(terms) {}
 
 bool HomeHolder::isAskDue(Time now) const {
   if (Round == 0)
@@ -22,11 +20,12 @@
 HomeAsk HomeHolder::beginAsk(Time now) {
   AskedAt = now;
   IsAnswered = false;
-  return {Service, Self, Process, Forward, ++Round, {}, IsLeaving};
+  return {Service,      Self.Router, Self.Process, Self.Domain,
+          Self.Forward, ++Round,     {},           IsLeaving};
 }
 
 std::vector<HomeLease> HomeHolder::take(const HomeAnswer &answer) {
-  if (answer.Process != Process || answer.Round != Round || IsAnswered)
+  if (answer.Process != Self.Process || answer.Round != Round || IsAnswered)
     return {};
   IsAnswered = true;
   const Time end = AskedAt + answer.Term;
@@ -52,7 +51,7 @@
   for (const HomeRow &row : homes.Rows) {
     const auto it = Leases.find(row.Resource);
     if (it != Leases.end())
-      it->second.IsSuperseded = row.Router != Self;
+      it->second.IsSuperseded = row.Router != Self.Router;
   }
 }
 
--- a/src/traffic/home_holder_base.h
+++ b/src/traffic/home_holder_base.h
@@ -26,8 +26,7 @@
 /// router's own clock; only the answer to the newest question counts.
 class HomeHolder {
 public:
-  HomeHolder(ServiceId service, VmId self, Incarnation process,
-             Endpoint forward, HomeTerms terms);
+  HomeHolder(ServiceId service, HomeIdentity self, HomeTerms terms);
 
   /// @param isIdle whether nothing of the router runs at a resource
   /// @param isWarm whether an upstream has all its slots
@@ -76,9 +75,7 @@
   }
 
   ServiceId Service;
-  VmId Self;
-  Incarnation Process;
-  Endpoint Forward;
+  HomeIdentity Self;
   HomeTerms Terms;
   std::uint64_t Round = 0;
   Time AskedAt;
--- a/src/traffic/home_lessor.cpp
+++ b/src/traffic/home_lessor.cpp
@@ -12,6 +12,8 @@
 
 /// A router that asked within this many answer waits is live.
 constexpr int LiveAnswerWaits = 2;
+/// Homes more that a router of the upstream's own domain may have.
+constexpr std::size_t ForeignDomainPenalty = 2;
 
 /// Rank of a router for a resource; equal on every controller.
 std::uint64_t rank(const HomeResource &resource, const VmId &router) {
@@ -33,7 +35,9 @@
 HomeLessor::HomeLessor(ServiceId service, HomeTerms terms)
     : Service(std::move(service)), Terms(terms) {}
 
-void HomeLessor::setResources(std::vector<HomeResource> resources) {
+void HomeLessor::setResources(std::vector<HomeResource> resources,
+                              std::map<UpstreamId, DomainId> domains) {
+  Domains = std::move(domains);
   Resources = std::move(resources);
   std::ranges::sort(Resources);
 }
@@ -64,7 +68,8 @@
   Router &router = Routers[ask.Router];
   if (router.Process == ask.Process && ask.Round <= router.Round)
     return std::nullopt;
-  router = {ask.Process, ask.Forward, ask.Round, now, ask.IsLeaving};
+  router = {ask.Process, ask.Domain, ask.Forward,
+            ask.Round,   now,        ask.IsLeaving};
   dropEnded(now);
   forgetSilent(now);
   dropReleased(ask);
@@ -158,12 +163,15 @@
     const auto better = chooseRouter(resource, counts, now);
     if (!better || *better == from)
       continue;
+    --counts.of(from, resource);
     const bool isExcess =
-        counts.of(from, resource) >= counts.of(*better, resource) + 2;
-    if (!isExcess && !Routers.at(from).IsLeaving)
+        costOf(from, Routers.at(from), resource, counts) >
+        costOf(*better, Routers.at(*better), resource, counts);
+    if (!isExcess && !Routers.at(from).IsLeaving) {
+      ++counts.of(from, resource);
       continue;
+    }
     lease.IsReleasing = true;
-    --counts.of(from, resource);
     ++counts.of(*better, resource);
   }
 }
@@ -185,6 +193,17 @@
   return counts;
 }
 
+std::size_t HomeLessor::costOf(const VmId &vm, const Router &router,
+                               const HomeResource &resource,
+                               LeaseCounts &counts) const {
+  const auto *upstream = std::get_if<UpstreamId>(&resource);
+  const auto domain =
+      upstream == nullptr ? Domains.end() : Domains.find(*upstream);
+  const bool isForeign =
+      domain != Domains.end() && domain->second != router.Domain;
+  return counts.of(vm, resource) + (isForeign ? ForeignDomainPenalty : 0);
+}
+
 std::optional<VmId> HomeLessor::chooseRouter(const HomeResource &resource,
                                              LeaseCounts &counts,
                                              Time now) const {
@@ -201,7 +220,8 @@
   for (const auto &[vm, router] : Routers) {
     if (!isEligible(router))
       continue;
-    const std::pair key(counts.of(vm, resource), rank(resource, vm));
+    const std::pair key(costOf(vm, router, resource, counts),
+                        rank(resource, vm));
     if (!best || key < bestKey) {
       best = vm;
       bestKey = key;
--- a/src/traffic/home_lessor_base.h
+++ b/src/traffic/home_lessor_base.h
@@ -37,7 +37,10 @@
 public:
   HomeLessor(ServiceId service, HomeTerms terms);
 
-  void setResources(std::vector<HomeResource> resources);
+  /// @param domains failure domains of upstreams; a home in the upstream's
+  ///   own is preferred, since slots stand idle while messages travel
+  void setResources(std::vector<HomeResource> resources,
+                    std::map<UpstreamId, DomainId> domains = {});
   void setLeadership(const HomeLeadership &leadership, Time now);
 
   /// @return the answer, or nothing while this controller may not lease
@@ -49,6 +52,7 @@
 private:
   struct Router {
     Incarnation Process;
+    DomainId Domain;
     Endpoint Forward;
     std::uint64_t Round = 0;
     Time HeardAt;
@@ -89,6 +93,9 @@
   void releaseExcess(const VmId &from, Time now);
   void forgetSilent(Time now);
   LeaseCounts countLeases() const;
+  /// @return load of a router, plus the penalty of a foreign domain
+  std::size_t costOf(const VmId &vm, const Router &router,
+                     const HomeResource &resource, LeaseCounts &counts) const;
   /// @return the live router that should hold @p resource
   std::optional<VmId> chooseRouter(const HomeResource &resource,
                                    LeaseCounts &counts, Time now) const;
@@ -97,6 +104,7 @@
   ServiceId Service;
   HomeTerms Terms;
   std::vector<HomeResource> Resources;
+  std::map<UpstreamId, DomainId> Domains;
   HomeLeadership Leadership;
   std::optional<Time> AssignsFrom; ///< earlier lessors' leases ended
   std::map<VmId, Router> Routers;
--- a/src/traffic/home_type.h
+++ b/src/traffic/home_type.h
@@ -35,6 +35,14 @@
   std::int64_t DriftPpm = 10'000; ///< bound on the relative rate of two clocks
 };
 
+/// A router process as homes are leased to it.
+struct HomeIdentity {
+  VmId Router;
+  Incarnation Process;
+  DomainId Domain;
+  Endpoint Forward; ///< where it takes forwarded requests
+};
+
 /// What a router says of a resource that it holds.
 struct HeldHome {
   HomeResource Resource;
@@ -50,6 +58,7 @@
   ServiceId Service;
   VmId Router;
   Incarnation Process;
+  DomainId Domain;         ///< failure domain that it stands in
   Endpoint Forward;        ///< where it takes forwarded requests
   std::uint64_t Round = 0; ///< grows with each question of the process
   std::vector<HeldHome> Held;
--- a/src/traffic/router_core_base.h
+++ b/src/traffic/router_core_base.h
@@ -31,10 +31,7 @@
 
   /// From now on only homes that are leased to this process are its own;
   /// without this call the router is alone and the home of everything.
-  /// @param forward where this router takes forwarded requests
-  void leaseHomes(Incarnation process, const Endpoint &forward) {
-    Dispatch.leaseHomes(process, forward);
-  }
+  void leaseHomes(const HomeIdentity &self) { Dispatch.leaseHomes(self); }
 
   /// Takes one event.
   /// @param now this process's clock, never before an earlier now
--- a/tests/home_lease_test.cpp
+++ b/tests/home_lease_test.cpp
@@ -35,8 +35,10 @@
   explicit Fleet(std::uint32_t upstreams = 3)
       : Resources(makeResources(upstreams)) {
     for (int n = 0; n < RouterCount; ++n)
-      Holders.emplace_back(Service, vm(n), Incarnation(1), Endpoint{"x", 1},
-                           HomeTerms());
+      Holders.emplace_back(
+          Service,
+          HomeIdentity{vm(n), Incarnation(1), DomainId("d"), Endpoint{"x", 1}},
+          HomeTerms());
     for (int n = 0; n < LessorCount; ++n) {
       Lessors.emplace_back(Service, HomeTerms());
       Lessors.back().setResources(Resources);
