Add: [Traffic] Dispatcher tests; a slot kept for the heaviest tier; latency jumps by cost

A jump was three slow answers in a row; hedges cancelled just those, so an upstream that turned cold was never seen. Now the time spent on the last 8 ends for each answer counts, cancelled attempts included. Homes that let a hedge win are avoided for a while.

--- a/src/traffic/dispatcher_base.h
+++ b/src/traffic/dispatcher_base.h
@@ -150,6 +150,7 @@
   void enqueue(RequestId id, Service &service, GroupId group, Time now);
   void hold(RequestId id, Service &service, Reason why);
   void leaveWait(RequestId id);
+  bool isLastSlot(const Service &service, const GroupId &group, Time now) const;
   void pump(const GroupId &group, Time now);
   void pumpAll(Time now);
   void placeHeld(Time now);
--- a/src/traffic/dispatcher_wait.cpp
+++ b/src/traffic/dispatcher_wait.cpp
@@ -25,7 +25,7 @@
   const Duration wait = expectedWait(service, group, ahead);
   if (!queue.isEmpty() && now + wait > request.What.Deadline)
     return refuse(id, Reason::DeadlineTooShort, wait);
-  if (!queue.push(request.What.Tier, tier, id))
+  if (!queue.push(request.What.Tier, tier, id, now))
     return refuse(id, Reason::QueueFull, wait);
   request.Place = WaitPlace::Queue;
   request.Group = group;
@@ -89,11 +89,33 @@
   request.Place = WaitPlace::Nowhere;
 }
 
+bool Dispatcher::isLastSlot(const Service &service, const GroupId &group,
+                            Time now) const {
+  const auto *upstream = std::get_if<UpstreamId>(&group);
+  int free = 0;
+  int used = 0;
+  for (const UpstreamId &own :
+       upstream == nullptr ? service.Own : std::vector{*upstream}) {
+    free += freeSlots(service, own, now);
+    const auto slots = Slots.find(own);
+    used += slots == Slots.end() ? 0 : slots->second.inFlight();
+  }
+  // A cold upstream's only slot is shared by weight alone.
+  return free == 1 && used > 0;
+}
+
 void Dispatcher::pump(const GroupId &group, Time now) {
   TierQueue &queue = Queues[group];
   std::vector<RequestId> moved;
   while (!queue.isEmpty()) {
-    const auto id = queue.peek();
+    const RequestId any = *queue.peek(false, now);
+    const auto known = Services.find(Requests.at(any).What.Service);
+    const bool isLast = known != Services.end() &&
+                        known->second.Config != nullptr &&
+                        isLastSlot(known->second, group, now);
+    const auto id = queue.peek(isLast, now);
+    if (!id)
+      break;
     const DispatchRequest &what = Requests.at(*id).What;
     const auto it = Services.find(what.Service);
     if (it == Services.end() || it->second.Config == nullptr) {
--- a/src/traffic/latency_window_base.h
+++ b/src/traffic/latency_window_base.h
@@ -13,26 +13,42 @@
 
 class LatencyWindow {
 public:
+  /// An attempt was answered.
   void add(Duration latency);
+  /// An attempt was given up without an answer.
+  void addCancelled(Duration age) { addEnd({age, false}); }
 
   /// @return moving mean, zero before the first latency
   Duration mean() const { return Mean; }
   /// @return the 95th percentile of the last samples, zero when too few
   Duration p95() const { return P95; }
-  /// @return whether the last answers took several times as long as those
+  /// @return whether the last answers cost several times the time of those
   ///   before, the sign of an upstream that turned cold or slow
   bool hasJumped() const;
-  /// Forgets the jump, not the mean before it.
-  void clearJump() { SlowInARow = 0; }
+  /// Forgets the jump; at most half of it becomes the new normal.
+  void clearJump();
 
 private:
   static constexpr std::size_t Samples = 128;
+  /// Ends that are compared with those before them.
+  static constexpr std::size_t JumpEnds = 8;
+
+  struct End {
+    Duration Age{};
+    bool IsAnswered = false;
+  };
+
+  void addEnd(End end);
+  /// @return time spent on the last ends for each answer among them
+  Duration recentCost() const;
 
   std::array<Duration, Samples> Recent{};
   std::size_t Count = 0;
   Duration Mean{};
   Duration P95{};
-  int SlowInARow = 0;
+  std::array<End, JumpEnds> Ends{};
+  std::size_t EndCount = 0; ///< since the last jump
+  Duration Baseline{};      ///< moving mean of what left Ends
 };
 
 } // namespace waxwing
--- a/src/traffic/peer_loads.cpp
+++ b/src/traffic/peer_loads.cpp
@@ -14,6 +14,12 @@
 /// Stands for the latency of a router without an answer yet.
 constexpr Duration UnknownLatency = milliseconds(1);
 
+/// An attempt this many times as long as the mean shows a slow home.
+constexpr int SlowFactorTenths = 20;
+/// A home counts as slow for this many times the slow attempt's age.
+constexpr int SlowSpanFactor = 8;
+constexpr double SlowPenalty = 4;
+
 bool isRouterFailure(Reason why) {
   return why == Reason::ConnectFailed || why == Reason::SendFailed ||
          why == Reason::ConnectionLost || why == Reason::SilentConnection ||
@@ -31,8 +37,13 @@
   Load &load = Loads[router];
   if (const auto it = load.Starts.find(startedAt); it != load.Starts.end())
     load.Starts.erase(it);
+  const Duration age = now - startedAt;
+  const bool isEnd = why == Reason::None || why == Reason::Cancelled;
+  const Duration mean = load.Latency.mean();
+  if (isEnd && mean > Duration() && age > mean * SlowFactorTenths / 10)
+    load.SlowUntil = std::max(load.SlowUntil, now + age * SlowSpanFactor);
   if (why == Reason::None)
-    load.Latency.add(now - startedAt);
+    load.Latency.add(age);
   if (isRouterFailure(why))
     load.SuspectUntil = now + SuspicionSpan;
 }
@@ -48,7 +59,8 @@
   // answers do.
   if (!load.Starts.empty())
     latency = std::max(latency, now - *load.Starts.begin());
-  return static_cast<double>(load.Starts.size() + 1) *
+  const double penalty = now < load.SlowUntil ? SlowPenalty : 1;
+  return penalty * static_cast<double>(load.Starts.size() + 1) *
          static_cast<double>(latency.count()) / upstreams;
 }
 
--- a/src/traffic/peer_loads_base.h
+++ b/src/traffic/peer_loads_base.h
@@ -54,6 +54,7 @@
     std::multiset<Time> Starts; ///< of attempts without an end
     LatencyWindow Latency;
     Time SuspectUntil;
+    Time SlowUntil; ///< lately slow: chosen only beside worse ones
   };
 
   absl::flat_hash_map<VmId, Load> Loads;
--- a/src/traffic/tier_queue.cpp
+++ b/src/traffic/tier_queue.cpp
@@ -8,10 +8,17 @@
 #include <cmath>
 
 namespace waxwing {
+namespace {
+
+/// The last slot is kept for this long after a heavier tier's request.
+constexpr Duration ReserveSpan = milliseconds(50);
+
+} // namespace
 
 bool TierQueue::push(const TierId &tier, const TierConfig &config,
-                     RequestId request) {
+                     RequestId request, Time now) {
   Lane &lane = Lanes[tier];
+  lane.PushedAt = now;
   if (lane.Requests.size() >= config.QueueLimit)
     return false;
   if (lane.Requests.empty())
@@ -22,10 +29,15 @@
   return true;
 }
 
-std::optional<RequestId> TierQueue::peek() const {
+std::optional<RequestId> TierQueue::peek(bool isLastSlot, Time now) const {
+  int leastWeight = 0;
+  for (const auto &[tier, lane] : Lanes)
+    if (isLastSlot && now < lane.PushedAt + ReserveSpan)
+      leastWeight = std::max(leastWeight, lane.Weight);
   const Lane *next = nullptr;
   for (const auto &[tier, lane] : Lanes)
-    if (!lane.Requests.empty() && (next == nullptr || lane.Pass < next->Pass))
+    if (!lane.Requests.empty() && lane.Weight >= leastWeight &&
+        (next == nullptr || lane.Pass < next->Pass))
       next = &lane;
   if (next == nullptr)
     return std::nullopt;
--- a/src/traffic/tier_queue_base.h
+++ b/src/traffic/tier_queue_base.h
@@ -16,14 +16,19 @@
 
 /// Stride scheduling: a tier of weight w advances its pass by 1/w with each
 /// request served, and the lowest pass is served next.
+/// The last free slot is kept for the heaviest active tier, so that its
+/// requests do not wait for a lighter tier's to end.
 /// Invariant: the pass of a tier that begins to wait is not below the pass
 /// last served, so idle time earns no credit.
 class TierQueue {
 public:
   /// @return false when the tier's queue is full
-  bool push(const TierId &tier, const TierConfig &config, RequestId request);
-  /// @return the request to serve next
-  std::optional<RequestId> peek() const;
+  bool push(const TierId &tier, const TierConfig &config, RequestId request,
+            Time now);
+  /// @param isLastSlot only one slot is left
+  /// @return the request to serve next; the last slot is kept for the
+  ///   heaviest tier that had a request lately
+  std::optional<RequestId> peek(bool isLastSlot, Time now) const;
   /// A request of the tier, the one peek() told, is served; erase() follows.
   void charge(const TierId &tier);
   void erase(const TierId &tier, RequestId request);
@@ -38,6 +43,7 @@
     std::deque<RequestId> Requests;
     int Weight = 1;
     double Pass = 0;
+    Time PushedAt;
   };
 
   std::map<TierId, Lane> Lanes;
--- a/src/traffic/upstream_slots.cpp
+++ b/src/traffic/upstream_slots.cpp
@@ -48,14 +48,19 @@
     return SlotSign::ColdStart;
   }
   // Attempts from before a cold start say nothing of the upstream since.
-  if (why != Reason::None || coldStarts != ColdStarts)
+  const bool isCancelled = why == Reason::Cancelled;
+  if ((why != Reason::None && !isCancelled) || coldStarts != ColdStarts)
     return SlotSign::None;
-  Latency.add(latency);
+  if (isCancelled)
+    Latency.addCancelled(latency);
+  else
+    Latency.add(latency);
   if (Latency.hasJumped() && Warmth.isWarm(now)) {
     turnCold();
     return SlotSign::LatencyJump;
   }
-  Warmth.onAnswer(now, service);
+  if (!isCancelled)
+    Warmth.onAnswer(now, service);
   return SlotSign::None;
 }
 
--- a/tests/dispatch_fleet.h
+++ b/tests/dispatch_fleet.h
@@ -39,6 +39,7 @@
   Duration Hop = milliseconds(1);       ///< between failure domains, one way
   Duration NearHop = microseconds(100); ///< within one
   Duration Timeout = seconds(2);
+  int QueueLimit = 64; ///< of each tier
   std::uint64_t Seed = 1;
 };
 
@@ -130,7 +131,10 @@
 
   void configure() {
     auto config = std::make_shared<Configuration>();
-    std::string text = "[tier paying]\nweight = 8\n[tier free]\nweight = 1\n";
+    const std::string queue =
+        "queue = " + std::to_string(Options.QueueLimit) + "\n";
+    std::string text = "[tier paying]\nweight = 8\n" + queue +
+                       "[tier free]\nweight = 1\n" + queue;
     for (int n = 0; n < Options.Domains; ++n)
       text += "[domain d" + std::to_string(n) +
               "]\ntaken_out = " + (TakenOut == n ? "true\n" : "false\n");
@@ -277,7 +281,9 @@
     ++Open;
     const RequestId id(NextRequest++);
     const KeyHash key(Random());
-    const int entry = static_cast<int>(Random() % Options.Routers);
+    int entry = static_cast<int>(Random() % Options.Routers);
+    while (Paused.contains(entry))
+      entry = (entry + 1) % Options.Routers;
     const Request request{
         tier, Now, Now + Options.Timeout, key, isIdempotent, 0, {}, nullptr};
     if (Options.Policy == FleetPolicy::LentCredits) {
