--- a/src/controller/controller_process.cpp
+++ b/src/controller/controller_process.cpp
@@ -4,7 +4,10 @@
  */
 #include "controller/controller_process.h"
 
+#include "controller/admin_answer.h"
+#include "controller/admin_port.h"
 #include "controller/configuration_host.h"
+#include "controller/controller_metrics.h"
 #include "controller/home_host.h"
 #include "controller/link_port.h"
 #include "controller/order_port.h"
@@ -46,11 +49,12 @@
         Terms(termsOf(Settings.Ownership)),
         Store(parseEndpoint(Settings.Store.text("address")),
               Settings.Store.duration("timeout"),
-              parseEndpoint(Settings.Store.text("vm_list")),
+              parseEndpoint(Settings.Store.text("vm_list")), Counters,
               [this] { wake(); }),
-        Orders([this] { wake(); }), Links(Self, [this] { wake(); }),
+        Orders(Counters, [this] { wake(); }),
+        Links(Self, Counters, [this] { wake(); }),
         Configurations(
-            Self, Settings, Store, Links,
+            Self, Settings, Store, Links, Counters,
             {[this](Time now) {
                Ownership.define(Configurations.configuration(), now);
                Homes.define(Configurations.configuration(), now);
@@ -65,15 +69,23 @@
                       FirstLed.insert(record.Service);
                     Configurations.publish(record, now);
                   }),
-        Homes(Self, Links, [this](const ServiceId &service, Time now) {
-          return leadershipOf(service, now);
-        }) {}
+        Homes(Self, Links,
+              [this](const ServiceId &service, Time now) {
+                return leadershipOf(service, now);
+              }),
+        Admin(Settings, [this] { wake(); }) {}
 
   absl::Status start() {
     Decisions.emplace(System, Terms.Heartbeat / 2,
                       [this](DutyCall call) { decide(call); });
     IsReady = true;
+    if (absl::Status status =
+            Metrics.listen(parseEndpoint(Settings.Controller.text("metrics")));
+        !status.ok())
+      return status;
     Store.start();
+    if (absl::Status status = Admin.listen(); !status.ok())
+      return status;
     return Links.listen(parseEndpoint(Settings.Controller.text("link")));
   }
 
@@ -84,6 +96,7 @@
     Store.stop();
     Orders.stop();
     Links.stop();
+    Admin.stop();
   }
 
 private:
@@ -117,6 +130,10 @@
       std::visit([&](auto &it) { on(it, now); }, event);
     });
     Orders.answers().drain([&](OrderAnswered &&it) { Ownership.on(it, now); });
+    Admin.questions().drain([&](AdminQuery &&query) {
+      Admin.answers().push(
+          {query.Id, answerAdmin(query, Self.Vm, Configurations, Counters)});
+    });
     if (call == DutyCall::Tick) {
       if (IsLeaving && !std::exchange(IsLeaveTold, true))
         Configurations.leave(now);
@@ -144,6 +161,7 @@
   VmSettings Settings;
   RecordMember Self;
   OwnershipTerms Terms;
+  ControlCounters Counters;
   std::atomic<bool> IsReady{false};
   std::atomic<bool> IsLeaving{false};
   bool IsLeaveTold = false;
@@ -153,9 +171,11 @@
   LinkPort Links;
   ConfigurationHost Configurations;
   OwnershipHost Ownership;
+  ControllerMetrics Metrics{Counters};
   HomeHost Homes;
   /// Services whose record began with this process: no earlier home exists.
   std::set<ServiceId> FirstLed;
+  AdminPort Admin;
   std::optional<Duty> Decisions;
 };
 
--- a/src/relay/control_node_base.h
+++ b/src/relay/control_node_base.h
@@ -45,7 +45,7 @@
   void on(const PeerUnlinked &event, Time now);
   void on(const PeerMessage &event, Time now);
   void on(const DocumentsWatched &event, Time now);
-  void on(const DocumentWritten &event, Time now);
+  void on(const DocumentAccepted &event, Time now);
   void on(const RecordPublished &event, Time now);
   void on(const LeaveStarted &event, Time now);
   void onMessage(const VmId &from, const LinkMessage &message, Time now);
@@ -67,6 +67,7 @@
   Relay Items;
   RevisionReports Reports;
   Configuration Config;
+  Time JoinUntil;                    ///< nothing is decided on watching before
   bool IsWatchWanted = false;        ///< told to watch
   bool IsChosenWatcher = false;      ///< by the present members
   bool IsChoiceStale = true;         ///< members changed since it was made
--- a/src/router/router_process.cpp
+++ b/src/router/router_process.cpp
@@ -64,6 +64,7 @@
     spdlog::info("draining");
     IsDraining = true;
     Edge.drain();
+    Metrics.drain();
     const Time start = readClock();
     const Time deadline = start + Settings.Router.duration("drain");
     // Requests may still be on their way on connections that are kept alive.
@@ -90,7 +91,7 @@
     if (call == DutyCall::Tick) {
       if (IsDraining && !std::exchange(IsDrainTold, true))
         handle(DrainStarted(), now);
-      handle(RouterTick(), now);
+      handle(RouterTick{readWallClock()}, now);
     }
     Link.messages().drain(
         [&](LinkMessage &&it) { handleLink(std::move(it), now); });
--- a/src/settings/ini.cpp
+++ b/src/settings/ini.cpp
@@ -8,6 +8,8 @@
 #include <algorithm>
 #include <fmt/format.h>
 #include <ini.h>
+#include <map>
+#include <utility>
 
 namespace waxwing {
 namespace {
@@ -19,6 +21,8 @@
   int Line = 0;                ///< number of the line given last
   bool IsContinuation = false; ///< the line is indented
   IniDocument Result;
+  /// Indexes of the entries by section and key.
+  std::map<std::pair<std::string, std::string>, std::size_t> Places;
   std::string Error; ///< first error, "" while none
 };
 
@@ -59,20 +63,21 @@
              const char *value) {
   auto &parse = *static_cast<IniParse *>(user);
   auto &entries = parse.Result.Entries;
-  const auto twin = std::ranges::find_if(entries, [&](const IniEntry &entry) {
-    return entry.Section == section && entry.Key == key;
-  });
-  if (twin != entries.end() && parse.IsContinuation) {
+  const auto [it, isNew] =
+      parse.Places.try_emplace({section, key}, entries.size());
+  IniEntry *twin = isNew ? nullptr : &entries[it->second];
+  if (twin != nullptr && parse.IsContinuation) {
     twin->Value += (twin->Value.empty() ? "" : " ") + std::string(value);
+    twin->LastLine = parse.Line;
     return 1;
   }
-  if (twin != entries.end()) {
+  if (twin != nullptr) {
     parse.Error = fmt::format(
         "{}:{}: key '{}' stands twice in section [{}], first in line {}",
         parse.Result.Source, parse.Line, key, section, twin->Line);
     return 0;
   }
-  entries.push_back({section, key, value, parse.Line});
+  entries.push_back({section, key, value, parse.Line, parse.Line});
   return 1;
 }
 
--- a/src/traffic/router_core_type.h
+++ b/src/traffic/router_core_type.h
@@ -81,7 +81,9 @@
 };
 
 /// Time passed.
-struct RouterTick {};
+struct RouterTick {
+  WallTime Wall;
+};
 
 /// This router takes no more requests; those in flight go on.
 struct DrainStarted {};
@@ -91,6 +93,13 @@
                  OwnersChanged, HomesChanged, HomesLeased, RouterTick,
                  DrainStarted>;
 
+/// Attempts at the home of an idempotency key have ids from here on; those
+/// of the dispatcher are below.
+constexpr std::uint64_t FirstSend = 1ull << 63;
+
+/// @return whether the dispatcher does not know @p attempt
+inline bool isSend(AttemptId attempt) { return attempt.Value >= FirstSend; }
+
 /// Send a request to an upstream.
 struct UpstreamTarget {
   UpstreamId Upstream;
@@ -131,6 +140,7 @@
   Verdict Proven = Verdict::Ran;
   Duration RetryAfter{}; ///< stated when Proven is NotRun
   HttpResponse Answer;   ///< the upstream's when Why is None
+  std::string Detail;    ///< told beside the reason; may be empty
 };
 
 /// Send a question about home leases to the leader of its service.
