--- a/tests/parser_fuzz_test.cpp
+++ b/tests/parser_fuzz_test.cpp
@@ -76,7 +76,7 @@
       encodeLinkMessage(OwnershipEnvelope{
           ConfirmReply{ServiceId("t/s"), Revision(3), 4, true, Revision(3)}}),
       encodeLinkMessage(
-          OwnershipEnvelope{FenceRequest{ServiceId("t/s"), Revision(3)}})};
+          OwnershipEnvelope{ConfirmRequest{ServiceId("t/s"), Revision(3), 4}})};
 }
 
 void parseDocumentBytes(const std::string &bytes) {
