Codechange: [Ownership] Outsiders trust membership, no store reads at rest, upstreams tell lapsed sets

Cause: controllers that are no members never heard the leader and took over every 2 s (7.5 reads/s and 1 write/s at rest); renewals slipped to the third tick, so that grants lapsed 40 to 160 ms after the loss of a leader.

--- a/src/ownership/assignment.cpp
+++ b/src/ownership/assignment.cpp
@@ -12,11 +12,19 @@
 /// Upstreams ordered by load.
 class LoadOrder {
 public:
+  /// @param record its units are counted
+  LoadOrder(const std::set<UpstreamId> &usable, const OwnershipRecord &record)
+      : LoadOrder(usable) {
+    for (const UnitOwner &shard : record.Shards)
+      count(shard.Owner);
+    for (const auto &[key, owner] : record.Splits)
+      count(owner.Owner);
+    order();
+  }
   explicit LoadOrder(const std::set<UpstreamId> &usable) {
-    for (const UpstreamId &id : usable) {
+    for (const UpstreamId &id : usable)
       Loads[id] = 0;
-      Order.emplace(0, id);
-    }
+    order();
   }
 
   bool isEmpty() const { return Order.empty(); }
@@ -34,27 +42,29 @@
   }
 
 private:
+  void count(const UpstreamId &id) {
+    if (const auto it = Loads.find(id); it != Loads.end())
+      ++it->second;
+  }
+  void order() {
+    Order.clear();
+    for (const auto &[id, load] : Loads)
+      Order.emplace(load, id);
+  }
+
   std::map<UpstreamId, double> Loads;
   std::set<std::pair<double, UpstreamId>> Order;
 };
 
-void addUnits(const OwnershipRecord &record, LoadOrder &loads) {
-  for (const UnitOwner &shard : record.Shards)
-    loads.add(shard.Owner, 1);
-  for (const auto &[key, owner] : record.Splits)
-    loads.add(owner.Owner, 1);
-}
-
 } // namespace
 
 std::vector<RecordCommand> moveOrphans(const OwnershipRecord &record,
                                        const std::set<UpstreamId> &keeping,
                                        const std::set<UpstreamId> &usable) {
   std::vector<RecordCommand> commands;
-  LoadOrder loads(usable);
-  if (loads.isEmpty())
+  if (usable.empty())
     return commands;
-  addUnits(record, loads);
+  LoadOrder loads(usable, record);
   const auto consider = [&](const OwnedUnit &unit, const UnitOwner &owner) {
     if (keeping.contains(owner.Owner))
       return;
@@ -73,10 +83,9 @@
                                          const std::set<UpstreamId> &usable,
                                          std::size_t limit) {
   std::vector<RecordCommand> commands;
-  LoadOrder loads(usable);
-  if (loads.isEmpty())
+  if (usable.empty())
     return commands;
-  addUnits(record, loads);
+  LoadOrder loads(usable, record);
   if (loads.spread() < 2)
     return commands;
   std::map<UpstreamId, std::vector<ShardId>> owned;
@@ -119,4 +128,22 @@
   return commands;
 }
 
+std::vector<RecordCommand>
+joinCoolKeys(const OwnershipRecord &record,
+             const std::map<KeyHash, double> &hot,
+             const std::function<bool(const OwnedUnit &)> &isClear) {
+  std::vector<RecordCommand> commands;
+  for (const auto &[key, owner] : record.Splits) {
+    if (hot.contains(key))
+      continue;
+    const ShardId shard = shardOf(key, record.Shards.size());
+    const UpstreamId &home = record.Shards[shard.Value].Owner;
+    if (owner.Owner != home)
+      commands.emplace_back(MoveUnit{key, home});
+    else if (isClear(key) && isClear(shard))
+      commands.emplace_back(JoinKey{key});
+  }
+  return commands;
+}
+
 } // namespace waxwing
--- a/src/ownership/assignment_func.h
+++ b/src/ownership/assignment_func.h
@@ -8,6 +8,7 @@
 
 #include "ownership/ownership_record_cmd.h"
 
+#include <functional>
 #include <map>
 #include <set>
 #include <vector>
@@ -34,26 +35,12 @@
                                         const std::map<KeyHash, double> &hot,
                                         const std::set<UpstreamId> &usable);
 
-/// Moves each key of @p cool back to its shard's owner, or joins it when it
-/// is there and @p isClear.
-template <class F>
-std::vector<RecordCommand> joinCoolKeys(const OwnershipRecord &record,
-                                        const std::set<KeyHash> &cool,
-                                        const F &isClear) {
-  std::vector<RecordCommand> commands;
-  for (const KeyHash &key : cool) {
-    const auto split = record.Splits.find(key);
-    if (split == record.Splits.end())
-      continue;
-    const ShardId shard = shardOf(key, record.Shards.size());
-    const UpstreamId &owner = record.Shards[shard.Value].Owner;
-    if (split->second.Owner != owner)
-      commands.emplace_back(MoveUnit{key, owner});
-    else if (isClear(key) && isClear(shard))
-      commands.emplace_back(JoinKey{key});
-  }
-  return commands;
-}
+/// Moves each split key that is not in @p hot back to its shard's owner, or
+/// joins it when it is there and @p isClear.
+std::vector<RecordCommand>
+joinCoolKeys(const OwnershipRecord &record,
+             const std::map<KeyHash, double> &hot,
+             const std::function<bool(const OwnedUnit &)> &isClear);
 
 } // namespace waxwing
 
--- a/src/ownership/candidacy.cpp
+++ b/src/ownership/candidacy.cpp
@@ -93,6 +93,10 @@
   return now >= std::max(LeaderHeardAt, RenewerHeardAt) + delay;
 }
 
+bool Candidacy::isSilentForLong(Time now) const {
+  return now >= LeaderHeardAt + OutsiderSuspicions * Terms.Suspicion;
+}
+
 bool Candidacy::isTakeoverDue(CandidateRank rank, Time now) const {
   if (now < NextAttempt)
     return false;
--- a/src/ownership/candidacy_base.h
+++ b/src/ownership/candidacy_base.h
@@ -47,10 +47,9 @@
   bool isRenewalDue(CandidateRank rank, Time now) const;
   /// @return whether to try to take the leadership
   bool isTakeoverDue(CandidateRank rank, Time now) const;
-  /// @return whether the leader is silent for longer than a heartbeat
-  bool isLeaderSilent(Time now) const {
-    return now > LeaderHeardAt + Terms.Heartbeat;
-  }
+  /// @return whether the leader is silent for so long that a candidate need
+  ///   not reach the other members
+  bool isSilentForLong(Time now) const;
 
 private:
   OwnershipTerms Terms;
--- a/src/ownership/confirmation.cpp
+++ b/src/ownership/confirmation.cpp
@@ -47,7 +47,7 @@
 
 ConfirmRequest ConfirmationRounds::begin(const ServiceId &service,
                                          Revision record, Time now) {
-  Rounds.push_back({NextRound++, record, now, {}, {}});
+  Rounds.push_back({NextRound++, record, now, {}, {}, false});
   if (Rounds.size() > RoundsKept)
     Rounds.pop_front();
   return {service, record, Rounds.back().Number};
@@ -71,6 +71,7 @@
     round->Sole.insert(from);
   if (!hasMajority(members, round->Confirmed))
     return;
+  round->HasMajority = true;
   confirm(round->Record, round->StartedAt);
   IsSole = hasMajority(members, round->Sole);
 }
@@ -87,6 +88,11 @@
          now < confirmedUntil(record);
 }
 
+bool ConfirmationRounds::isUnanswered(Time now) const {
+  return !Rounds.empty() && !Rounds.back().HasMajority &&
+         now >= Rounds.back().StartedAt + Terms.Heartbeat / 3;
+}
+
 Time ConfirmationRounds::confirmedUntil(Revision record) const {
   return record == Confirmed && record != Revision(0)
              ? ConfirmedAt + Terms.ConfirmationTerm
--- a/src/ownership/confirmation_base.h
+++ b/src/ownership/confirmation_base.h
@@ -66,6 +66,9 @@
   bool isConfirmed(Revision record, Time now) const;
   /// @return when the newest confirmation of @p record ends
   Time confirmedUntil(Revision record) const;
+  /// @return whether the members have had the time to confirm the newest
+  ///   round and did not
+  bool isUnanswered(Time now) const;
   /// @return whether the newest confirmed round found no other renewer
   bool isSole() const { return IsSole; }
 
@@ -76,6 +79,7 @@
     Time StartedAt;
     std::set<RecordMember> Confirmed;
     std::set<RecordMember> Sole;
+    bool HasMajority = false;
   };
 
   OwnershipTerms Terms;
--- a/src/ownership/grant_ledger_base.h
+++ b/src/ownership/grant_ledger_base.h
@@ -36,8 +36,9 @@
   void begin(const OwnershipRecord &record);
   /// Takes over a change that this process wrote.
   void change(const OwnershipRecord &record, const RightsEnd &rightsEnd);
-  /// An upstream told that it was granted @p set. A unit that it holds under
-  /// the token of the record was cleared by an earlier leader.
+  /// An upstream told that it was granted @p set, lapsed or not. Whoever
+  /// granted a unit under the token of the record had seen all earlier
+  /// rights end, and nobody else can have rights under this token.
   void report(const UpstreamId &from, const GrantSet &set);
   /// Clears the units whose earlier rights have ended.
   void clear(const std::function<bool(const UnitRights &)> &hasEnded);
--- a/src/ownership/order_book.cpp
+++ b/src/ownership/order_book.cpp
@@ -133,12 +133,12 @@
   const bool isFresh = now < upstream.AnsweredAt + Terms.GrantTerm;
   if (!upstream.Current || !upstream.HasReport || !isFresh) {
     actions.emplace_back(QueryUpstream{upstream.Definition.Id});
-    upstream.NextSend = now + Terms.Heartbeat;
+    upstream.NextSend = now + Terms.renewalPeriod();
     return;
   }
   if (!isConfirmed)
     return;
-  upstream.NextSend = now + Terms.Heartbeat;
+  upstream.NextSend = now + Terms.renewalPeriod();
   GrantOrder order{Service, upstream.SentStamp, *upstream.Current,
                    upstream.Reading + Terms.GrantTerm, std::nullopt};
   // Only an upstream that checks stamps extends exactly the set meant.
--- a/src/ownership/ownership_leader.cpp
+++ b/src/ownership/ownership_leader.cpp
@@ -124,7 +124,8 @@
   if (!Record || Renewing == Role::None || !Rounds.isAnswer(reply))
     return;
   OwnWitness.raise(reply.Fence);
-  Rounds.take(from, reply, Record->Members);
+  if (Terms.Policy == ConfirmationPolicy::Witnessed)
+    Rounds.take(from, reply, Record->Members);
   HeardMembers[from] = now;
   Quiet.take(from, reply.Fence, reply.IsSole, now);
   // One process runs on a VM at a time, and this one answered a request
@@ -329,8 +330,13 @@
       Terms.Policy != ConfirmationPolicy::StoreOnly &&
       Standby.isRenewalDue(rank(), now))
     becomeDeputy(now);
-  if (Standby.isTakeoverDue(rank(), now) && now >= NextStoreCall &&
-      PendingCall == StoreCall::None) {
+  // The members watch their leader; others act when all of them are gone.
+  if (!rank().IsMember && std::ranges::any_of(Record->Members, [&](auto &it) {
+        return isReachable(it);
+      }))
+    Standby.hearLeader(now);
+  if (Standby.isTakeoverDue(rank(), now) && mayTakeOver(now) &&
+      now >= NextStoreCall && PendingCall == StoreCall::None) {
     WantsLead = true;
     readRecord(now);
   }
@@ -338,6 +344,27 @@
     renew(now);
 }
 
+bool OwnershipLeader::isReachable(const RecordMember &member) const {
+  return std::ranges::any_of(Controllers, [&](const ControllerMember &it) {
+    return it.Member == member && !it.IsSuspected;
+  });
+}
+
+bool OwnershipLeader::reachesMostControllers() const {
+  const auto reached =
+      std::ranges::count(Controllers, false, &ControllerMember::IsSuspected);
+  return 2 * (static_cast<std::size_t>(reached) + 1) > Controllers.size() + 1;
+}
+
+bool OwnershipLeader::mayTakeOver(Time now) const {
+  if (Terms.Policy != ConfirmationPolicy::Witnessed || Record->Members.empty())
+    return true;
+  // A member that most members answer can go on where the leader ended.
+  if (isNamed())
+    return Rounds.isConfirmed(Record->Rev, now) || Standby.isSilentForLong(now);
+  return rank().IsMember || reachesMostControllers();
+}
+
 void OwnershipLeader::takeLeadership(Time now) {
   Standby.noteAttempt(now);
   std::vector<RecordCommand> commands{TakeLeadership{
--- a/src/ownership/ownership_leader_base.h
+++ b/src/ownership/ownership_leader_base.h
@@ -18,6 +18,17 @@
 
 namespace waxwing {
 
+/// What the assignment depends on.
+struct PlanInputs {
+  Revision Record;
+  std::set<UpstreamId> Keeping; ///< answer, or had no time to answer
+  std::set<UpstreamId> Staying; ///< those that are not leaving
+  std::set<UpstreamId> Usable;  ///< those that answer and may take units
+  std::set<UpstreamId> Steady;  ///< those that have done so for some time
+  std::map<KeyHash, double> Hot;
+  bool operator==(const PlanInputs &) const = default;
+};
+
 /// See docs/OWNERSHIP.md.
 /// Invariants: a record is taken over only when it is known to be written;
 /// Record->Rev never decreases; orders are sent only under a confirmed
@@ -71,6 +82,9 @@
 
   // Standing by.
   void standBy(Time now);
+  bool mayTakeOver(Time now) const;
+  bool isReachable(const RecordMember &member) const;
+  bool reachesMostControllers() const;
   void takeLeadership(Time now);
   bool isNamed() const;
   CandidateRank rank() const;
@@ -82,8 +96,8 @@
   void planChange(Time now);
   std::vector<RecordCommand> planMembers(Time now);
   std::vector<RecordCommand> planUnits(Time now);
-  std::vector<RecordCommand> planHotKeys(const std::set<UpstreamId> &usable,
-                                         Time now);
+  PlanInputs planInputs(Time now) const;
+  std::vector<RecordCommand> planHandovers(const PlanInputs &inputs) const;
   bool isHandoverFast(Time now) const;
   void publishDue(Time now);
   bool isTransferDone(Time now) const;
@@ -128,7 +142,8 @@
   Revision MembersSince; ///< revision that named the present members
   std::map<RecordMember, Time> HeardMembers;
   Time NextMemberChange;
-  Time MoveWantedSince; ///< a handover waits for a fast way since then
+  PlanInputs IdleInputs; ///< inputs that led to no change
+  Time MoveWantedSince;  ///< a handover waits for a fast way since then
   Revision Published;
   std::optional<Time> PublishBy;
 
--- a/src/ownership/ownership_leader_type.h
+++ b/src/ownership/ownership_leader_type.h
@@ -44,6 +44,9 @@
   ConfirmationPolicy Policy = ConfirmationPolicy::Witnessed;
   OwnershipFaults Faults;
 
+  /// @return time until the next renewal or round: a tick comes at least
+  ///   every half heartbeat, and none may slip to the third
+  Duration renewalPeriod() const { return Heartbeat * 3 / 4; }
   /// @return a wait here that covers @p span by any other clock
   Duration covering(Duration span) const {
     return Faults.HasNoDriftBound ? span : withDrift(span, DriftPpm);
--- a/src/ownership/ownership_plan.cpp
+++ b/src/ownership/ownership_plan.cpp
@@ -56,39 +56,42 @@
          Ledger.waiting().empty() && Orders.isSettled(now);
 }
 
-std::vector<RecordCommand> OwnershipLeader::planUnits(Time now) {
-  std::set<UpstreamId> keeping;
-  std::set<UpstreamId> leaving;
-  std::set<UpstreamId> usable;
-  std::set<UpstreamId> steady;
+PlanInputs OwnershipLeader::planInputs(Time now) const {
+  PlanInputs inputs;
+  inputs.Record = Record->Rev;
   for (const auto &[id, upstream] : Orders.upstreams()) {
     if (Orders.isLost(upstream, now))
       continue;
-    keeping.insert(id);
+    inputs.Keeping.insert(id);
     if (upstream.Definition.IsLeaving)
-      leaving.insert(id);
-    else if (Orders.isAlive(upstream, now))
-      usable.insert(id);
-    if (usable.contains(id) && now >= upstream.AliveSince + ReturnDelay)
-      steady.insert(id);
+      continue;
+    inputs.Staying.insert(id);
+    if (!Orders.isAlive(upstream, now))
+      continue;
+    inputs.Usable.insert(id);
+    if (now >= upstream.AliveSince + ReturnDelay)
+      inputs.Steady.insert(id);
   }
-  std::vector<RecordCommand> commands = moveOrphans(*Record, keeping, usable);
+  for (const auto &[key, it] : HotKeys)
+    if (now < it.HotAt + HotKeyHold && inputs.Hot.size() < SplitsAtMost)
+      inputs.Hot[key] = it.Rate;
+  return inputs;
+}
+
+std::vector<RecordCommand> OwnershipLeader::planUnits(Time now) {
+  PlanInputs inputs = planInputs(now);
+  const bool isWaitingToJoin = !Record->Splits.empty();
+  if (inputs == IdleInputs && !isWaitingToJoin)
+    return {};
+  IdleInputs = PlanInputs();
+  std::vector<RecordCommand> commands =
+      moveOrphans(*Record, inputs.Keeping, inputs.Usable);
   if (!commands.empty())
     return commands;
-  std::set<UpstreamId> staying = keeping;
-  for (const UpstreamId &id : leaving)
-    staying.erase(id);
-  commands = moveOrphans(*Record, staying, usable);
-  if (commands.empty())
-    commands = planHotKeys(usable, now);
-  if (commands.empty())
-    commands = balanceShards(
-        *Record, steady,
-        Record->Shards.size() /
-                std::max<std::size_t>(1, usable.size() * BalanceStepDivisor) +
-            1);
+  commands = planHandovers(inputs);
   if (commands.empty()) {
     MoveWantedSince = now;
+    IdleInputs = std::move(inputs);
     return commands;
   }
   if (!isHandoverFast(now) && now < MoveWantedSince + SlowHandoverDelay)
@@ -97,30 +100,27 @@
 }
 
 std::vector<RecordCommand>
-OwnershipLeader::planHotKeys(const std::set<UpstreamId> &usable, Time now) {
-  std::map<KeyHash, double> hot;
-  std::set<KeyHash> cool;
-  for (const auto &[key, owner] : Record->Splits)
-    cool.insert(key);
-  for (const auto &[key, it] : HotKeys) {
-    if (now >= it.HotAt + HotKeyHold)
-      continue;
-    cool.erase(key);
-    if (hot.size() < SplitsAtMost)
-      hot[key] = it.Rate;
-  }
-  std::erase_if(HotKeys, [&](const auto &entry) {
-    return now >= entry.second.HotAt + HotKeyHold;
-  });
-  std::vector<RecordCommand> commands = splitHotKeys(*Record, hot, usable);
+OwnershipLeader::planHandovers(const PlanInputs &inputs) const {
+  std::vector<RecordCommand> commands =
+      moveOrphans(*Record, inputs.Staying, inputs.Usable);
+  if (commands.empty())
+    commands = splitHotKeys(*Record, inputs.Hot, inputs.Usable);
   if (commands.empty())
-    commands = joinCoolKeys(*Record, cool, [&](const OwnedUnit &unit) {
+    commands = joinCoolKeys(*Record, inputs.Hot, [&](const OwnedUnit &unit) {
       return Ledger.isClear(unit);
     });
+  const std::size_t step =
+      Record->Shards.size() /
+      std::max<std::size_t>(1, inputs.Usable.size() * BalanceStepDivisor);
+  if (commands.empty())
+    commands = balanceShards(*Record, inputs.Steady, step + 1);
   return commands;
 }
 
 void OwnershipLeader::on(const HotKeysReported &event, Time now) {
+  std::erase_if(HotKeys, [&](const auto &entry) {
+    return now >= entry.second.HotAt + HotKeyHold;
+  });
   for (const auto &[key, rate] : event.Rates)
     if (rate >= HotKeyRate)
       HotKeys[key] = {rate, now};
--- a/src/ownership/ownership_renewal.cpp
+++ b/src/ownership/ownership_renewal.cpp
@@ -20,7 +20,7 @@
 }
 
 void OwnershipLeader::beginRound(Time now) {
-  NextRound = now + Terms.Heartbeat;
+  NextRound = now + Terms.renewalPeriod();
   const ConfirmRequest request = Rounds.begin(Service, Record->Rev, now);
   std::set<VmId> asked{Self.Vm};
   const auto ask = [&](const MemberSet &set) {
@@ -31,7 +31,7 @@
   ask(Record->Members);
   if (Renewing == Role::Leader)
     std::ranges::for_each(Record->Former, ask);
-  if (Terms.Policy == ConfirmationPolicy::StoreOnly)
+  if (Terms.Policy != ConfirmationPolicy::Witnessed)
     return;
   const ConfirmReply own = OwnWitness.answer(Self, request, now);
   Rounds.take(Self, own, Record->Members);
@@ -45,7 +45,7 @@
   const Revision record = Record->Rev;
   // The store is asked only when the members do not answer.
   if (Renewing == Role::Leader && now >= NextStoreCall &&
-      Rounds.confirmedUntil(record) < now + Terms.ConfirmationTerm / 2)
+      Rounds.isUnanswered(now))
     readRecord(now);
   updateGrants(now);
   Orders.sendDue(record, isRenewalConfirmed(now), now, Actions);
--- a/src/ownership/ownership_type.h
+++ b/src/ownership/ownership_type.h
@@ -61,8 +61,9 @@
   UpstreamTime Reading; ///< the upstream's clock when it answered
   GrantStamp Held;      ///< stamp of the set held, zero when none
   UpstreamTime HeldUntil;
-  bool Accepted = false;       ///< the order took effect
-  std::optional<GrantSet> Set; ///< set held; told in answer to a query
+  bool Accepted = false; ///< the order took effect
+  /// Set last held, also when it has lapsed; told in answer to a query.
+  std::optional<GrantSet> Set;
 };
 
 /// Leader to witness: may a renewal be based on this record revision? It
--- a/src/upstream/grant_holder.cpp
+++ b/src/upstream/grant_holder.cpp
@@ -19,7 +19,7 @@
   const bool isAccepted = order && accept(*order, now);
   GrantAnswer answer{Self, Current, now, Held, HeldUntil, isAccepted, {}};
   if (!order)
-    answer.Set = now < HeldUntil ? Set : GrantSet();
+    answer.Set = Set;
   return answer;
 }
 
--- a/tests/ownership_world.h
+++ b/tests/ownership_world.h
@@ -7,10 +7,13 @@
 #ifndef WAXWING_TESTS_OWNERSHIP_WORLD_H
 #define WAXWING_TESTS_OWNERSHIP_WORLD_H
 
+#include "link/link_message_func.h"
 #include "ownership/ownership_leader_base.h"
 #include "upstream/grant_holder.h"
+#include "upstream/upstream_protocol.h"
 
 #include <algorithm>
+#include <chrono>
 #include <functional>
 #include <memory>
 #include <queue>
@@ -51,6 +54,7 @@
   std::uint64_t Orders = 0;
   std::uint64_t OrderUnits = 0;
   std::uint64_t Queries = 0;
+  std::uint64_t Bytes = 0; ///< to and from peers and upstreams
   std::uint64_t Moves = 0; ///< changes of an owner in the record
 };
 
@@ -74,6 +78,7 @@
       startUpstream(n);
     for (std::size_t n = 0; n < Shape.Controllers; ++n)
       startController(n);
+    watchControllers();
   }
 
   static KeyHash keyInShard(std::uint32_t shard, std::uint32_t shards) {
@@ -141,7 +146,7 @@
     // Links come up a little later.
     for (std::size_t other = 0; other < Shape.Controllers; ++other)
       at(Now + 5 * ModelMillisecond,
-         [this, other] { handle(other, linked()); });
+         [this, other] { handle(other, linked(other)); });
   }
   void startUpstream(std::size_t n) {
     Node &node = Nodes[upstreamNode(n)];
@@ -249,6 +254,9 @@
   }
   bool IsTwoOwnersAllowed = false; ///< counts instead of objecting
   std::uint64_t TwoOwners = 0;
+  bool IsChecking = true;   ///< whether owners are compared
+  bool CountsBytes = false; ///< whether messages are encoded to count bytes
+  std::chrono::nanoseconds LeaderTime{}; ///< spent inside the leader
 
 private:
   struct Node {
@@ -343,11 +351,19 @@
       at(Now + half - draw(half / 5), [this, n, process] { tick(n, process); });
     });
   }
-  ControllersChanged linked() const {
+  /// Stands for membership, which sees silent and unreachable controllers.
+  void watchControllers() {
+    for (std::size_t n = 0; n < Shape.Controllers; ++n)
+      handle(n, linked(n));
+    at(Now + Shape.Terms.Suspicion.count(), [this] { watchControllers(); });
+  }
+  ControllersChanged linked(std::size_t self) const {
     ControllersChanged event;
-    for (const ControllerFake &it : Controllers)
-      if (it.Leader)
-        event.Members.push_back({it.Self, false});
+    for (std::size_t n = 0; n < Shape.Controllers; ++n)
+      if (Controllers[n].Leader)
+        event.Members.push_back(
+            {Controllers[n].Self,
+             Nodes[n].PausedUntil > Now || IsCut[n][self] || IsCut[self][n]});
     return event;
   }
   void defineUpstream(std::size_t n) {
@@ -367,8 +383,12 @@
     ControllerFake &controller = Controllers[n];
     if (!controller.Leader || isStopped(n))
       return;
-    for (OwnershipAction &action :
-         controller.Leader->handle(event, controllerNow(n)))
+    const auto start = std::chrono::steady_clock::now();
+    std::vector<OwnershipAction> actions =
+        controller.Leader->handle(event, controllerNow(n));
+    if (controller.Leader->isLeader())
+      LeaderTime += std::chrono::steady_clock::now() - start;
+    for (OwnershipAction &action : actions)
       std::visit([&](auto &it) { carryOut(n, it); }, action);
   }
 
@@ -471,14 +491,14 @@
 
   void carryOut(std::size_t n, const SendPeer &action) {
     ++Counts.PeerMessages;
-    for (std::size_t to = 0; to < Shape.Controllers; ++to) {
-      if (VmId("c" + std::to_string(to)) != action.To)
-        continue;
-      const RecordMember from = Controllers[n].Self;
-      send(n, to, 0, [this, to, event = PeerSaid{from, action.Message}] {
-        handle(to, event);
-      });
-    }
+    const std::size_t to = indexOf(action.To.Value);
+    const RecordMember from = Controllers[n].Self;
+    if (CountsBytes)
+      Counts.Bytes +=
+          encodeLinkMessage(OwnershipEnvelope{action.Message}).size();
+    send(n, to, 0, [this, to, event = PeerSaid{from, action.Message}] {
+      handle(to, event);
+    });
   }
   void carryOut(std::size_t n, const PublishRecord &action) {
     const auto it = History.find(action.Record.Rev);
@@ -503,15 +523,17 @@
   void order(std::size_t from, const UpstreamId &to,
              std::optional<GrantOrder> order) {
     const std::uint64_t process = Nodes[from].Process;
-    for (std::size_t n = 0; n < Shape.Upstreams; ++n) {
-      if (upstreamId(n) != to)
-        continue;
-      send(from, upstreamNode(n), 0,
-           [this, from, n, process, order = std::move(order)] {
-             takeOrder(from, n, process, order);
-           });
-      return;
-    }
+    if (CountsBytes)
+      Counts.Bytes += encodeOrder(order).size();
+    const std::size_t n = indexOf(to.Value);
+    send(from, upstreamNode(n), 0,
+         [this, from, n, process, order = std::move(order)] {
+           takeOrder(from, n, process, order);
+         });
+  }
+  /// @return the number in a name such as "u12"
+  static std::size_t indexOf(const std::string &name) {
+    return std::stoul(name.substr(1));
   }
   void takeOrder(std::size_t from, std::size_t n, std::uint64_t process,
                  std::optional<GrantOrder> order) {
@@ -519,8 +541,10 @@
     if (order && Shape.Terms.Faults.HasDeadlineFromReceipt)
       order->Deadline = local + Shape.Terms.GrantTerm;
     const GrantAnswer answer = Upstreams[n].Holder->answer(order, local);
-    if (answer.Accepted)
+    if (answer.Accepted && IsChecking)
       checkOwners(n);
+    if (CountsBytes)
+      Counts.Bytes += encodeGrantAnswer(answer).size();
     send(upstreamNode(n), from, process,
          [this, from, answer] { handle(from, UpstreamAnswered{answer}); });
   }
