--- a/src/ownership/order_book.cpp
+++ b/src/ownership/order_book.cpp
@@ -30,9 +30,10 @@
 }
 
 void OrderBook::begin(const OwnershipRecord &record, std::size_t member,
-                      Time now) {
+                      bool isFirst, Time now) {
   Member = member;
-  BeganAt = now;
+  if (isFirst)
+    BeganAt = now;
   for (auto &[id, upstream] : Upstreams) {
     upstream.HasReport = false;
     upstream.Granted = {};
--- a/src/ownership/order_book_base.h
+++ b/src/ownership/order_book_base.h
@@ -38,7 +38,10 @@
   /// Takes the upstreams of the configuration; others are leaving.
   void define(const std::vector<UpstreamDefinition> &definitions, Time now);
   /// Begins a new sequence of orders as the member with index @p member.
-  void begin(const OwnershipRecord &record, std::size_t member, Time now);
+  /// @param isFirst false when this process sent orders until now, so that
+  ///   upstreams have had the time to answer
+  void begin(const OwnershipRecord &record, std::size_t member, bool isFirst,
+             Time now);
   /// Notes owners that the configuration does not name.
   void addOwners(const OwnershipRecord &record, Time now);
   /// Sets what an upstream should hold.
--- a/src/ownership/ownership_leader.cpp
+++ b/src/ownership/ownership_leader.cpp
@@ -89,9 +89,10 @@
   if (answer.Held.Record > Record->Rev && now >= NextStoreCall)
     readRecord(now);
   clearEnded(now);
-  updateGrants(now);
-  Orders.sendDue(answer.From, Record->Rev, isRenewalConfirmed(now), now,
-                 Actions);
+  std::set<UpstreamId> due = updateGrants(now);
+  due.insert(answer.From);
+  for (const UpstreamId &id : due)
+    Orders.sendDue(id, Record->Rev, isRenewalConfirmed(now), now, Actions);
   publishDue(now);
 }
 
@@ -271,11 +272,11 @@
   if (isNew || before->Members != Record->Members)
     MembersSince = Record->Rev;
   if (isNew) {
-    Renewing = Role::Leader;
+    const Role earlier = std::exchange(Renewing, Role::Leader);
     LedSince = Record->Rev;
     Quiet.reset();
     Ledger.begin(*Record);
-    Orders.begin(*Record, 0, now);
+    Orders.begin(*Record, 0, earlier == Role::None, now);
     HeardMembers.clear();
     for (const RecordMember &member : Record->Members)
       HeardMembers[member] = now;
@@ -298,6 +299,8 @@
 
 void OwnershipLeader::followQuiet(Time now) {
   std::vector<MemberSet> sets = Record->Former;
+  if (Terms.Faults.ForgetsFormer && sets.size() > 1)
+    sets.erase(sets.begin(), sets.end() - 1);
   // A revision that first names the members has no lower one with them.
   if (Record->Rev != MembersSince)
     sets.push_back(Record->Members);
@@ -377,7 +380,7 @@
 void OwnershipLeader::becomeDeputy(Time now) {
   Renewing = Role::Deputy;
   Ledger.begin(*Record);
-  Orders.begin(*Record, rank().Place, now);
+  Orders.begin(*Record, rank().Place, true, now);
   NextRound = now;
 }
 
--- a/src/ownership/ownership_leader_base.h
+++ b/src/ownership/ownership_leader_base.h
@@ -107,7 +107,9 @@
   bool isRenewalConfirmed(Time now) const;
   void beginRound(Time now);
   void clearEnded(Time now);
-  void updateGrants(Time now);
+  bool hasEnded(const UnitRights &rights, Time now) const;
+  /// @return upstreams whose grants may have changed
+  std::set<UpstreamId> updateGrants(Time now);
 
   ServiceId Service;
   RecordMember Self;
--- a/src/ownership/ownership_leader_type.h
+++ b/src/ownership/ownership_leader_type.h
@@ -31,6 +31,7 @@
   bool SkipsTakeoverWait = false; ///< rights by earlier leaders count as ended
   bool RewritesBlindly = false;   ///< a lost answer leads to a second write
   bool IgnoresFence = false;      ///< witnesses confirm old revisions
+  bool ForgetsFormer = false;     ///< only the last former members count
   bool HasDeadlineFromReceipt = false; ///< upstreams count the term themselves
 };
 
--- a/src/ownership/ownership_renewal.cpp
+++ b/src/ownership/ownership_renewal.cpp
@@ -55,25 +55,33 @@
   if (Renewing != Role::Leader)
     return;
   Quiet.advance(now);
-  const bool isSettled = Record->Former.empty();
-  Ledger.clear([&](const UnitRights &rights) {
-    if (Terms.Faults.SkipsTakeoverWait && !rights.From)
-      return true;
-    if (Quiet.isOver(std::max(LedSince, Revision(rights.Fence.Value))))
-      return true;
-    if (!rights.From || !isSettled ||
-        !Quiet.isSole(Revision(rights.Fence.Value)))
-      return false;
-    const UpstreamOrders *from = Orders.find(*rights.From);
-    const bool isReleased = from != nullptr && from->Definition.ChecksOrders &&
-                            from->HeldRecord >= Revision(rights.Fence.Value);
-    return isReleased || now >= rights.FromEnd;
-  });
+  Ledger.clear([&](const UnitRights &rights) { return hasEnded(rights, now); });
 }
 
-void OwnershipLeader::updateGrants(Time now) {
-  for (const UpstreamId &id : Ledger.takeTouched())
+bool OwnershipLeader::hasEnded(const UnitRights &rights, Time now) const {
+  const Revision moved(rights.Fence.Value);
+  if (Terms.Faults.SkipsTakeoverWait && !rights.From)
+    return true;
+  if (Quiet.isOver(std::max(LedSince, moved)))
+    return true;
+  if (!Quiet.isSole(moved))
+    return false;
+  // From here on only this process can have given rights since MembersSince.
+  if (!rights.From)
+    return Quiet.isOver(MembersSince);
+  if (!Record->Former.empty())
+    return false;
+  const UpstreamOrders *from = Orders.find(*rights.From);
+  const bool isReleased = from != nullptr && from->Definition.ChecksOrders &&
+                          from->HeldRecord >= moved;
+  return isReleased || now >= rights.FromEnd;
+}
+
+std::set<UpstreamId> OwnershipLeader::updateGrants(Time now) {
+  std::set<UpstreamId> touched = Ledger.takeTouched();
+  for (const UpstreamId &id : touched)
     Orders.grant(id, Ledger.grantsOf(id), now);
+  return touched;
 }
 
 void OwnershipLeader::publishDue(Time now) {
--- a/tests/ownership_fuzz_test.cpp
+++ b/tests/ownership_fuzz_test.cpp
@@ -17,6 +17,9 @@
 /// Histories tried until a deliberate fault must be found.
 constexpr int BiteHistories = 6000;
 
+/// Bound on drift in all histories; clocks use almost all of it.
+constexpr std::int64_t FuzzDriftPpm = 100'000;
+
 /// The property: no history of failures leads to two owners or loses an
 /// acknowledged assignment, and every key is served again afterwards. With
 /// a deliberate fault only the first part is judged.
@@ -26,6 +29,7 @@
   const auto property = [&] {
     WorldShape shape;
     shape.Terms.Faults = faults;
+    shape.Terms.DriftPpm = FuzzDriftPpm;
     shape.Seed = *rc::gen::inRange<std::uint64_t>(1, 1'000'000);
     shape.NonChecking = *rc::gen::inRange<std::size_t>(0, 3);
     const auto commands = *genHistory();
--- a/tests/ownership_world.h
+++ b/tests/ownership_world.h
@@ -82,7 +82,8 @@
   }
 
   static KeyHash keyInShard(std::uint32_t shard, std::uint32_t shards) {
-    const std::uint64_t width = ~std::uint64_t(0) / shards;
+    const std::uint64_t width =
+        ~std::uint64_t(0) / std::max<std::uint32_t>(1, shards);
     return KeyHash(width * shard + width / 2);
   }
 
@@ -252,6 +253,10 @@
   static UpstreamId upstreamId(std::size_t n) {
     return UpstreamId("u" + std::to_string(n));
   }
+  /// @return the number in a name such as "u12"
+  static std::size_t indexOf(const std::string &name) {
+    return std::stoul(name.substr(1));
+  }
   bool IsTwoOwnersAllowed = false; ///< counts instead of objecting
   std::uint64_t TwoOwners = 0;
   bool IsChecking = true;   ///< whether owners are compared
@@ -531,10 +536,6 @@
            takeOrder(from, n, process, order);
          });
   }
-  /// @return the number in a name such as "u12"
-  static std::size_t indexOf(const std::string &name) {
-    return std::stoul(name.substr(1));
-  }
   void takeOrder(std::size_t from, std::size_t n, std::uint64_t process,
                  std::optional<GrantOrder> order) {
     const UpstreamTime local = upstreamNow(n);
