--- /dev/null
+++ b/src/controller/admin_port.cpp
@@ -0,0 +1,46 @@
+/**
+ * @file admin_port.cpp
+ * Wires the API to its server, its store calls and the decisions.
+ */
+#include "controller/admin_port.h"
+
+namespace waxwing {
+
+AdminPort::AdminPort(const VmSettings &settings, ControlCounters &counters,
+                     std::function<void()> wakeDecisions)
+    : Address(parseEndpoint(settings.Controller.text("admin"))),
+      Certificate(settings.Controller.text("admin_certificate")),
+      Key(settings.Controller.text("admin_key")),
+      Platform(Io, parseEndpoint(settings.Store.text("address")),
+               settings.Store.duration("timeout")),
+      Store(Platform, counters),
+      Questions(AdminRingCapacity, std::move(wakeDecisions)),
+      Answers(AdminRingCapacity,
+              [this] {
+                Io.post([this] {
+                  Answers.drain(
+                      [this](AdminAnswer &&it) { Api.take(std::move(it)); });
+                });
+              }),
+      Api(Io, Store, settings.Controller.text("operator_token_sha256"),
+          [this](AdminQuery query) {
+            return Questions.push(std::move(query));
+          }),
+      Server(Io, AdminServerLimits, [this](HttpExchange exchange) {
+        Api.handle(std::move(exchange));
+      }) {
+  Io.runEvery(AdminApi::TickPeriod, [this] { Api.tick(); });
+}
+
+absl::Status AdminPort::listen() {
+  if (Certificate.empty() != Key.empty())
+    return absl::InvalidArgumentError(
+        "[controller] admin_certificate and admin_key belong together; set "
+        "both for TLS or none");
+  if (!Certificate.empty())
+    if (absl::Status status = Server.useTls(Certificate, Key); !status.ok())
+      return status;
+  return Server.listen(Address);
+}
+
+} // namespace waxwing
--- a/src/controller/configuration_host.h
+++ b/src/controller/configuration_host.h
@@ -47,12 +47,15 @@
     return Node.membership().others();
   }
 
-  void tick(Time now) { handle(ControlTick(), now); }
+  /// @return the newest record of each service that is known here
+  std::vector<OwnershipRecord> records() const { return Node.records(); }
+
+  void tick(Time now);
   /// This process is shutting down.
   void leave(Time now) { handle(LeaveStarted(), now); }
   /// Puts a document into force whose write is known to have taken effect.
   void apply(const TeamDocument &document, Time now) {
-    handle(DocumentWritten{document}, now);
+    handle(DocumentAccepted{document}, now);
   }
   /// Passes on a record that this VM's state machine published.
   void publish(const OwnershipRecord &record, Time now) {
@@ -88,6 +91,7 @@
   ConfigurationHandlers Handlers;
   ControlNode Node;
   std::map<VmId, Endpoint> Targets;
+  Time NextRouterHeartbeat;
   std::map<VmId, MemberState> Logged; ///< states that were logged last
 };
 
--- a/src/controller/controller_process.cpp
+++ b/src/controller/controller_process.cpp
@@ -4,8 +4,12 @@
  */
 #include "controller/controller_process.h"
 
+#include "controller/admin_answer.h"
+#include "controller/admin_port.h"
 #include "controller/configuration_host.h"
 #include "controller/controller_metrics.h"
+#include "controller/crash_mark_host.h"
+#include "controller/home_host.h"
 #include "controller/link_port.h"
 #include "controller/order_port.h"
 #include "controller/ownership_host.h"
@@ -15,6 +19,7 @@
 
 #include <atomic>
 #include <optional>
+#include <set>
 #include <thread>
 #include <utility>
 
@@ -53,6 +58,7 @@
             Self, Settings, Store, Links, Counters,
             {[this](Time now) {
                Ownership.define(Configurations.configuration(), now);
+               Homes.define(Configurations.configuration(), now);
              },
              [this](std::vector<ControllerMember> members, Time now) {
                Ownership.setMembers(std::move(members), now);
@@ -63,8 +69,15 @@
             readClock()),
         Ownership(Self, Terms, Store, Orders, Links,
                   [this](const OwnershipRecord &record, Time now) {
+                    if (record.Rev == Revision(1))
+                      FirstLed.insert(record.Service);
                     Configurations.publish(record, now);
-                  }) {}
+                  }),
+        Homes(Self, Links,
+              [this](const ServiceId &service, Time now) {
+                return leadershipOf(service, now);
+              }),
+        Admin(Settings, Counters, [this] { wake(); }) {}
 
   absl::Status start() {
     Decisions.emplace(System, Terms.Heartbeat / 2,
@@ -75,6 +88,8 @@
         !status.ok())
       return status;
     Store.start();
+    if (absl::Status status = Admin.listen(); !status.ok())
+      return status;
     return Links.listen(parseEndpoint(Settings.Controller.text("link")));
   }
 
@@ -85,9 +100,26 @@
     Store.stop();
     Orders.stop();
     Links.stop();
+    Admin.stop();
   }
 
 private:
+  HomeLeadership leadershipOf(const ServiceId &service, Time now) const {
+    const OwnershipLeader *leader = Ownership.find(service);
+    if (leader == nullptr || !leader->record())
+      return {};
+    const OwnershipRecord &record = *leader->record();
+    HomeLeadership leadership{leader->isLeader(),
+                              leader->isConfirmed(now),
+                              leader->isQuietOver(now),
+                              FirstLed.contains(service),
+                              record.Rev,
+                              {}};
+    if (!record.Members.empty())
+      leadership.Leader = record.Members.front().Vm;
+    return leadership;
+  }
+
   void wake() {
     if (IsReady)
       Decisions->wake();
@@ -102,11 +134,15 @@
       std::visit([&](auto &it) { on(it, now); }, event);
     });
     Orders.answers().drain([&](OrderAnswered &&it) { Ownership.on(it, now); });
+    Admin.questions().drain(
+        [&](AdminQuery &&query) { on(std::move(query), now); });
     if (call == DutyCall::Tick) {
       if (IsLeaving && !std::exchange(IsLeaveTold, true))
         Configurations.leave(now);
       Configurations.tick(now);
       Ownership.tick(now);
+      Homes.tick(now);
+      CrashMarks.tick(now);
     }
   }
 
@@ -118,10 +154,22 @@
 
   void on(LinkReceived &received, Time now) {
     Configurations.on(received, now);
+    Homes.on(received, now);
+    CrashMarks.on(received, now);
     if (auto *envelope = std::get_if<OwnershipEnvelope>(&received.Message))
       Ownership.onPeer(received.From.Self, envelope->Message, now);
   }
 
+  void on(AdminQuery &&query, Time now) {
+    if (const auto *news = std::get_if<DocumentNews>(&query.Call))
+      Configurations.apply(news->Document, now);
+    else
+      Admin.answers().push(
+          {query.Id,
+           AdminAnswerer{Self.Vm, Configurations, Counters, now}.answer(
+               query)});
+  }
+
   void on(LinkLost &lost, Time now) { Configurations.on(lost, now); }
 
   VmSettings Settings;
@@ -138,6 +186,11 @@
   ConfigurationHost Configurations;
   OwnershipHost Ownership;
   ControllerMetrics Metrics{Counters};
+  HomeHost Homes;
+  CrashMarkHost CrashMarks{Links};
+  /// Services whose record began with this process: no earlier home exists.
+  std::set<ServiceId> FirstLed;
+  AdminPort Admin;
   std::optional<Duty> Decisions;
 };
 
--- a/src/controller/ownership_host.cpp
+++ b/src/controller/ownership_host.cpp
@@ -56,7 +56,8 @@
                                   const ServiceConfig &service, Time now) {
   ServiceDefinition definition{service.ShardCount, {}};
   for (const auto &[name, upstream] : team.Upstreams) {
-    if (upstream.Service != id)
+    // A service without shards has a leader, and its upstreams no grants.
+    if (upstream.Service != id || !service.IsDividedByKey)
       continue;
     definition.Upstreams.push_back(
         {name, upstream.Domain,
--- a/src/controller/ownership_host.h
+++ b/src/controller/ownership_host.h
@@ -32,6 +32,12 @@
   void onPeer(const RecordMember &from, const OwnershipMessage &message,
               Time now);
 
+  /// @return the service's state machine, or nullptr
+  const OwnershipLeader *find(const ServiceId &service) const {
+    const auto it = Leaders.find(service);
+    return it == Leaders.end() ? nullptr : &it->second;
+  }
+
   /// Another controller published a record.
   void hear(const OwnershipRecord &record, Time now);
   /// The configuration in force changed.
--- a/src/link/link_message.cpp
+++ b/src/link/link_message.cpp
@@ -5,6 +5,7 @@
 #include "link/link_message_func.h"
 
 #include "link/control_codec.h"
+#include "link/home_message_func.h"
 
 #include <absl/status/status.h>
 #include <array>
@@ -41,6 +42,13 @@
   Json operator()(const OwnersUpdate &update) const {
     return {"owners", toBinary(encodeRecord(update.Record))};
   }
+  Json operator()(const CrashMarksUpdate &update) const {
+    Json marks = Json::array();
+    for (const CrashMark &it : update.Marks)
+      marks.push_back(Json::array({it.Print.Value, it.Upstream.Value,
+                                   it.Domain.Value, it.Age.count()}));
+    return {"crashes", marks};
+  }
   Json operator()(const OwnershipEnvelope &envelope) const {
     return std::visit(*this, envelope.Message);
   }
@@ -75,6 +83,15 @@
             {it.Service.Value, it.Record.Value, it.Round, it.Confirmed,
              it.Fence.Value, it.IsSole}};
   }
+  Json operator()(const HomeAsk &it) const {
+    return {"home_ask", encodeHomeAsk(it)};
+  }
+  Json operator()(const HomeAnswer &it) const {
+    return {"home_answer", encodeHomeAnswer(it)};
+  }
+  Json operator()(const HomesUpdate &it) const {
+    return {"homes", encodeHomesUpdate(it)};
+  }
 };
 
 LinkMessage decodeHello(const Json &body) {
@@ -93,6 +110,16 @@
   return update;
 }
 
+LinkMessage decodeCrashMarks(const Json &body) {
+  CrashMarksUpdate update;
+  for (const Json &it : body)
+    update.Marks.push_back({RequestPrint(it.at(0).get<std::uint64_t>()),
+                            UpstreamId(it.at(1).get<std::string>()),
+                            DomainId(it.at(2).get<std::string>()),
+                            Duration(it.at(3).get<std::int64_t>())});
+  return update;
+}
+
 LinkMessage decodeOwners(const Json &body) {
   auto record = decodeRecord(fromBinary(body));
   if (!record.ok())
@@ -125,8 +152,18 @@
     DecoderRow{"hello", decodeHello},
     DecoderRow{"documents", decodeDocuments},
     DecoderRow{"owners", decodeOwners},
+    DecoderRow{"crashes", decodeCrashMarks},
     DecoderRow{"confirm", decodeConfirm},
     DecoderRow{"confirmed", decodeConfirmed},
+    DecoderRow{
+        "home_ask",
+        [](const Json &body) { return LinkMessage(decodeHomeAsk(body)); }},
+    DecoderRow{
+        "home_answer",
+        [](const Json &body) { return LinkMessage(decodeHomeAnswer(body)); }},
+    DecoderRow{
+        "homes",
+        [](const Json &body) { return LinkMessage(decodeHomesUpdate(body)); }},
     DecoderRow{"beat", decodeHeartbeat},
     DecoderRow{"members", decodeMembersUpdate},
     DecoderRow{"members?", decodeMembersCompare},
--- a/src/relay/control_node_base.h
+++ b/src/relay/control_node_base.h
@@ -19,8 +19,8 @@
 /// Invariant: a document in force is never replaced by an older one.
 class ControlNode {
 public:
-  ControlNode(MemberEntry self, MembershipTerms membership, RelayTerms relay,
-              Time now);
+  ControlNode(const MemberEntry &self, MembershipTerms membership,
+              RelayTerms relay, Time now);
 
   /// Takes one event.
   /// @param now this process's clock, never before an earlier now
@@ -45,7 +45,7 @@
   void on(const PeerUnlinked &event, Time now);
   void on(const PeerMessage &event, Time now);
   void on(const DocumentsWatched &event, Time now);
-  void on(const DocumentWritten &event, Time now);
+  void on(const DocumentAccepted &event, Time now);
   void on(const RecordPublished &event, Time now);
   void on(const LeaveStarted &event, Time now);
   void onMessage(const VmId &from, const LinkMessage &message, Time now);
--- a/src/router/upstream_port.cpp
+++ b/src/router/upstream_port.cpp
@@ -13,6 +13,7 @@
 namespace waxwing {
 namespace {
 
+constexpr Duration ProbeTimeout = milliseconds(500);
 constexpr Duration CancelTimeout = milliseconds(500);
 constexpr Duration ReportRetryPeriod = milliseconds(1);
 
@@ -71,7 +72,7 @@
 
 UpstreamPort::UpstreamPort(std::size_t connections,
                            std::function<void()> wakeDecisions)
-    : Client(Io, connections),
+    : Client(Io, connections), Forwards(Io, ForwardConnections),
       Commands(AttemptLimit,
                [this] {
                  Io.post([this] {
@@ -84,7 +85,8 @@
                    });
                  });
                }),
-      Ends(AttemptLimit, std::move(wakeDecisions)),
+      Ends(AttemptLimit, wakeDecisions),
+      Probes(ProbeLimit, std::move(wakeDecisions)),
       WirePrefix(fmt::format("{:x}", std::random_device()())) {}
 
 void UpstreamPort::carryOut(StartAttempt attempt) {
@@ -96,7 +98,7 @@
   exchange.To = addressOf(attempt.Target);
   exchange.WireId = wireId;
   exchange.IsForwarded = std::holds_alternative<RouterTarget>(attempt.Target);
-  exchange.ClientId = Client.send(
+  exchange.ClientId = clientOf(exchange).send(
       exchange.To, std::move(request), attempt.Deadline,
       [this, id](HttpOutcome outcome) { finish(id, std::move(outcome)); });
 }
@@ -104,7 +106,25 @@
 void UpstreamPort::carryOut(const CancelAttempt &attempt) {
   const auto it = Exchanges.find(attempt.Attempt);
   if (it != Exchanges.end())
-    Client.cancel(it->second.ClientId);
+    clientOf(it->second).cancel(it->second.ClientId);
+}
+
+void UpstreamPort::carryOut(const ProbeUpstream &probe) {
+  HttpRequest request;
+  request.Target = std::string(StatusPath);
+  const Time now = readClock();
+  Client.sendAlone(
+      probe.Address, std::move(request), now + ProbeTimeout,
+      [this, upstream = probe.Upstream, now](HttpOutcome outcome) {
+        const bool isAnswered = outcome.Progress == HttpProgress::Answered;
+        Probes.push({upstream, isAnswered, outcome.IsRefused, now});
+      });
+}
+
+void UpstreamPort::carryOut(const DropIdle &drop) {
+  const auto it = Exchanges.find(drop.Attempt);
+  if (it != Exchanges.end())
+    clientOf(it->second).closeIdle(it->second.To, drop.StartedAt);
 }
 
 void UpstreamPort::finish(AttemptId attempt, HttpOutcome outcome) {
@@ -116,7 +136,7 @@
                                    : judgeUpstream(outcome, exchange.WireId);
   // Whatever else this connection brings belongs to another request.
   if (end.Why == Reason::CrossedAnswer)
-    Client.closeConnection(exchange.To, outcome.ConnectionId);
+    clientOf(exchange).closeConnection(exchange.To, outcome.ConnectionId);
   if (outcome.Progress == HttpProgress::Cancelled && !exchange.IsForwarded)
     tellCancelled(exchange);
   report({attempt, end.Why, end.Proven, end.RetryAfter, outcome.ConnectionId,
--- a/src/router/upstream_port.h
+++ b/src/router/upstream_port.h
@@ -16,10 +16,15 @@
 namespace waxwing {
 
 /// What the decisions ask of the upstream port.
-using PortCommand = std::variant<StartAttempt, CancelAttempt>;
+using PortCommand =
+    std::variant<StartAttempt, CancelAttempt, ProbeUpstream, DropIdle>;
 
 /// Attempts in flight at most; as many as the ring of their ends.
 constexpr std::size_t AttemptLimit = 16384;
+/// Connections to one other router at most.
+constexpr std::size_t ForwardConnections = 1024;
+/// Ends of probes that may wait for the decisions.
+constexpr std::size_t ProbeLimit = 1024;
 
 /// Used on its own thread, but for commands().
 class UpstreamPort {
@@ -32,6 +37,8 @@
   BoundedRing<PortCommand> &commands() { return Commands; }
   /// Consumed by the decisions.
   BoundedRing<AttemptEnded> &ends() { return Ends; }
+  /// Consumed by the decisions.
+  BoundedRing<UpstreamProbed> &probes() { return Probes; }
   void stop() { Io.stop(); }
 
 private:
@@ -43,8 +50,13 @@
     bool IsForwarded = false;
   };
 
+  HttpClient &clientOf(const Exchange &exchange) {
+    return exchange.IsForwarded ? Forwards : Client;
+  }
   void carryOut(StartAttempt attempt);
   void carryOut(const CancelAttempt &attempt);
+  void carryOut(const ProbeUpstream &probe);
+  void carryOut(const DropIdle &drop);
   void finish(AttemptId attempt, HttpOutcome outcome);
   /// Asks the upstream to drop a request that nobody waits for.
   void tellCancelled(const Exchange &exchange);
@@ -53,8 +65,10 @@
 
   IoThread Io{"upstreams"};
   HttpClient Client;
+  HttpClient Forwards; ///< to other routers
   BoundedRing<PortCommand> Commands;
   BoundedRing<AttemptEnded> Ends;
+  BoundedRing<UpstreamProbed> Probes;
   absl::flat_hash_map<AttemptId, Exchange> Exchanges;
   std::deque<AttemptEnded> UnreportedEnds; ///< that found the ring full
   std::string WirePrefix; ///< makes wire ids unique among routers
--- a/tests/support/deployment.cpp
+++ b/tests/support/deployment.cpp
@@ -9,6 +9,7 @@
 #include "net/url_func.h"
 
 #include <algorithm>
+#include <cstdlib>
 #include <filesystem>
 #include <fmt/format.h>
 #include <fstream>
@@ -48,16 +49,23 @@
   return call(port, std::move(request)).Response.Body;
 }
 
+/// @return what WAXWING_PORT_OFFSET adds to all ports, so that two checkouts
+///   can run the same test at a time
+std::uint16_t portOffset() {
+  const char *text = std::getenv("WAXWING_PORT_OFFSET");
+  return static_cast<std::uint16_t>(text == nullptr ? 0 : std::atoi(text));
+}
+
 void writeFile(const std::string &path, const std::string &text) {
   std::ofstream(path) << text;
 }
 
 } // namespace
 
-Deployment::Deployment(DeploymentSpec spec)
-    : Spec(std::move(spec)),
-      Folder(std::filesystem::temp_directory_path() /
-             fmt::format("waxwing-{}-{}", Spec.Name, Spec.BasePort)) {
+Deployment::Deployment(DeploymentSpec spec) : Spec(std::move(spec)) {
+  Spec.BasePort = static_cast<std::uint16_t>(Spec.BasePort + portOffset());
+  Folder = std::filesystem::temp_directory_path() /
+           fmt::format("waxwing-{}-{}", Spec.Name, Spec.BasePort);
   std::filesystem::remove_all(Folder);
   std::filesystem::create_directories(Folder);
   auto port = static_cast<std::uint16_t>(Spec.BasePort + UpstreamPortOffset);
@@ -160,6 +168,10 @@
   return fmt::format("{} {}", outcome.Response.Status, outcome.Response.Body);
 }
 
+/// Writes with new idempotency keys that show that their homes, which are
+/// many, trust new keys.
+constexpr int KeysInARow = 64;
+
 bool Deployment::waitUntilServed(int vm, const std::string &service) {
   const Time deadline = readClock() + ServeTimeout;
   const std::string target = fmt::format("/{}/{}/probe", Spec.Name, service);
@@ -176,7 +188,24 @@
     for (const ServiceSpec &service : Spec.Services)
       if (!waitUntilServed(vm, service.Name))
         return false;
-  return true;
+  return std::ranges::all_of(Spec.Services, [this](const ServiceSpec &it) {
+    return waitUntilKeysServed(it.Name);
+  });
+}
+
+bool Deployment::waitUntilKeysServed(const std::string &service) {
+  const Time deadline = readClock() + ServeTimeout;
+  const std::string target = fmt::format("/{}/{}/probe", Spec.Name, service);
+  int served = 0;
+  for (std::uint64_t n = 0; served < KeysInARow && readClock() < deadline;
+       ++n) {
+    const auto now = std::chrono::duration_cast<std::chrono::milliseconds>(
+        std::chrono::system_clock::now().time_since_epoch());
+    const std::string key = fmt::format("{}-ready{:08}", now.count(), n);
+    const bool isServed = request(1, "POST", target, key).starts_with("200");
+    served = isServed ? served + 1 : 0;
+  }
+  return served == KeysInARow;
 }
 
 ChildProcess Deployment::startLoad(const std::vector<StreamSpec> &streams,
