--- a/src/traffic/dispatcher.cpp
+++ b/src/traffic/dispatcher.cpp
@@ -12,6 +12,14 @@
 /// A unit whose owner refused it waits this long for news before it is tried
 /// again.
 constexpr Duration RefusedUnitDelay = milliseconds(50);
+/// The slot of an attempt given up is returned this much later: its
+/// cancellation needs time to reach the upstream.
+constexpr Duration CancelSpan = milliseconds(5);
+
+bool mayStillRun(Reason why) {
+  return why == Reason::Cancelled || why == Reason::UpstreamTimeout ||
+         why == Reason::SilentConnection;
+}
 
 } // namespace
 
@@ -123,13 +131,13 @@
   const Duration latency = now - attempt.StartedAt;
   if (why == Reason::None)
     service.Hedges.onAnswer(latency);
-  if (attempt.Own && service.Config != nullptr) {
-    const SlotSign sign = Slots[*attempt.Own].end(
-        why, attempt.ColdStarts, latency, *service.Config, now);
-    if (sign == SlotSign::ColdStart)
-      Counters.add(DispatchCount::ColdStarts);
-    if (sign == SlotSign::LatencyJump)
-      Counters.add(DispatchCount::LatencyJumps);
+  if (attempt.Own) {
+    const Lingering end{*attempt.Own, attempt.Service, why, attempt.ColdStarts,
+                        latency};
+    if (mayStillRun(why))
+      Lingerings.emplace(now + CancelSpan, end);
+    else
+      returnSlot(end, now);
   }
   if (attempt.Unit && (why == Reason::WrongToken || why == Reason::GrantLapsed))
     service.Moving[attempt.Unit->Unit] = {attempt.Unit->Fence,
@@ -150,7 +158,30 @@
   pumpAll(now);
 }
 
+void Dispatcher::returnSlot(const Lingering &end, Time now) {
+  static const ServiceConfig Removed;
+  const auto service = Services.find(end.Service);
+  const bool isKnown =
+      service != Services.end() && service->second.Config != nullptr;
+  const SlotSign sign =
+      Slots[end.Upstream].end(end.Why, end.ColdStarts, end.Latency,
+                              isKnown ? *service->second.Config : Removed, now);
+  if (sign == SlotSign::ColdStart)
+    Counters.add(DispatchCount::ColdStarts);
+  if (sign == SlotSign::LatencyJump)
+    Counters.add(DispatchCount::LatencyJumps);
+}
+
+void Dispatcher::returnLingering(Time now) {
+  while (!Lingerings.empty() && Lingerings.begin()->first <= now) {
+    const Lingering end = Lingerings.begin()->second;
+    Lingerings.erase(Lingerings.begin());
+    returnSlot(end, now);
+  }
+}
+
 void Dispatcher::tick(Time now) {
+  returnLingering(now);
   poll(now);
   pumpAll(now);
   placeHeld(now);
--- a/src/traffic/dispatcher_base.h
+++ b/src/traffic/dispatcher_base.h
@@ -96,6 +96,15 @@
     Time StartedAt;
   };
 
+  /// An attempt given up here that its upstream may still run.
+  struct Lingering {
+    UpstreamId Upstream;
+    ServiceId Service;
+    Reason Why;
+    std::uint64_t ColdStarts;
+    Duration Latency;
+  };
+
   struct Service {
     const ServiceConfig *Config = nullptr;
     std::vector<UpstreamId> Eligible; ///< may get new work
@@ -122,6 +131,8 @@
   const UpstreamConfig &upstreamConfig(const UpstreamId &upstream) const;
   const TierConfig &tierConfig(const DispatchRequest &request) const;
   bool isEligible(const TeamConfig &team, const UpstreamConfig &it) const;
+  void returnSlot(const Lingering &end, Time now);
+  void returnLingering(Time now);
   void rebuild(const ServiceId &id, Service &service);
   HomeRight rightAt(const Service &service, const UpstreamId &upstream,
                     Time now) const;
@@ -177,6 +188,7 @@
   std::map<UpstreamId, Time> IneligibleSince;
   absl::flat_hash_map<RequestId, Request> Requests;
   absl::flat_hash_map<AttemptId, Attempt> Attempts;
+  std::multimap<Time, Lingering> Lingerings;
   std::map<GroupId, TierQueue> Queues;
   std::vector<RequestId> Held;
   std::set<std::pair<Time, RequestId>> WaitDeadlines;
--- a/src/traffic/upstream_slots.cpp
+++ b/src/traffic/upstream_slots.cpp
@@ -15,9 +15,10 @@
 constexpr Duration DrainRetryDelay = seconds(1);
 
 bool isColdSign(Reason why) {
-  return why == Reason::ConnectFailed || why == Reason::ConnectionLost ||
-         why == Reason::CutOffAnswer || why == Reason::UpstreamCold ||
-         why == Reason::UpstreamShed;
+  // A restart closes all connections, also those that were idle.
+  return why == Reason::ConnectFailed || why == Reason::SendFailed ||
+         why == Reason::ConnectionLost || why == Reason::CutOffAnswer ||
+         why == Reason::UpstreamCold || why == Reason::UpstreamShed;
 }
 
 } // namespace
