--- a/src/admin/admin_json.cpp
+++ b/src/admin/admin_json.cpp
@@ -181,7 +181,7 @@
       if (scope.allows(team))
         teams[team.Value] = rev.Value;
     vms.push_back(
-        {{"vm", vm.Vm.Value}, {"linked", vm.IsLinked}, {"teams", teams}});
+        {{"vm", vm.Vm.Value}, {"age_ms", vm.AgeMs}, {"teams", teams}});
   }
   return makeResponse(200, {{"vms", vms}});
 }
--- a/src/config/config_writer.cpp
+++ b/src/config/config_writer.cpp
@@ -38,14 +38,14 @@
     actions.push_back(queue.front().start(NextOperation++));
 }
 
-void ConfigWriter::on(DocumentRead &read, Time now, Actions &actions) {
+void ConfigWriter::on(TextRead &read, Time now, Actions &actions) {
   const QueueRef queue = findOperation(read.Operation);
   if (queue != Queues.end())
     take(queue, queue->second.front().onRead(read.Result, NextOperation++, now),
          actions);
 }
 
-void ConfigWriter::on(DocumentWritten &written, Time now, Actions &actions) {
+void ConfigWriter::on(TextWritten &written, Time now, Actions &actions) {
   const QueueRef queue = findOperation(written.Operation);
   if (queue != Queues.end())
     take(queue,
--- a/src/config/config_writer_base.h
+++ b/src/config/config_writer_base.h
@@ -32,8 +32,8 @@
   using QueueRef = std::map<DocumentId, Queue>::iterator;
 
   void on(ConfigRequest &request, Time now, Actions &actions);
-  void on(DocumentRead &read, Time now, Actions &actions);
-  void on(DocumentWritten &written, Time now, Actions &actions);
+  void on(TextRead &read, Time now, Actions &actions);
+  void on(TextWritten &written, Time now, Actions &actions);
   void on(ConfigTick &tick, Time now, Actions &actions);
 
   QueueRef findOperation(std::uint64_t operation);
--- a/src/controller/configuration_host.h
+++ b/src/controller/configuration_host.h
@@ -24,6 +24,8 @@
   /// Membership's view changed.
   std::function<void(std::vector<ControllerMember> members, Time now)>
       OnMembers;
+  /// A record is known to be written.
+  std::function<void(const OwnershipRecord &record, Time now)> OnRecord;
 };
 
 /// Used on the decision thread only.
@@ -45,10 +47,10 @@
     return Node.membership().others();
   }
 
-  /// @return the newest ownership records known here
+  /// @return the newest record of each service that is known here
   std::vector<OwnershipRecord> records() const { return Node.records(); }
 
-  void tick(Time now) { handle(ControlTick(), now); }
+  void tick(Time now);
   /// This process is shutting down.
   void leave(Time now) { handle(LeaveStarted(), now); }
   /// Puts a document into force whose write is known to have taken effect.
@@ -89,6 +91,7 @@
   ConfigurationHandlers Handlers;
   ControlNode Node;
   std::map<VmId, Endpoint> Targets;
+  Time NextRouterHeartbeat;
   std::map<VmId, MemberState> Logged; ///< states that were logged last
 };
 
--- a/src/standin/upstream_server.h
+++ b/src/standin/upstream_server.h
@@ -9,6 +9,7 @@
 #include "net/http_server.h"
 #include "net/url_func.h"
 #include "standin/upstream_base.h"
+#include "upstream/grant_holder.h"
 
 #include <deque>
 #include <set>
