--- a/src/controller/configuration_host.h
+++ b/src/controller/configuration_host.h
@@ -31,7 +31,8 @@
 public:
   ConfigurationHost(const RecordMember &self, const VmSettings &settings,
                     StorePort &store, LinkPort &links,
-                    ConfigurationHandlers handlers, Time now);
+                    ControlCounters &counters, ConfigurationHandlers handlers,
+                    Time now);
 
   /// @return the documents in force on this VM
   const Configuration &configuration() const { return Node.configuration(); }
@@ -44,12 +45,15 @@
     return Node.membership().others();
   }
 
+  /// @return the newest ownership records known here
+  std::vector<OwnershipRecord> records() const { return Node.records(); }
+
   void tick(Time now);
   /// This process is shutting down.
   void leave(Time now) { handle(LeaveStarted(), now); }
   /// Puts a document into force whose write is known to have taken effect.
   void apply(const TeamDocument &document, Time now) {
-    handle(DocumentWritten{document}, now);
+    handle(DocumentAccepted{document}, now);
   }
   /// Passes on a record that this VM's state machine published.
   void publish(const OwnershipRecord &record, Time now) {
@@ -81,6 +85,7 @@
   RecordMember Self;
   StorePort &Store;
   LinkPort &Links;
+  ControlCounters &Counters;
   ConfigurationHandlers Handlers;
   ControlNode Node;
   std::map<VmId, Endpoint> Targets;
--- a/src/controller/controller_process.cpp
+++ b/src/controller/controller_process.cpp
@@ -4,7 +4,12 @@
  */
 #include "controller/controller_process.h"
 
+#include "controller/admin_answer.h"
+#include "controller/admin_port.h"
 #include "controller/configuration_host.h"
+#include "controller/controller_metrics.h"
+#include "controller/crash_mark_host.h"
+#include "controller/home_host.h"
 #include "controller/link_port.h"
 #include "controller/order_port.h"
 #include "controller/ownership_host.h"
@@ -14,6 +19,7 @@
 
 #include <atomic>
 #include <optional>
+#include <set>
 #include <thread>
 #include <utility>
 
@@ -44,13 +50,15 @@
         Terms(termsOf(Settings.Ownership)),
         Store(parseEndpoint(Settings.Store.text("address")),
               Settings.Store.duration("timeout"),
-              parseEndpoint(Settings.Store.text("vm_list")),
+              parseEndpoint(Settings.Store.text("vm_list")), Counters,
               [this] { wake(); }),
-        Orders([this] { wake(); }), Links(Self, [this] { wake(); }),
+        Orders(Counters, [this] { wake(); }),
+        Links(Self, Counters, [this] { wake(); }),
         Configurations(
-            Self, Settings, Store, Links,
+            Self, Settings, Store, Links, Counters,
             {[this](Time now) {
                Ownership.define(Configurations.configuration(), now);
+               Homes.define(Configurations.configuration(), now);
              },
              [this](std::vector<ControllerMember> members, Time now) {
                Ownership.setMembers(std::move(members), now);
@@ -58,14 +66,27 @@
             readClock()),
         Ownership(Self, Terms, Store, Orders, Links,
                   [this](const OwnershipRecord &record, Time now) {
+                    if (record.Rev == Revision(1))
+                      FirstLed.insert(record.Service);
                     Configurations.publish(record, now);
-                  }) {}
+                  }),
+        Homes(Self, Links,
+              [this](const ServiceId &service, Time now) {
+                return leadershipOf(service, now);
+              }),
+        Admin(Settings, [this] { wake(); }) {}
 
   absl::Status start() {
     Decisions.emplace(System, Terms.Heartbeat / 2,
                       [this](DutyCall call) { decide(call); });
     IsReady = true;
+    if (absl::Status status =
+            Metrics.listen(parseEndpoint(Settings.Controller.text("metrics")));
+        !status.ok())
+      return status;
     Store.start();
+    if (absl::Status status = Admin.listen(); !status.ok())
+      return status;
     return Links.listen(parseEndpoint(Settings.Controller.text("link")));
   }
 
@@ -76,9 +97,26 @@
     Store.stop();
     Orders.stop();
     Links.stop();
+    Admin.stop();
   }
 
 private:
+  HomeLeadership leadershipOf(const ServiceId &service, Time now) const {
+    const OwnershipLeader *leader = Ownership.find(service);
+    if (leader == nullptr || !leader->record())
+      return {};
+    const OwnershipRecord &record = *leader->record();
+    HomeLeadership leadership{leader->isLeader(),
+                              leader->isConfirmed(now),
+                              leader->isQuietOver(now),
+                              FirstLed.contains(service),
+                              record.Rev,
+                              {}};
+    if (!record.Members.empty())
+      leadership.Leader = record.Members.front().Vm;
+    return leadership;
+  }
+
   void wake() {
     if (IsReady)
       Decisions->wake();
@@ -93,11 +131,17 @@
       std::visit([&](auto &it) { on(it, now); }, event);
     });
     Orders.answers().drain([&](OrderAnswered &&it) { Ownership.on(it, now); });
+    Admin.questions().drain([&](AdminQuery &&query) {
+      Admin.answers().push(
+          {query.Id, answerAdmin(query, Self.Vm, Configurations, Counters)});
+    });
     if (call == DutyCall::Tick) {
       if (IsLeaving && !std::exchange(IsLeaveTold, true))
         Configurations.leave(now);
       Configurations.tick(now);
       Ownership.tick(now);
+      Homes.tick(now);
+      CrashMarks.tick(now);
     }
   }
 
@@ -109,6 +153,8 @@
 
   void on(LinkReceived &received, Time now) {
     Configurations.on(received, now);
+    Homes.on(received, now);
+    CrashMarks.on(received, now);
     if (auto *envelope = std::get_if<OwnershipEnvelope>(&received.Message))
       Ownership.onPeer(received.From.Self, envelope->Message, now);
   }
@@ -118,6 +164,7 @@
   VmSettings Settings;
   RecordMember Self;
   OwnershipTerms Terms;
+  ControlCounters Counters;
   std::atomic<bool> IsReady{false};
   std::atomic<bool> IsLeaving{false};
   bool IsLeaveTold = false;
@@ -127,6 +174,12 @@
   LinkPort Links;
   ConfigurationHost Configurations;
   OwnershipHost Ownership;
+  ControllerMetrics Metrics{Counters};
+  HomeHost Homes;
+  CrashMarkHost CrashMarks{Links};
+  /// Services whose record began with this process: no earlier home exists.
+  std::set<ServiceId> FirstLed;
+  AdminPort Admin;
   std::optional<Duty> Decisions;
 };
 
--- a/src/link/link_message_type.h
+++ b/src/link/link_message_type.h
@@ -11,6 +11,8 @@
 #include "ownership/ownership_record_base.h"
 #include "relay/relay_type.h"
 #include "relay/revision_reports_type.h"
+#include "traffic/crash_suspect_type.h"
+#include "traffic/home_type.h"
 
 #include <variant>
 #include <vector>
@@ -54,7 +56,8 @@
 
 using LinkMessage =
     std::variant<LinkHello, DocumentsUpdate, OwnersUpdate, OwnershipEnvelope,
-                 MembershipEnvelope, RelayEnvelope, RevisionReportsUpdate>;
+                 CrashMarksUpdate, MembershipEnvelope, RelayEnvelope,
+                 RevisionReportsUpdate, HomeAsk, HomeAnswer, HomesUpdate>;
 
 } // namespace waxwing
 
--- a/src/relay/control_node.cpp
+++ b/src/relay/control_node.cpp
@@ -100,7 +100,7 @@
   tell(StoreRead(), now);
 }
 
-void ControlNode::on(const DocumentWritten &event, Time now) {
+void ControlNode::on(const DocumentAccepted &event, Time now) {
   tell(ItemLearnt{event.Document}, now);
 }
 
--- a/src/relay/control_node_type.h
+++ b/src/relay/control_node_type.h
@@ -36,7 +36,7 @@
   std::vector<TeamDocument> Documents;
 };
 /// A document whose write is known to have taken effect.
-struct DocumentWritten {
+struct DocumentAccepted {
   TeamDocument Document;
 };
 /// A record that this VM's state machine published.
@@ -46,7 +46,7 @@
 
 using ControlEvent =
     std::variant<ControlTick, VmsListed, PeerLinked, PeerUnlinked, PeerMessage,
-                 DocumentsWatched, DocumentWritten, RecordPublished,
+                 DocumentsWatched, DocumentAccepted, RecordPublished,
                  LeaveStarted>;
 
 // Actions; ChooseLinks and DropLink are membership's.
--- a/src/router/controller_link.cpp
+++ b/src/router/controller_link.cpp
@@ -23,7 +23,15 @@
 ControllerLink::ControllerLink(RecordMember self, Endpoint controller,
                                std::function<void()> wakeDecisions)
     : Self(std::move(self)), Controllers{std::move(controller)},
-      Messages(LinkRingCapacity, std::move(wakeDecisions)) {}
+      Messages(LinkRingCapacity, std::move(wakeDecisions)),
+      Outgoing(LinkRingCapacity, [this] {
+        Io.post([this] {
+          Outgoing.drain([this](LinkMessage &&it) {
+            if (Link && Link->IsOpen)
+              Host->send(Link->Id, encodeLinkMessage(it));
+          });
+        });
+      }) {}
 
 ControllerLink::~ControllerLink() { stop(); }
 
@@ -40,6 +48,11 @@
   Io.runEvery(ReconnectPeriod, [this] { maintain(); });
 }
 
+void ControllerLink::send(LinkMessage message) {
+  // Whoever sends repeats what stays without an answer.
+  Outgoing.push(std::move(message));
+}
+
 void ControllerLink::stop() { Io.stop(); }
 
 void ControllerLink::maintain() {
--- a/src/router/controller_link.h
+++ b/src/router/controller_link.h
@@ -29,6 +29,8 @@
   ~ControllerLink();
 
   void start();
+  /// Sends when the link is open; used by the decisions.
+  void send(LinkMessage message);
   /// Consumed by the decisions.
   BoundedRing<LinkMessage> &messages() { return Messages; }
   void stop();
@@ -55,6 +57,7 @@
   std::vector<Endpoint> Controllers; ///< the own one first
   std::size_t Choice = 0;            ///< of Controllers, that Link goes to
   BoundedRing<LinkMessage> Messages;
+  BoundedRing<LinkMessage> Outgoing;
   std::optional<LinkHost> Host;
   std::optional<LinkData> Link;
   std::optional<LinkId> OwnTrial; ///< opening, while Link goes elsewhere
--- a/src/settings/ini_type.h
+++ b/src/settings/ini_type.h
@@ -16,6 +16,7 @@
   std::string Key;     ///< trimmed
   std::string Value;   ///< trimmed, without comment
   int Line = 0;        ///< 1-based line in the source
+  int LastLine = 0;    ///< last line that continues the value
 };
 
 /// One `[name]` line; the section may have no entries.
--- a/src/traffic/router_core.cpp
+++ b/src/traffic/router_core.cpp
@@ -14,10 +14,20 @@
 /// Callers that are refused "not run" are told to come back after this.
 constexpr Duration RefusalRetryAfter = seconds(1);
 
+RequestPrint printOf(const CallerId &caller, std::uint64_t fingerprint) {
+  return RequestPrint(hashKey(caller.Value).Value ^ fingerprint);
+}
+
+/// @return whether @p why tells of an earlier sending of the same request
+bool isDuplicate(Reason why) {
+  return why == Reason::DuplicateInFlight || why == Reason::DuplicateUnknown ||
+         why == Reason::IdempotencyExpired || why == Reason::SuspectedCrasher;
+}
+
 } // namespace
 
-RouterCore::RouterCore(VmId self, std::uint64_t seed)
-    : Dispatch(std::move(self), seed) {}
+RouterCore::RouterCore(const VmId &self, std::uint64_t seed)
+    : Dispatch(self, seed), Leased(self, Dispatch) {}
 
 std::vector<RouterAction> RouterCore::handle(RouterEvent event, Time now) {
   std::visit([&](auto &it) { on(it, now); }, event);
@@ -40,8 +50,13 @@
   request.Tier = std::get<Admission>(admission).Tier;
   request.Deadline = caller.Deadline.value_or(now + service.Timeout);
   request.IsOwned = service.IsDividedByKey;
+  request.Print = printOf(request.Caller, caller.Fingerprint);
+  if (Suspects.isSuspect(request.Print, now))
+    return refuse(request, Reason::SuspectedCrasher, Duration(), now);
   Budget.addRequest();
-  submit(request, now);
+  Memory.advance(caller.ArrivedAt);
+  if (readKey(request, now))
+    proceed(request, now);
 }
 
 std::variant<RouterCore::Admission, Reason>
@@ -66,8 +81,16 @@
 
 void RouterCore::on(CallerLost &event, Time now) {
   const auto it = Requests.find(event.Request);
-  if (it != Requests.end())
-    refuse(*it->second, Reason::Cancelled, Duration(), now);
+  if (it == Requests.end() || it->second->IsAnswered)
+    return;
+  RequestState &request = *it->second;
+  if (request.Role != KeyRole::Runner)
+    return refuse(request, Reason::Cancelled, Duration(), now);
+  // The caller may ask again under the same key, so its run goes on.
+  request.IsAnswered = true;
+  Answers.add(Reason::Cancelled);
+  Actions.emplace_back(AnswerCaller{
+      event.Request, Reason::Cancelled, Verdict::MayHaveRun, Duration(), {}});
 }
 
 void RouterCore::on(ConfigurationChanged &event, Time now) {
@@ -81,13 +104,27 @@
   resumeAfterOwners(service, now);
 }
 
-void RouterCore::on(RouterTick &, Time now) {
+void RouterCore::on(HomesChanged &event, Time now) {
+  Dispatch.setHomes(std::move(event.Homes), now);
+}
+
+void RouterCore::on(HomesLeased &event, Time now) {
+  Dispatch.takeLeases(event.Answer, now);
+}
+
+void RouterCore::on(RouterTick &event, Time now) {
+  Memory.advance(event.Wall);
   Dispatch.tick(now);
+  notePartitions(now);
+  checkHealth(now);
   while (!Paused.empty() && Paused.begin()->first <= now)
     resume(*Requests.at(Paused.begin()->second), now);
 }
 
-void RouterCore::on(DrainStarted &, Time now) { RefuseFrom = now + DrainGrace; }
+void RouterCore::on(DrainStarted &, Time now) {
+  RefuseFrom = now + DrainGrace;
+  Dispatch.leaveHomes();
+}
 
 void RouterCore::submit(RequestState &request, Time now) {
   const CallerRequest &caller = request.Request;
@@ -112,18 +149,24 @@
 
 void RouterCore::carryOut(DispatchStart &decision, Time now) {
   const auto it = Requests.find(decision.Request);
+  // A second attempt beside a first one is for idempotent requests only.
   const bool isAllowed =
       it != Requests.end() &&
       (it->second->Live.empty() || it->second->Request.IsIdempotent);
   if (!isAllowed)
     return Dispatch.endAttempt(decision.Attempt, Reason::Cancelled, now);
   RequestState &request = *it->second;
+  const auto *target = std::get_if<UpstreamTarget>(&decision.Target);
+  if (target != nullptr && !isSafeAt(request, target->Upstream, now))
+    return Dispatch.endAttempt(decision.Attempt, Reason::Cancelled, now);
   request.Live.push_back(decision.Attempt);
   request.AttemptsMade += decision.IsHedge ? 0 : 1;
   AttemptState &attempt = Attempts[decision.Attempt];
-  attempt = {decision.Request, std::nullopt, now};
-  if (const auto *target = std::get_if<UpstreamTarget>(&decision.Target))
+  attempt = {decision.Request, std::nullopt, now, request.Print};
+  if (target != nullptr) {
     attempt.Upstream = target->Upstream;
+    Health.start(decision.Attempt, target->Upstream, now);
+  }
   Actions.emplace_back(StartAttempt{
       decision.Attempt, decision.Request, std::move(decision.Target),
       std::min(decision.Deadline, request.Deadline), request.Caller,
@@ -136,12 +179,18 @@
     fail(*it->second, decision.Why, decision.RetryAfter, now);
 }
 
+void RouterCore::carryOut(DispatchAsk &decision, Time) {
+  Actions.emplace_back(SendHomeAsk{std::move(decision.Ask)});
+}
+
 void RouterCore::refuse(RequestState &request, Reason why, Duration retryAfter,
                         Time now) {
   // An attempt in flight may run until its end says otherwise.
-  const bool isUnknown =
-      request.MayHaveRunBy != Reason::None || !request.Live.empty();
-  AnswerCaller answer{request.Request.Id, why, Verdict::NotRun, retryAfter, {}};
+  const bool isUnknown = request.MayHaveRunBy != Reason::None ||
+                         !request.Live.empty() ||
+                         request.Role == KeyRole::Waiter || isDuplicate(why);
+  AnswerCaller answer{request.Request.Id, why, Verdict::NotRun,
+                      retryAfter,         {},  request.Detail};
   if (request.MayHaveRunBy != Reason::None && why != Reason::Cancelled)
     answer.Why = request.MayHaveRunBy;
   if (isUnknown)
@@ -152,14 +201,18 @@
 }
 
 void RouterCore::settle(RequestState &request, AnswerCaller answer, Time now) {
-  Answers.add(answer.Why);
   const RequestId id = request.Request.Id;
   Dispatch.withdraw(id, now);
   for (const AttemptId &attempt : request.Live)
     Actions.emplace_back(CancelAttempt{attempt});
   if (request.ResumeAt)
     Paused.erase({*request.ResumeAt, id});
+  const auto ended = std::move(Requests.at(id));
   Requests.erase(id);
+  finishKey(*ended, answer, now);
+  if (ended->IsAnswered)
+    return;
+  Answers.add(answer.Why);
   Actions.emplace_back(std::move(answer));
 }
 
--- a/src/traffic/router_core_attempts.cpp
+++ b/src/traffic/router_core_attempts.cpp
@@ -10,11 +10,24 @@
 #include <algorithm>
 
 namespace waxwing {
+namespace {
+
+/// A request whose attempts break so many connections is given up.
+constexpr int MaxLosses = 2;
+
+bool isLoss(Reason why) {
+  return why == Reason::ConnectionLost || why == Reason::CutOffAnswer;
+}
+
+} // namespace
 
 void RouterCore::on(AttemptEnded &event, Time now) {
-  AttemptEnds.add(event.Why);
-  Dispatch.endAttempt(event.Attempt, event.Why, now);
   const auto it = Attempts.find(event.Attempt);
+  if (it != Attempts.end())
+    learnFromEnd(it->second, event, now);
+  AttemptEnds.add(event.Why);
+  if (!isSend(event.Attempt))
+    Dispatch.endAttempt(event.Attempt, event.Why, now);
   if (it == Attempts.end())
     return;
   const AttemptState attempt = std::move(it->second);
@@ -31,6 +44,7 @@
                   now);
   if (event.Proven != Verdict::NotRun && request.MayHaveRunBy == Reason::None)
     request.MayHaveRunBy = event.Why;
+  request.LossesMade += isLoss(event.Why) ? 1 : 0;
   if (attempt.Upstream)
     request.Avoid.push_back(*attempt.Upstream);
   // A hedge or the attempt beside it may still bring the answer.
@@ -38,6 +52,24 @@
     fail(request, event.Why, event.RetryAfter, now);
 }
 
+void RouterCore::learnFromEnd(const AttemptState &attempt, AttemptEnded &event,
+                              Time now) {
+  if (attempt.IsSilent && event.Why == Reason::Cancelled) {
+    event.Why = Reason::SilentConnection;
+    event.Proven = Verdict::MayHaveRun;
+  }
+  if (event.Why == Reason::None)
+    Suspects.noteAnswered(attempt.Print);
+  if (!attempt.Upstream)
+    return;
+  Health.end(event.Attempt, event.Why == Reason::None, now);
+  if (isLoss(event.Why)) {
+    Suspects.noteLost(attempt.Print, *attempt.Upstream,
+                      domainOf(*attempt.Upstream), now);
+    probe(*attempt.Upstream, now);
+  }
+}
+
 void RouterCore::fail(RequestState &request, Reason why, Duration retryAfter,
                       Time now) {
   if (!request.Live.empty())
@@ -45,12 +77,16 @@
   const Verdict proven = request.MayHaveRunBy == Reason::None
                              ? Verdict::NotRun
                              : Verdict::MayHaveRun;
+  // The home of its key runs a request at most once, however often it comes.
+  const bool isSender = request.Role == KeyRole::Sender;
   const RetryDecision decision =
-      decideRetry({why, proven, request.Request.IsIdempotent, request.IsOwned,
-                   request.AttemptsMade, request.PausesMade, request.Deadline},
+      decideRetry({why, proven, request.Request.IsIdempotent || isSender,
+                   request.IsOwned || isSender, request.AttemptsMade,
+                   request.PausesMade, request.Deadline},
                   now);
   // The router that forwarded a request decides on its retries.
-  if (std::holds_alternative<GiveUp>(decision) || isForwardedHere(request))
+  if (std::holds_alternative<GiveUp>(decision) || isForwardedHere(request) ||
+      request.LossesMade >= MaxLosses)
     return refuse(request, why, retryAfter, now);
   // A request that only waits for owners or homes adds no load.
   const bool isBudgeted = retryRule(why) != RetryRule::AfterOwners;
@@ -67,7 +103,7 @@
     return pause(request, later->At);
   }
   Retries.add(why);
-  submit(request, now);
+  proceed(request, now);
 }
 
 void RouterCore::pause(RequestState &request, Time until) {
@@ -79,13 +115,16 @@
 void RouterCore::resume(RequestState &request, Time now) {
   Paused.erase({*request.ResumeAt, request.Request.Id});
   request.ResumeAt.reset();
-  submit(request, now);
+  if (request.Role == KeyRole::Waiter)
+    return refuse(request, Reason::DuplicateInFlight, Duration(), now);
+  proceed(request, now);
 }
 
 void RouterCore::resumeAfterOwners(const ServiceId &service, Time now) {
   std::vector<RequestId> waiting;
   for (const auto &[at, id] : Paused)
-    if (Requests.at(id)->Request.Service == service)
+    if (Requests.at(id)->Request.Service == service &&
+        Requests.at(id)->Role != KeyRole::Waiter)
       waiting.push_back(id);
   for (const RequestId &id : waiting)
     resume(*Requests.at(id), now);
--- a/src/traffic/router_core_type.h
+++ b/src/traffic/router_core_type.h
@@ -10,6 +10,8 @@
 #include "core/verdict_type.h"
 #include "net/http_type.h"
 #include "ownership/ownership_record_base.h"
+#include "traffic/crash_suspect_type.h"
+#include "traffic/home_type.h"
 
 #include <memory>
 #include <optional>
@@ -69,15 +71,48 @@
   std::shared_ptr<const OwnershipRecord> Record;
 };
 
+/// The homes of a service's upstreams and partitions changed.
+struct HomesChanged {
+  std::shared_ptr<const HomesUpdate> Homes;
+};
+
+/// The leader of a service answered this router's question.
+struct HomesLeased {
+  HomeAnswer Answer;
+};
+
+/// A probe of an upstream over a new connection ended.
+struct UpstreamProbed {
+  UpstreamId Upstream;
+  bool IsAnswered = false;
+  bool IsRefused = false; ///< nothing listens there
+  Time SentAt;
+};
+
+/// Another router saw upstreams die with requests in flight.
+struct CrashMarksHeard {
+  std::vector<CrashMark> Marks;
+};
+
 /// Time passed.
-struct RouterTick {};
+struct RouterTick {
+  WallTime Wall;
+};
 
 /// This router takes no more requests; those in flight go on.
 struct DrainStarted {};
 
 using RouterEvent =
     std::variant<CallerRequest, CallerLost, AttemptEnded, ConfigurationChanged,
-                 OwnersChanged, RouterTick, DrainStarted>;
+                 OwnersChanged, HomesChanged, HomesLeased, UpstreamProbed,
+                 CrashMarksHeard, RouterTick, DrainStarted>;
+
+/// Attempts at the home of an idempotency key have ids from here on; those
+/// of the dispatcher are below.
+constexpr std::uint64_t FirstSend = 1ull << 63;
+
+/// @return whether the dispatcher does not know @p attempt
+inline bool isSend(AttemptId attempt) { return attempt.Value >= FirstSend; }
 
 /// Send a request to an upstream.
 struct UpstreamTarget {
@@ -92,6 +127,7 @@
   VmId Router;
   Endpoint Address;
   TierId Tier;
+  UpstreamId Upstream; ///< that the request is for; empty when any will do
   ForwardPurpose Purpose = ForwardPurpose::UpstreamHome;
 };
 
@@ -118,9 +154,36 @@
   Verdict Proven = Verdict::Ran;
   Duration RetryAfter{}; ///< stated when Proven is NotRun
   HttpResponse Answer;   ///< the upstream's when Why is None
+  std::string Detail;    ///< told beside the reason; may be empty
+};
+
+/// Send a question about home leases to the leader of its service.
+struct SendHomeAsk {
+  HomeAsk Ask;
+};
+
+/// Ask an upstream for its status over a new connection; UpstreamProbed
+/// follows.
+struct ProbeUpstream {
+  UpstreamId Upstream;
+  Endpoint Address;
+};
+
+/// Close idle connections to the attempt's address that brought no answer
+/// since the attempt began.
+struct DropIdle {
+  AttemptId Attempt;
+  Time StartedAt;
+};
+
+/// Tell all routers.
+struct ShareCrashMarks {
+  std::vector<CrashMark> Marks;
 };
 
-using RouterAction = std::variant<StartAttempt, CancelAttempt, AnswerCaller>;
+using RouterAction =
+    std::variant<StartAttempt, CancelAttempt, AnswerCaller, SendHomeAsk,
+                 ProbeUpstream, DropIdle, ShareCrashMarks>;
 
 } // namespace waxwing
 
