--- a/src/admin/admin_api_base.h
+++ b/src/admin/admin_api_base.h
@@ -28,7 +28,8 @@
 /// Used on one thread, that of its IoThread and store.
 class AdminApi {
 public:
-  /// @param ask hands a question to the decisions; false when it cannot
+  /// @param ask hands a question or news to the decisions; false when it
+  ///   cannot
   AdminApi(IoThread &io, PlatformStore &store,
            const std::string &operatorSha256,
            std::function<bool(AdminQuery)> ask);
@@ -54,7 +55,7 @@
   struct PendingChange {
     HttpReply Reply;
     std::string Change; ///< its id
-    bool IsOfTokens = false;
+    DocumentId Document;
   };
 
   void authorize(const AdminCall &call, HttpReply reply,
@@ -79,9 +80,10 @@
   void readDocument(const DocumentId &document, HttpReply reply,
                     std::function<HttpResponse(const StoreValue &)> show);
   void write(ConfigEvent event);
-  void carryOut(ReadDocument &action);
-  void carryOut(WriteDocument &action);
+  void carryOut(ReadText &action);
+  void carryOut(WriteText &action);
   void carryOut(AnswerRequest &action);
+  void announce(const DocumentId &document, const ConfigAnswer &answer);
   void refuse(const HttpReply &reply, const AdminRefusal &refusal);
 
   IoThread &Io;
--- a/src/controller/admin_answer.cpp
+++ b/src/controller/admin_answer.cpp
@@ -1,6 +1,6 @@
 /**
  * @file admin_answer.cpp
- * Owners, revisions and counters of this VM.
+ * Owners, revisions in force and counters, as this VM knows them.
  */
 #include "controller/admin_answer.h"
 
@@ -8,68 +8,66 @@
 #include "upstream/upstream_protocol.h"
 
 #include <algorithm>
-#include <iterator>
 #include <map>
-#include <ranges>
 
 namespace waxwing {
 namespace {
 
-using Result = decltype(AdminAnswer::Result);
+OwnerAnswer findOwner(const OwnershipRecord &record, const std::string &key) {
+  const KeyHash hash = hashKey(key);
+  const ShardId shard = shardOf(hash, record.Shards.size());
+  const auto split = record.Splits.find(hash);
+  const bool isSplit = split != record.Splits.end();
+  const UnitOwner &owner = isSplit ? split->second : record.Shards[shard.Value];
+  return {true, owner.Owner, owner.Fence, record.Rev,
+          formatUnit(isSplit ? OwnedUnit(hash) : OwnedUnit(shard))};
+}
 
-/// Answers each kind of question.
-struct Answerer {
-  const VmId &Self;
-  const ConfigurationHost &Configurations;
-  const ControlCounters &Counters;
+} // namespace
 
-  Result operator()(const OwnerCall &call) const {
-    const auto records = Configurations.records();
-    const auto it =
-        std::ranges::find(records, call.Service, &OwnershipRecord::Service);
-    if (it == records.end() || it->Shards.empty())
-      return OwnerAnswer();
-    const OwnershipRecord &record = *it;
-    const KeyHash key = hashKey(call.Key);
-    const ShardId shard = shardOf(key, record.Shards.size());
-    const auto split = record.Splits.find(key);
-    const bool isSplit = split != record.Splits.end();
-    const UnitOwner &owner =
-        isSplit ? split->second : record.Shards[shard.Value];
-    return OwnerAnswer{true, owner.Owner, owner.Fence, record.Rev,
-                       formatUnit(isSplit ? OwnedUnit(key) : OwnedUnit(shard))};
-  }
+AdminAnswerer::Result AdminAnswerer::answer(const AdminQuery &query) const {
+  return std::visit(*this, query.Call);
+}
 
-  Result operator()(const RevisionsCall &) const {
-    std::map<VmId, VmRevisions> vms;
-    vms[Self].Vm = Self;
-    for (const auto &[team, document] :
-         Configurations.configuration().documents())
-      vms[Self].Documents[team] = document.Rev;
-    for (const RevisionInForce &row : Configurations.revisionsInForce()) {
-      vms[row.Vm].Vm = row.Vm;
-      vms[row.Vm].Documents[row.Team] = row.Rev;
-    }
-    RevisionsAnswer answer;
-    std::ranges::copy(vms | std::views::values, std::back_inserter(answer.Vms));
-    return answer;
-  }
+AdminAnswerer::Result AdminAnswerer::operator()(const OwnerCall &call) const {
+  const std::vector<OwnershipRecord> records = Configurations.records();
+  const auto it =
+      std::ranges::find(records, call.Service, &OwnershipRecord::Service);
+  if (it == records.end() || it->Shards.empty())
+    return OwnerAnswer();
+  return findOwner(*it, call.Key);
+}
 
-  Result operator()(const CountersCall &) const {
-    CountersAnswer answer;
-    for (const ControlCounterInfo &info : ControlCounterTable)
-      answer.Rows.push_back({std::string(info.Name), Counters.count(info.Id)});
-    return answer;
+AdminAnswerer::Result AdminAnswerer::operator()(const RevisionsCall &) const {
+  std::map<VmId, VmRevisions> vms;
+  for (const RevisionInForce &row : Configurations.revisionsInForce()) {
+    VmRevisions &vm = vms[row.Vm];
+    vm.AgeMs = static_cast<std::uint64_t>(
+        std::max(Now - row.HeardAt, Duration()) / milliseconds(1));
+    vm.Documents[row.Team] = row.Rev;
+  }
+  VmRevisions &own = vms[Self];
+  own = {};
+  for (const auto &[team, document] :
+       Configurations.configuration().documents())
+    own.Documents[team] = document.Rev;
+  RevisionsAnswer answer;
+  for (auto &[vm, revisions] : vms) {
+    revisions.Vm = vm;
+    answer.Vms.push_back(std::move(revisions));
   }
-};
+  return answer;
+}
 
-} // namespace
+AdminAnswerer::Result AdminAnswerer::operator()(const CountersCall &) const {
+  CountersAnswer answer;
+  for (const ControlCounterInfo &info : ControlCounterTable)
+    answer.Rows.push_back({std::string(info.Name), Counters.count(info.Id)});
+  return answer;
+}
 
-decltype(AdminAnswer::Result)
-answerAdmin(const AdminQuery &query, const VmId &self,
-            const ConfigurationHost &configurations,
-            const ControlCounters &counters) {
-  return std::visit(Answerer{self, configurations, counters}, query.Call);
+AdminAnswerer::Result AdminAnswerer::operator()(const DocumentNews &) const {
+  return CountersAnswer();
 }
 
 } // namespace waxwing
--- a/src/controller/configuration_host.h
+++ b/src/controller/configuration_host.h
@@ -24,6 +24,8 @@
   /// Membership's view changed.
   std::function<void(std::vector<ControllerMember> members, Time now)>
       OnMembers;
+  /// A record is known to be written.
+  std::function<void(const OwnershipRecord &record, Time now)> OnRecord;
 };
 
 /// Used on the decision thread only.
--- a/src/controller/controller_process.cpp
+++ b/src/controller/controller_process.cpp
@@ -62,6 +62,9 @@
              },
              [this](std::vector<ControllerMember> members, Time now) {
                Ownership.setMembers(std::move(members), now);
+             },
+             [this](const OwnershipRecord &record, Time now) {
+               Ownership.hear(record, now);
              }},
             readClock()),
         Ownership(Self, Terms, Store, Orders, Links,
@@ -74,7 +77,7 @@
               [this](const ServiceId &service, Time now) {
                 return leadershipOf(service, now);
               }),
-        Admin(Settings, [this] { wake(); }) {}
+        Admin(Settings, Counters, [this] { wake(); }) {}
 
   absl::Status start() {
     Decisions.emplace(System, Terms.Heartbeat / 2,
@@ -131,10 +134,8 @@
       std::visit([&](auto &it) { on(it, now); }, event);
     });
     Orders.answers().drain([&](OrderAnswered &&it) { Ownership.on(it, now); });
-    Admin.questions().drain([&](AdminQuery &&query) {
-      Admin.answers().push(
-          {query.Id, answerAdmin(query, Self.Vm, Configurations, Counters)});
-    });
+    Admin.questions().drain(
+        [&](AdminQuery &&query) { on(std::move(query), now); });
     if (call == DutyCall::Tick) {
       if (IsLeaving && !std::exchange(IsLeaveTold, true))
         Configurations.leave(now);
@@ -159,6 +160,16 @@
       Ownership.onPeer(received.From.Self, envelope->Message, now);
   }
 
+  void on(AdminQuery &&query, Time now) {
+    if (const auto *news = std::get_if<DocumentNews>(&query.Call))
+      Configurations.apply(news->Document, now);
+    else
+      Admin.answers().push(
+          {query.Id,
+           AdminAnswerer{Self.Vm, Configurations, Counters, now}.answer(
+               query)});
+  }
+
   void on(LinkLost &lost, Time now) { Configurations.on(lost, now); }
 
   VmSettings Settings;
