--- a/tests/parser_fuzz_test.cpp
+++ b/tests/parser_fuzz_test.cpp
@@ -66,17 +66,46 @@
   return record;
 }
 
-std::vector<std::string> validLinkMessages() {
-  return {
-      encodeLinkMessage(LinkHello{{VmId("a"), Incarnation(1), DomainId("d")},
-                                  ProcessRole::Controller}),
-      encodeLinkMessage(
-          DocumentsUpdate{{{TeamId("t"), Revision(1), Document}}}),
-      encodeLinkMessage(OwnersUpdate{makeRecord()}),
-      encodeLinkMessage(OwnershipEnvelope{
-          ConfirmReply{ServiceId("t/s"), Revision(3), 4, true, Revision(3)}}),
-      encodeLinkMessage(
-          OwnershipEnvelope{FenceRequest{ServiceId("t/s"), Revision(3)}})};
+/// One message of each kind.
+std::vector<LinkMessage> validLinkMessages() {
+  const ServiceId service("t/s");
+  MemberEntry member;
+  member.Vm = VmId("a");
+  member.Link = {"127.0.0.1", 1};
+  const ItemVersion version{{ItemKind::Document, "t"}, Revision(3)};
+  ItemsVector items;
+  items.Items = {version};
+  items.Parts = 5;
+  RevisionReport report;
+  report.Vm = VmId("a");
+  report.Recent = {{TeamId("t"), Revision(3)}};
+  HomeAsk ask;
+  ask.Service = service;
+  ask.Router = VmId("a");
+  HomeAnswer answer;
+  answer.Service = service;
+  HomesUpdate homes;
+  homes.Service = service;
+  return {LinkHello{{VmId("a"), Incarnation(1), DomainId("d")},
+                    ProcessRole::Controller},
+          DocumentsUpdate{{{TeamId("t"), Revision(1), Document}}},
+          OwnersUpdate{makeRecord()},
+          OwnershipEnvelope{ConfirmRequest{service, Revision(3), 4}},
+          OwnershipEnvelope{
+              ConfirmReply{service, Revision(3), 4, true, Revision(3), false}},
+          CrashMarksUpdate{},
+          MembershipEnvelope{Heartbeat{milliseconds(100), 7, 8}},
+          MembershipEnvelope{MembersUpdate{{member}}},
+          MembershipEnvelope{MembersCompare{}},
+          RelayEnvelope{ItemsAnnounce{{version}}},
+          RelayEnvelope{ItemsPull{{version}}},
+          RelayEnvelope{ItemContent{}},
+          RelayEnvelope{ItemsCompare{}},
+          RelayEnvelope{items},
+          RevisionReportsUpdate{{report}},
+          ask,
+          answer,
+          homes};
 }
 
 void parseDocumentBytes(const std::string &bytes) {
@@ -92,7 +121,8 @@
 }
 
 RC_GTEST_PROP(ParserFuzz, LinkMessageMutated, (const Mutations &mutations)) {
-  for (const std::string &valid : validLinkMessages()) {
+  for (const LinkMessage &message : validLinkMessages()) {
+    const std::string valid = encodeLinkMessage(message);
     RC_ASSERT(decodeLinkMessage(valid).ok());
     const auto decoded = decodeLinkMessage(mutate(valid, mutations));
     // What is read can be written again.
