--- a/src/router/router_metrics.cpp
+++ b/src/router/router_metrics.cpp
@@ -27,6 +27,9 @@
                         "_total",
                     "Dispatcher's events, see docs/TRAFFIC.md",
                     core.dispatching().count(static_cast<DispatchCount>(n)));
+  page.addCounter("waxwing_silent_connections_total",
+                  "Connections found silent while their upstream answered",
+                  core.silentConnections());
   page.addLatency("waxwing_latency_seconds",
                   "Time from a request's arrival to its answer",
                   latency.summary());
--- a/src/traffic/crash_suspects.cpp
+++ b/src/traffic/crash_suspects.cpp
@@ -19,7 +19,7 @@
   std::for_each(first, last, [&](const auto &entry) {
     const Loss &loss = entry.second;
     if (now <= loss.At + CorroborationSpan &&
-        add(loss.Print, upstream, {loss.Domain, loss.At}, now))
+        add(loss.Print, {upstream, loss.Domain, loss.At}, now))
       News.push_back({loss.Print, upstream, loss.Domain, now - loss.At});
   });
   Losses.erase(first, last);
@@ -37,38 +37,39 @@
   std::ranges::copy_if(
       marks, std::back_inserter(fresh), [&](const CrashMark &it) {
         return it.Age < CrashMarkLifetime &&
-               add(it.Print, it.Upstream, {it.Domain, now - it.Age}, now);
+               add(it.Print, {it.Upstream, it.Domain, now - it.Age}, now);
       });
   return fresh;
 }
 
-bool CrashSuspects::add(RequestPrint print, const UpstreamId &upstream,
-                        Death death, Time now) {
+bool CrashSuspects::add(RequestPrint print, Death death, Time now) {
   if (Marks.size() >= CrashPrintLimit && !Marks.contains(print))
     return false;
   Record &record = Marks[print];
-  const auto known = record.Deaths.find(upstream);
-  // The same upstream counts once; a later death renews its mark.
-  if (known != record.Deaths.end() &&
-      death.At <= known->second.At + IncidentSpan)
+  std::erase_if(record.Deaths, [now](const Death &it) {
+    return now >= it.At + CrashMarkLifetime;
+  });
+  // Several routers may tell of one death.
+  const bool isKnown = std::ranges::any_of(record.Deaths, [&](const Death &it) {
+    return it.Upstream == death.Upstream &&
+           std::chrono::abs(it.At - death.At) <= SameDeathSpan;
+  });
+  if (isKnown || record.Deaths.size() >= SuspectDeaths)
     return false;
-  record.Deaths[upstream] = std::move(death);
-  if (isSuspicious(record, now))
+  record.Deaths.push_back(std::move(death));
+  if (isSuspicious(record))
     record.SuspectUntil = now + SuspectLifetime;
   return true;
 }
 
-bool CrashSuspects::isSuspicious(const Record &record, Time now) {
-  std::vector<Death> deaths;
-  for (const auto &[upstream, death] : record.Deaths)
-    if (now < death.At + CrashMarkLifetime)
-      deaths.push_back(death);
-  if (deaths.size() >= SuspectDeaths)
-    return true;
-  if (deaths.size() < 2)
-    return false;
-  const Duration apart = std::chrono::abs(deaths[0].At - deaths[1].At);
-  return deaths[0].Domain != deaths[1].Domain || apart > IncidentSpan;
+bool CrashSuspects::isSuspicious(const Record &record) {
+  const std::vector<Death> &deaths = record.Deaths;
+  if (deaths.size() != 2)
+    return deaths.size() >= SuspectDeaths;
+  const bool isApart =
+      std::chrono::abs(deaths[0].At - deaths[1].At) > IncidentSpan;
+  return deaths[0].Upstream != deaths[1].Upstream &&
+         (isApart || deaths[0].Domain != deaths[1].Domain);
 }
 
 bool CrashSuspects::isMarked(RequestPrint print) const {
@@ -78,6 +79,15 @@
          });
 }
 
+std::size_t CrashSuspects::countDeaths(RequestPrint print) const {
+  const auto it = Marks.find(print);
+  const auto losses = std::ranges::count_if(Losses, [print](const auto &entry) {
+    return entry.second.Print == print;
+  });
+  return static_cast<std::size_t>(losses) +
+         (it == Marks.end() ? 0 : it->second.Deaths.size());
+}
+
 bool CrashSuspects::isSuspect(RequestPrint print, Time now) const {
   const auto it = Marks.find(print);
   return it != Marks.end() && now < it->second.SuspectUntil;
@@ -98,8 +108,8 @@
 std::vector<CrashMark> CrashSuspects::marks(Time now) const {
   std::vector<CrashMark> all;
   for (const auto &[print, record] : Marks)
-    for (const auto &[upstream, death] : record.Deaths)
-      all.push_back({print, upstream, death.Domain, now - death.At});
+    for (const Death &it : record.Deaths)
+      all.push_back({print, it.Upstream, it.Domain, now - it.At});
   return all;
 }
 
@@ -110,8 +120,8 @@
   absl::erase_if(Marks, [now](const auto &entry) {
     const Record &record = entry.second;
     return now >= record.SuspectUntil &&
-           std::ranges::all_of(record.Deaths, [now](const auto &death) {
-             return now >= death.second.At + CrashMarkLifetime;
+           std::ranges::all_of(record.Deaths, [now](const Death &it) {
+             return now >= it.At + CrashMarkLifetime;
            });
   });
 }
--- a/src/traffic/crash_suspects_base.h
+++ b/src/traffic/crash_suspects_base.h
@@ -22,16 +22,18 @@
 constexpr Duration CorroborationSpan = seconds(2);
 /// Deaths in one failure domain within this span may have one cause.
 constexpr Duration IncidentSpan = seconds(1);
+/// Losses at one upstream within this span tell of one death.
+constexpr Duration SameDeathSpan = milliseconds(200);
 /// Deaths that make a request a suspect, whatever else may explain them.
 constexpr std::size_t SuspectDeaths = 3;
 /// Requests with marks at most.
 constexpr std::size_t CrashPrintLimit = 10'000;
 
 /// Collects marks. A request is suspected when it was in flight at two
-/// upstreams that died in two incidents, or at three that died; an answer
+/// upstreams that died in two incidents, or at any three deaths; an answer
 /// clears it.
-/// Invariant: a single incident, however many upstreams of one failure
-/// domain die in it, makes no request a suspect by two marks.
+/// Invariant: two deaths in one failure domain within the incident span make
+/// no request a suspect.
 class CrashSuspects {
 public:
   /// An attempt's connection broke after it was sent.
@@ -48,6 +50,8 @@
   /// @return whether the request was in flight at an upstream that died, or
   ///   that may have
   bool isMarked(RequestPrint print) const;
+  /// @return deaths that the request may have caused, undecided ones too
+  std::size_t countDeaths(RequestPrint print) const;
   /// @return whether the request has to be refused
   bool isSuspect(RequestPrint print, Time now) const;
 
@@ -61,6 +65,7 @@
 
 private:
   struct Death {
+    UpstreamId Upstream;
     DomainId Domain;
     Time At;
   };
@@ -71,15 +76,14 @@
     Time At;
   };
 
-  bool add(RequestPrint print, const UpstreamId &upstream, Death death,
-           Time now);
+  bool add(RequestPrint print, Death death, Time now);
 
   /// What is held against one request.
   struct Record {
-    std::map<UpstreamId, Death> Deaths;
+    std::vector<Death> Deaths;
     Time SuspectUntil; ///< the epoch unless suspected
   };
-  static bool isSuspicious(const Record &record, Time now);
+  static bool isSuspicious(const Record &record);
 
   absl::flat_hash_map<RequestPrint, Record> Marks;
   std::multimap<UpstreamId, Loss> Losses;
--- a/src/traffic/router_core_attempts.cpp
+++ b/src/traffic/router_core_attempts.cpp
@@ -13,7 +13,9 @@
 namespace {
 
 /// A request whose attempts break so many connections is given up.
-constexpr int MaxLosses = 2;
+constexpr std::size_t MaxLosses = 2;
+/// Time in which probes and other routers tell of deaths.
+constexpr Duration LossPause = milliseconds(60);
 
 bool isLoss(Reason why) {
   return why == Reason::ConnectionLost || why == Reason::CutOffAnswer;
@@ -86,7 +88,8 @@
                   now);
   // The router that forwarded a request decides on its retries.
   if (std::holds_alternative<GiveUp>(decision) || isForwardedHere(request) ||
-      request.LossesMade >= MaxLosses)
+      request.LossesMade >= MaxLosses ||
+      (isLoss(why) && Suspects.countDeaths(request.Print) >= MaxLosses))
     return refuse(request, why, retryAfter, now);
   // A request that only waits for owners or homes adds no load.
   const bool isBudgeted = retryRule(why) != RetryRule::AfterOwners;
@@ -94,13 +97,19 @@
     RetryRefusals.add(Reason::RetryBudgetExhausted);
     return refuse(request, why, retryAfter, now);
   }
-  if (const auto *later = std::get_if<RetryLater>(&decision)) {
-    if (Paused.size() >= PausedRequestLimit) {
-      RetryRefusals.add(Reason::QueueFull);
-      return refuse(request, why, retryAfter, now);
-    }
+  // A loss is followed by a probe: is the upstream dead, and of what?
+  std::optional<Time> until;
+  if (const auto *later = std::get_if<RetryLater>(&decision))
+    until = later->At;
+  else if (isLoss(why))
+    until = now + LossPause;
+  if (until && Paused.size() >= PausedRequestLimit) {
+    RetryRefusals.add(Reason::QueueFull);
+    return refuse(request, why, retryAfter, now);
+  }
+  if (until) {
     Retries.add(why);
-    return pause(request, later->At);
+    return pause(request, *until);
   }
   Retries.add(why);
   proceed(request, now);
--- a/src/traffic/router_core_base.h
+++ b/src/traffic/router_core_base.h
@@ -92,7 +92,7 @@
     std::vector<UpstreamId> Avoid; ///< upstreams that failed it
     int AttemptsMade = 0;          ///< hedges not counted
     int PausesMade = 0;
-    int LossesMade = 0; ///< attempts whose connection broke
+    std::size_t LossesMade = 0; ///< attempts whose connection broke
     RequestPrint Print;
     Reason MayHaveRunBy = Reason::None; ///< first end that proved nothing
     std::optional<Time> ResumeAt;       ///< paused until then
--- a/src/traffic/router_core_health.cpp
+++ b/src/traffic/router_core_health.cpp
@@ -70,11 +70,12 @@
   }
   if (!Suspects.isMarked(request.Print))
     return true;
+  // Alone among the marked, so that a death has one possible cause.
   const bool isBesideOther =
       std::ranges::any_of(Attempts, [&](const auto &entry) {
         const AttemptState &other = entry.second;
-        return other.Upstream == upstream && other.Print != request.Print &&
-               Suspects.isMarked(other.Print);
+        return other.Print == request.Print ||
+               (other.Upstream == upstream && Suspects.isMarked(other.Print));
       });
   if (!isBesideOther)
     return true;
