--- a/src/admin/admin_api.cpp
+++ b/src/admin/admin_api.cpp
@@ -160,8 +160,7 @@
   request.MayCreate = holder.Scope.IsOperator;
   request.Deadline = readClock() + ChangeTerm;
   request.WallTime = readWallTime();
-  Changes[request.Id] = {std::move(reply), request.Change,
-                         call.Document.Kind == DocumentKind::Tokens};
+  Changes[request.Id] = {std::move(reply), request.Change, call.Document};
   write(std::move(request));
 }
 
@@ -226,16 +225,16 @@
     std::visit([this](auto &it) { carryOut(it); }, action);
 }
 
-void AdminApi::carryOut(ReadDocument &action) {
+void AdminApi::carryOut(ReadText &action) {
   Store.get(action.Key, [this, op = action.Operation](StoreGetResult result) {
-    write(DocumentRead{op, std::move(result)});
+    write(TextRead{op, std::move(result)});
   });
 }
 
-void AdminApi::carryOut(WriteDocument &action) {
+void AdminApi::carryOut(WriteText &action) {
   Store.compareAndSwap(action.Key, action.Expected, std::move(action.Text),
                        [this, op = action.Operation](StorePutResult result) {
-                         write(DocumentWritten{op, result});
+                         write(TextWritten{op, result});
                        });
 }
 
@@ -247,11 +246,20 @@
   Changes.erase(it);
   const AdminError error = toAdminError(action.Answer.Verdict);
   ++Counts[static_cast<std::size_t>(error)];
-  if (change.IsOfTokens)
-    Tokens.invalidate();
+  announce(change.Document, action.Answer);
   change.Reply(showChange(action.Answer, change.Change));
 }
 
+/// Puts an accepted change to use at once; when the ring is full, the watch
+/// of the store brings it.
+void AdminApi::announce(const DocumentId &document,
+                        const ConfigAnswer &answer) {
+  if (document.Kind == DocumentKind::Tokens)
+    Tokens.invalidate();
+  else if (!answer.StoredText.empty())
+    Ask({0, DocumentNews{{document.Team, answer.Rev, answer.StoredText}}});
+}
+
 void AdminApi::refuse(const HttpReply &reply, const AdminRefusal &refusal) {
   ++Counts[static_cast<std::size_t>(refusal.Error)];
   reply(showRefusal(refusal));
--- a/src/admin/admin_type.h
+++ b/src/admin/admin_type.h
@@ -7,6 +7,7 @@
 #define WAXWING_ADMIN_ADMIN_TYPE_H
 
 #include "config/config_writer_type.h"
+#include "config/team_config_base.h"
 #include "table/admin_errors.h"
 
 #include <map>
@@ -59,10 +60,16 @@
   std::string Message;
 };
 
-/// Question to the decisions.
+/// News for the decisions, without an answer: a team's document that was
+/// just accepted.
+struct DocumentNews {
+  TeamDocument Document;
+};
+
+/// Question or news to the decisions.
 struct AdminQuery {
   std::uint64_t Id = 0; ///< echoed in the answer
-  std::variant<OwnerCall, RevisionsCall, CountersCall> Call;
+  std::variant<OwnerCall, RevisionsCall, CountersCall, DocumentNews> Call;
 };
 
 /// Owner of a key as this controller knows it.
@@ -77,7 +84,7 @@
 /// Documents in force on one VM.
 struct VmRevisions {
   VmId Vm;
-  bool IsLinked = true; ///< false: the last that was heard
+  std::uint64_t AgeMs = 0; ///< since the VM's report arrived here
   std::map<TeamId, Revision> Documents;
 };
 
--- a/src/config/config_writer_type.h
+++ b/src/config/config_writer_type.h
@@ -49,16 +49,17 @@
   std::string Message;
   std::vector<ChangeRecord> Others; ///< changes that conflict
   std::vector<ValueChange> Values;  ///< what changes
+  std::string StoredText;           ///< text at Rev when just written, else ""
 };
 
-/// Answer to a ReadDocument.
-struct DocumentRead {
+/// Answer to a ReadText.
+struct TextRead {
   std::uint64_t Operation = 0;
   StoreGetResult Result;
 };
 
-/// Answer to a WriteDocument.
-struct DocumentWritten {
+/// Answer to a WriteText.
+struct TextWritten {
   std::uint64_t Operation = 0;
   StorePutResult Result;
 };
@@ -67,14 +68,14 @@
 struct ConfigTick {};
 
 using ConfigEvent =
-    std::variant<ConfigRequest, DocumentRead, DocumentWritten, ConfigTick>;
+    std::variant<ConfigRequest, TextRead, TextWritten, ConfigTick>;
 
-struct ReadDocument {
+struct ReadText {
   std::uint64_t Operation = 0;
   std::string Key;
 };
 
-struct WriteDocument {
+struct WriteText {
   std::uint64_t Operation = 0;
   std::string Key;
   Revision Expected;
@@ -86,7 +87,7 @@
   ConfigAnswer Answer;
 };
 
-using ConfigAction = std::variant<ReadDocument, WriteDocument, AnswerRequest>;
+using ConfigAction = std::variant<ReadText, WriteText, AnswerRequest>;
 
 } // namespace waxwing
 
--- a/src/controller/admin_port.h
+++ b/src/controller/admin_port.h
@@ -8,6 +8,7 @@
 #include "admin/admin_api_base.h"
 #include "core/bounded_ring.h"
 #include "settings/vm_settings_base.h"
+#include "store/counting_store.h"
 #include "store/http_store.h"
 
 namespace waxwing {
@@ -19,7 +20,8 @@
 class AdminPort {
 public:
   /// @param wakeDecisions called when questions wait
-  AdminPort(const VmSettings &settings, std::function<void()> wakeDecisions);
+  AdminPort(const VmSettings &settings, ControlCounters &counters,
+            std::function<void()> wakeDecisions);
   ~AdminPort() { stop(); }
 
   absl::Status listen();
@@ -32,7 +34,10 @@
 private:
   IoThread Io{"administration"};
   Endpoint Address;
-  HttpStore Store;
+  std::string Certificate; ///< PEM file, "" for plain HTTP
+  std::string Key;         ///< PEM file
+  HttpStore Platform;
+  CountingStore Store;
   BoundedRing<AdminQuery> Questions;
   BoundedRing<AdminAnswer> Answers;
   AdminApi Api;
--- a/src/controller/ownership_host.cpp
+++ b/src/controller/ownership_host.cpp
@@ -1,6 +1,6 @@
 /**
  * @file ownership_host.cpp
- * Events in, actions out, for each service divided by key.
+ * Events in, actions out, for each service.
  */
 #include "controller/ownership_host.h"
 
@@ -35,6 +35,10 @@
   handle(service, PeerSaid{from, message}, now);
 }
 
+void OwnershipHost::hear(const OwnershipRecord &record, Time now) {
+  handle(record.Service, RecordHeard{record}, now);
+}
+
 void OwnershipHost::define(const Configuration &config, Time now) {
   for (const auto &[team, teamConfig] : config.teams())
     for (const auto &[id, service] : teamConfig.Services)
--- a/src/standin/upstream_base.h
+++ b/src/standin/upstream_base.h
@@ -1,16 +1,14 @@
 /**
  * @file upstream_base.h
- * State of the upstream stand-in: grants, slots, cold start and the record
+ * State of the upstream stand-in: slots, cold start and the record
  * of what it executed. The record is the oracle of the process tests.
  */
 #ifndef WAXWING_STANDIN_UPSTREAM_BASE_H
 #define WAXWING_STANDIN_UPSTREAM_BASE_H
 
-#include "core/verdict_type.h"
 #include "ownership/ownership_type.h"
 
 #include <map>
-#include <optional>
 #include <string>
 
 namespace waxwing {
@@ -31,29 +29,6 @@
   std::string CrashMarker; ///< a target that contains it ends the process
 };
 
-/// Holds the fenced grant of one upstream.
-class GrantHolder {
-public:
-  GrantHolder(UpstreamTraits traits, Incarnation current);
-
-  /// Takes an order or a query.
-  GrantAnswer answer(const std::optional<GrantOrder> &order, UpstreamTime now);
-
-  /// @return None when a request for @p unit under @p fence may run now
-  Reason check(const OwnedUnit &unit, Token fence, KeyHash key,
-               UpstreamTime now) const;
-
-private:
-  bool accept(const GrantOrder &order, UpstreamTime now);
-
-  UpstreamTraits Traits;
-  Incarnation Current;
-  GrantStamp Held;
-  UpstreamTime HeldUntil;
-  GrantSet Set;
-  std::map<OwnedUnit, Token> Fences; ///< index of Set.Units
-};
-
 /// First and last acceptance of a request for a unit under one token.
 struct Tenure {
   Time First;
--- a/src/traffic/router_core_base.h
+++ b/src/traffic/router_core_base.h
@@ -43,10 +43,7 @@
   void rememberKeys(const IdempotencyHomes &homes) { Homes = &homes; }
   /// From now on only homes that are leased to this process are its own;
   /// without this call the router is alone and the home of everything.
-  /// @param forward where this router takes forwarded requests
-  void leaseHomes(Incarnation process, const Endpoint &forward) {
-    Dispatch.leaseHomes(process, forward);
-  }
+  void leaseHomes(const HomeIdentity &self) { Dispatch.leaseHomes(self); }
 
   /// As rememberKeys(homes), with the homes that leaseHomes() leases.
   void rememberKeys() { Homes = &Leased; }
