--- a/scripts/deployment.sh
+++ b/scripts/deployment.sh
@@ -4,6 +4,7 @@
 # Variables that the caller sets: bin (programs), run (folder for settings
 # and logs), team, domains (array), next_port (of upstreams).
 
+readonly OperatorToken="demo-operator-token-of-the-stand-ins"
 Pids=()        # of all processes started
 declare -A PidOf=() # of one process, by its log's name
 Records=""     # admin ports of the upstreams, for the load tool
@@ -114,6 +115,7 @@
 link = 127.0.0.1:$((port + 3))
 admin = 127.0.0.1:$((port + 4))
 metrics = 127.0.0.1:$((port + 5))
+operator_token_sha256 = $(printf %s "$OperatorToken" | sha256sum | cut -d' ' -f1)
 INI
 }
 
@@ -146,10 +148,14 @@
   for n in $(seq "$count"); do wait_for_port $((vm_base + n * 10)); done
 }
 
-# put_document: puts the team's document into force.
+# put_document: puts the team's document into force by waxwingctl, and shows
+# what each VM has in force.
 put_document() {
-  curl -sf -X PUT --data-binary "@$run/$team.ini" \
-    "http://127.0.0.1:$store_port/kv?key=%2Fteams%2F$team&expect=0" >/dev/null
+  export WAXWING_TOKEN=$OperatorToken WAXWING_SERVER=127.0.0.1:$((vm_base + 14))
+  "$bin/waxwingctl" validate "$team" "$run/$team.ini" >/dev/null
+  "$bin/waxwingctl" apply "$team" "$run/$team.ini" >/dev/null
+  sleep 2
+  "$bin/waxwingctl" revisions
 }
 
 # list_values VALUE...: one value on an indented line each.
