--- a/tests/admin_api_test.cpp
+++ b/tests/admin_api_test.cpp
@@ -25,6 +25,16 @@
   EXPECT_EQ(history["changes"][0]["revision"], 4);
 }
 
+TEST_F(AdminFixture, AcceptedDocumentGoesToTheDecisionsAtOnce) {
+  call("PUT", Weight, "anna-secret", R"({"value":"7"})");
+  ASSERT_EQ(Queries.size(), 1U);
+  const auto *news = std::get_if<DocumentNews>(&Queries[0].Call);
+  ASSERT_NE(news, nullptr);
+  EXPECT_EQ(news->Document.Team, TeamId("one"));
+  EXPECT_EQ(news->Document.Rev, Revision(4));
+  EXPECT_EQ(news->Document.Text, stored("/teams/one"));
+}
+
 TEST_F(AdminFixture, MissingAndUnknownTokensAreRefused) {
   EXPECT_EQ(call("GET", Weight, "").code(), "unauthenticated");
   EXPECT_EQ(call("GET", Weight, "wrong").code(), "unauthenticated");
