--- a/src/controller/configuration_host.h
+++ b/src/controller/configuration_host.h
@@ -47,10 +47,10 @@
     return Node.membership().others();
   }
 
-  /// @return the newest record of each service that is known here
+  /// @return the newest ownership records known here
   std::vector<OwnershipRecord> records() const { return Node.records(); }
 
-  void tick(Time now) { handle(ControlTick(), now); }
+  void tick(Time now);
   /// This process is shutting down.
   void leave(Time now) { handle(LeaveStarted(), now); }
   /// Puts a document into force whose write is known to have taken effect.
@@ -91,6 +91,7 @@
   ConfigurationHandlers Handlers;
   ControlNode Node;
   std::map<VmId, Endpoint> Targets;
+  Time NextRouterHeartbeat;
   std::map<VmId, MemberState> Logged; ///< states that were logged last
 };
 
--- a/src/traffic/dispatcher.cpp
+++ b/src/traffic/dispatcher.cpp
@@ -12,6 +12,14 @@
 /// A unit whose owner refused it waits this long for news before it is tried
 /// again.
 constexpr Duration RefusedUnitDelay = milliseconds(50);
+/// The slot of an attempt given up is returned this much later: its
+/// cancellation needs time to reach the upstream.
+constexpr Duration CancelSpan = milliseconds(5);
+
+bool mayStillRun(Reason why) {
+  return why == Reason::Cancelled || why == Reason::UpstreamTimeout ||
+         why == Reason::SilentConnection;
+}
 
 } // namespace
 
@@ -49,10 +57,7 @@
   placeHeld(now);
 }
 
-void Dispatcher::leaseHomes(Incarnation process, const Endpoint &forward) {
-  Process = process;
-  Forward = forward;
-}
+void Dispatcher::leaseHomes(const HomeIdentity &self) { Leasing = self; }
 
 void Dispatcher::setHomes(std::shared_ptr<const HomesUpdate> homes, Time now) {
   const ServiceId id = homes->Service;
@@ -99,7 +104,7 @@
 
 bool Dispatcher::isHomeHere(const ServiceId &service,
                             const HomeResource &resource, Time now) const {
-  if (!Forward)
+  if (!Leasing)
     return true;
   const auto it = Services.find(service);
   return it != Services.end() && it->second.Holder &&
@@ -126,13 +131,13 @@
   const Duration latency = now - attempt.StartedAt;
   if (why == Reason::None)
     service.Hedges.onAnswer(latency);
-  if (attempt.Own && service.Config != nullptr) {
-    const SlotSign sign = Slots[*attempt.Own].end(
-        why, attempt.ColdStarts, latency, *service.Config, now);
-    if (sign == SlotSign::ColdStart)
-      Counters.add(DispatchCount::ColdStarts);
-    if (sign == SlotSign::LatencyJump)
-      Counters.add(DispatchCount::LatencyJumps);
+  if (attempt.Own) {
+    const Lingering end{*attempt.Own, attempt.Service, why, attempt.ColdStarts,
+                        latency};
+    if (mayStillRun(why))
+      Lingerings.emplace(now + CancelSpan, end);
+    else
+      returnSlot(end, now);
   }
   if (attempt.Unit && (why == Reason::WrongToken || why == Reason::GrantLapsed))
     service.Moving[attempt.Unit->Unit] = {attempt.Unit->Fence,
@@ -153,7 +158,30 @@
   pumpAll(now);
 }
 
+void Dispatcher::returnSlot(const Lingering &end, Time now) {
+  static const ServiceConfig Removed;
+  const auto service = Services.find(end.Service);
+  const bool isKnown =
+      service != Services.end() && service->second.Config != nullptr;
+  const SlotSign sign =
+      Slots[end.Upstream].end(end.Why, end.ColdStarts, end.Latency,
+                              isKnown ? *service->second.Config : Removed, now);
+  if (sign == SlotSign::ColdStart)
+    Counters.add(DispatchCount::ColdStarts);
+  if (sign == SlotSign::LatencyJump)
+    Counters.add(DispatchCount::LatencyJumps);
+}
+
+void Dispatcher::returnLingering(Time now) {
+  while (!Lingerings.empty() && Lingerings.begin()->first <= now) {
+    const Lingering end = Lingerings.begin()->second;
+    Lingerings.erase(Lingerings.begin());
+    returnSlot(end, now);
+  }
+}
+
 void Dispatcher::tick(Time now) {
+  returnLingering(now);
   poll(now);
   pumpAll(now);
   placeHeld(now);
@@ -162,13 +190,13 @@
 }
 
 void Dispatcher::poll(Time now) {
-  if (!Forward || !Config)
+  if (!Leasing || !Config)
     return;
   for (auto &[id, service] : Services) {
     if (service.Config == nullptr)
       continue;
     if (!service.Holder) {
-      service.Holder.emplace(id, Self, Process, *Forward, HomeTerms());
+      service.Holder.emplace(id, *Leasing, HomeTerms());
       if (IsLeaving)
         service.Holder->leave();
     }
@@ -235,7 +263,7 @@
     return std::ranges::binary_search(service.Eligible, it);
   };
   for (const UpstreamId &it : service.Eligible)
-    if (!Forward || (service.Holder && service.Holder->isKnown(it)))
+    if (!Leasing || (service.Holder && service.Holder->isKnown(it)))
       service.Own.push_back(it);
   service.Peers = Homes.peers(id, isUsable);
   std::erase_if(service.Peers,
@@ -244,7 +272,7 @@
 
 HomeRight Dispatcher::rightAt(const Service &service,
                               const UpstreamId &upstream, Time now) const {
-  if (!Forward)
+  if (!Leasing)
     return HomeRight::Full;
   return service.Holder ? service.Holder->right(upstream, now)
                         : HomeRight::None;
--- a/src/traffic/dispatcher_base.h
+++ b/src/traffic/dispatcher_base.h
@@ -39,7 +39,7 @@
   void setOwners(std::shared_ptr<const OwnershipRecord> owners, Time now);
 
   /// See RouterCore::leaseHomes().
-  void leaseHomes(Incarnation process, const Endpoint &forward);
+  void leaseHomes(const HomeIdentity &self);
   void setHomes(std::shared_ptr<const HomesUpdate> homes, Time now);
   void takeLeases(const HomeAnswer &answer, Time now);
   /// The router shuts down: its homes are given back as they fall idle.
@@ -79,8 +79,9 @@
   struct Request {
     DispatchRequest What;
     WaitPlace Place = WaitPlace::Nowhere;
-    GroupId Group;                      ///< when in a queue
-    Reason HeldWhy = Reason::None;      ///< when held
+    GroupId Group;                 ///< when in a queue
+    Reason HeldWhy = Reason::None; ///< when held
+    bool WasHeld = false;
     std::vector<AttemptId> Attempts;    ///< without an end
     std::optional<Time> HedgeStartedAt; ///< of the attempt to be hedged
   };
@@ -95,6 +96,15 @@
     Time StartedAt;
   };
 
+  /// An attempt given up here that its upstream may still run.
+  struct Lingering {
+    UpstreamId Upstream;
+    ServiceId Service;
+    Reason Why;
+    std::uint64_t ColdStarts;
+    Duration Latency;
+  };
+
   struct Service {
     const ServiceConfig *Config = nullptr;
     std::vector<UpstreamId> Eligible; ///< may get new work
@@ -121,6 +131,8 @@
   const UpstreamConfig &upstreamConfig(const UpstreamId &upstream) const;
   const TierConfig &tierConfig(const DispatchRequest &request) const;
   bool isEligible(const TeamConfig &team, const UpstreamConfig &it) const;
+  void returnSlot(const Lingering &end, Time now);
+  void returnLingering(Time now);
   void rebuild(const ServiceId &id, Service &service);
   HomeRight rightAt(const Service &service, const UpstreamId &upstream,
                     Time now) const;
@@ -153,6 +165,7 @@
   void enqueue(RequestId id, Service &service, GroupId group, Time now);
   void hold(RequestId id, Service &service, Reason why);
   void leaveWait(RequestId id);
+  bool isLastSlot(const Service &service, const GroupId &group, Time now) const;
   void pump(const GroupId &group, Time now);
   void pumpAll(Time now);
   void placeHeld(Time now);
@@ -165,8 +178,7 @@
   void poll(Time now);
 
   VmId Self;
-  Incarnation Process;
-  std::optional<Endpoint> Forward; ///< set when homes are leased
+  std::optional<HomeIdentity> Leasing; ///< set when homes are leased
   bool IsLeaving = false;
   std::mt19937_64 Random;
   std::shared_ptr<const Configuration> Config;
@@ -176,6 +188,7 @@
   std::map<UpstreamId, Time> IneligibleSince;
   absl::flat_hash_map<RequestId, Request> Requests;
   absl::flat_hash_map<AttemptId, Attempt> Attempts;
+  std::multimap<Time, Lingering> Lingerings;
   std::map<GroupId, TierQueue> Queues;
   std::vector<RequestId> Held;
   std::set<std::pair<Time, RequestId>> WaitDeadlines;
--- a/src/traffic/router_core_base.h
+++ b/src/traffic/router_core_base.h
@@ -43,10 +43,7 @@
   void rememberKeys(const IdempotencyHomes &homes) { Homes = &homes; }
   /// From now on only homes that are leased to this process are its own;
   /// without this call the router is alone and the home of everything.
-  /// @param forward where this router takes forwarded requests
-  void leaseHomes(Incarnation process, const Endpoint &forward) {
-    Dispatch.leaseHomes(process, forward);
-  }
+  void leaseHomes(const HomeIdentity &self) { Dispatch.leaseHomes(self); }
 
   /// As rememberKeys(homes), with the homes that leaseHomes() leases.
   void rememberKeys() { Homes = &Leased; }
@@ -92,7 +89,7 @@
     std::vector<UpstreamId> Avoid; ///< upstreams that failed it
     int AttemptsMade = 0;          ///< hedges not counted
     int PausesMade = 0;
-    int LossesMade = 0; ///< attempts whose connection broke
+    std::size_t LossesMade = 0; ///< attempts whose connection broke
     RequestPrint Print;
     Reason MayHaveRunBy = Reason::None; ///< first end that proved nothing
     std::optional<Time> ResumeAt;       ///< paused until then
--- a/tests/control_net.h
+++ b/tests/control_net.h
@@ -53,14 +53,14 @@
     bool IsLeaving = false;
     int Side = 0; ///< of a partition
     std::set<std::size_t> Targets;
+    std::set<std::size_t> Linked;
     bool IsWatching = false;
     Time NextWatch;
     Revision SeenUpto;
     bool HasListed = false;
-    Time StartedAt;
-    Time DisturbedAt; ///< last fault that may have cut it off while joining
     std::vector<PeerMessage> Backlog; ///< arrived while paused
     std::map<TeamId, Revision> InForce;
+    std::map<TeamId, Revision> FirstInForce; ///< of this process
     std::uint64_t SentBytes = 0;
     std::size_t MaxLinks = 0;
   };
@@ -105,8 +105,8 @@
     self.Link = {"10.0.0.1", static_cast<std::uint16_t>(n + 1)};
     host.Node.emplace(self, testMembershipTerms(), testRelayTerms(), Now);
     host.InForce.clear();
+    host.FirstInForce.clear();
     host.IsWatching = host.IsPaused = host.IsLeaving = host.HasListed = false;
-    host.StartedAt = Now;
     Ticks.push({Now + microseconds(Random() % 50'000), n});
     Lists.push({Now + microseconds(Random() % 100'000), n});
   }
@@ -128,9 +128,13 @@
     }
   }
 
-  Revision write(const std::string &team) {
+  /// @param lines of comment, to give the document a size
+  Revision write(const std::string &team, std::size_t lines = 0) {
     const Revision rev(++StoreRevision);
-    Documents[team] = {TeamId(team), rev, "[tier t]\nweight = 1\n"};
+    std::string text = "[tier t]\nweight = 1\n";
+    for (std::size_t n = 0; n < lines; ++n)
+      text += "; " + std::string(97, '-') + "\n";
+    Documents[team] = {TeamId(team), rev, text};
     return rev;
   }
 
@@ -169,9 +173,7 @@
       open.pop_back();
       if (!seen.insert(n).second)
         continue;
-      for (const auto &[pair, link] : Links)
-        if (pair.first == n || pair.second == n)
-          open.push_back(pair.first == n ? pair.second : pair.first);
+      open.insert(open.end(), Hosts[n].Linked.begin(), Hosts[n].Linked.end());
     }
     return seen.size() == upCount();
   }
@@ -208,12 +210,7 @@
         Hosts, [](const Host &it) { return it.Node && it.IsWatching; }));
   }
 
-  std::size_t linksOf(std::size_t n) const {
-    return static_cast<std::size_t>(
-        std::ranges::count_if(Links, [n](const auto &entry) {
-          return entry.first.first == n || entry.first.second == n;
-        }));
-  }
+  std::size_t linksOf(std::size_t n) const { return Hosts[n].Linked.size(); }
 
 private:
   using Pair = std::pair<std::size_t, std::size_t>;
@@ -228,9 +225,10 @@
     std::size_t From, To;
     LinkMessage Message;
     std::string Bytes;
-    bool operator<(const Arrival &other) const {
-      return std::tie(other.At, other.Order) < std::tie(At, Order);
+    auto operator<=>(const Arrival &other) const {
+      return std::tie(other.At, other.Order) <=> std::tie(At, Order);
     }
+    bool operator==(const Arrival &other) const { return Order == other.Order; }
   };
   struct Timer {
     Time At;
@@ -247,7 +245,7 @@
   Time nextEvent() const {
     Time next = Time::max();
     if (!Arrivals.empty())
-      next = std::min(next, Arrivals.top().At);
+      next = std::min(next, Arrivals.front().At);
     if (!Ticks.empty())
       next = std::min(next, Ticks.top().At);
     if (!Lists.empty())
@@ -256,9 +254,10 @@
   }
 
   void step() {
-    if (!Arrivals.empty() && Arrivals.top().At <= Now) {
-      Arrival it = Arrivals.top();
-      Arrivals.pop();
+    if (!Arrivals.empty() && Arrivals.front().At <= Now) {
+      std::ranges::pop_heap(Arrivals);
+      Arrival it = std::move(Arrivals.back());
+      Arrivals.pop_back();
       return arrive(it);
     }
     if (!Ticks.empty() && Ticks.top().At <= Now) {
@@ -277,7 +276,7 @@
     if (link == Links.end() || link->second.Id != it.Link ||
         !isReachable(it.From, it.To) || !Hosts[it.To].Node)
       return;
-    if (IsEncoding) {
+    if (!it.Bytes.empty()) {
       auto decoded = decodeLinkMessage(it.Bytes);
       if (!decoded.ok()) {
         Violations.push_back(std::string(decoded.status().message()));
@@ -299,13 +298,14 @@
     Ticks.push({Now + milliseconds(50), n});
     if (host.IsPaused)
       return;
-    for (const PeerMessage &message : std::exchange(host.Backlog, {}))
-      handle(n, message);
     for (const std::size_t chooser : std::exchange(Unwanted, {}))
       closeUnwanted(chooser);
     openLinks(n);
     watch(n);
     handle(n, ControlTick());
+    // After a pause the tick comes before what waits on the links.
+    for (const PeerMessage &message : std::exchange(host.Backlog, {}))
+      handle(n, message);
   }
 
   void list(std::size_t n) {
@@ -347,6 +347,8 @@
           Hosts[other].IsPaused || !isReachable(n, other))
         continue;
       Links[pair] = {++NextLink, {Now, Now}};
+      Hosts[n].Linked.insert(other);
+      Hosts[other].Linked.insert(n);
       handle(n, PeerLinked{memberOf(other)});
       handle(other, PeerLinked{memberOf(n)});
       for (const std::size_t end : {n, other})
@@ -355,21 +357,21 @@
   }
 
   void closeUnwanted(std::size_t n) {
-    std::vector<Pair> unwanted;
-    for (const auto &[pair, link] : Links)
-      if ((pair.first == n || pair.second == n) &&
-          !Hosts[pair.first].Targets.contains(pair.second) &&
-          !Hosts[pair.second].Targets.contains(pair.first))
-        unwanted.push_back(pair);
-    for (const Pair &pair : unwanted)
-      closeLink(pair);
-  }
-
-  void closeLink(Pair pair) {
-    if (Links.erase(pair) == 0)
-      return;
-    tellUnlinked(pair.first, pair.second);
-    tellUnlinked(pair.second, pair.first);
+    const std::set<std::size_t> linked = Hosts[n].Linked;
+    for (const std::size_t other : linked)
+      if (!Hosts[n].Targets.contains(other) &&
+          !Hosts[other].Targets.contains(n))
+        closeLink(n, other);
+  }
+
+  bool closeLink(std::size_t n, std::size_t other) {
+    if (Links.erase(std::minmax(n, other)) == 0)
+      return false;
+    Hosts[n].Linked.erase(other);
+    Hosts[other].Linked.erase(n);
+    tellUnlinked(n, other);
+    tellUnlinked(other, n);
+    return true;
   }
 
   void tellUnlinked(std::size_t n, std::size_t other) {
@@ -378,12 +380,9 @@
   }
 
   void dropLinksOf(std::size_t n) {
-    std::vector<Pair> gone;
-    for (const auto &[pair, link] : Links)
-      if (pair.first == n || pair.second == n)
-        gone.push_back(pair);
-    for (const Pair &pair : gone)
-      closeLink(pair);
+    const std::set<std::size_t> linked = Hosts[n].Linked;
+    for (const std::size_t other : linked)
+      closeLink(n, other);
   }
 
   void watch(std::size_t n) {
@@ -441,7 +440,8 @@
       return;
     Time &last = link->second.LastArrival[n < to ? 0 : 1];
     arrival.At = last = std::max(last, Now + delay(n, to));
-    Arrivals.push(std::move(arrival));
+    Arrivals.push_back(std::move(arrival));
+    std::ranges::push_heap(Arrivals);
   }
 
   void carryOut(std::size_t n, ChooseLinks &action) {
@@ -453,11 +453,7 @@
   }
 
   void carryOut(std::size_t n, DropLink &action) {
-    const std::size_t to = Indices.at(action.To);
-    if (Links.erase(std::minmax(n, to)) == 0)
-      return;
-    tellUnlinked(n, to);
-    tellUnlinked(to, n);
+    closeLink(n, Indices.at(action.To));
   }
 
   void carryOut(std::size_t, MembersChanged &) {}
@@ -476,6 +472,7 @@
             "{} put revision {} of {} into force after {}", Hosts[n].Vm.Value,
             document.Rev.Value, document.Team.Value, known.Value));
       known = document.Rev;
+      Hosts[n].FirstInForce.try_emplace(document.Team, document.Rev);
     }
   }
 
@@ -488,7 +485,7 @@
   std::mt19937_64 Random;
   std::map<VmId, std::size_t> Indices;
   std::map<Pair, LinkState> Links;
-  std::priority_queue<Arrival> Arrivals;
+  std::vector<Arrival> Arrivals; ///< a heap
   std::priority_queue<Timer> Ticks;
   std::priority_queue<Timer> Lists;
   std::vector<std::size_t> Unwanted;
