Add: [Hot keys] Routers report hot keys to the service's leader

Cause: the leader splits keys that are reported hot, but nothing reported them. The home router of an owner sees all requests for its keys, so a space-saving sketch there suffices; rates below 100/s stay where they are. What a controller passed on is not passed on again, so stale leaders cannot make a loop.

--- a/src/controller/controller_process.cpp
+++ b/src/controller/controller_process.cpp
@@ -158,6 +158,8 @@
     CrashMarks.on(received, now);
     if (auto *envelope = std::get_if<OwnershipEnvelope>(&received.Message))
       Ownership.onPeer(received.From.Self, envelope->Message, now);
+    if (auto *report = std::get_if<HotKeysReport>(&received.Message))
+      Ownership.on(std::move(*report), received.From.Role, now);
   }
 
   void on(AdminQuery &&query, Time now) {
--- a/src/controller/ownership_host.cpp
+++ b/src/controller/ownership_host.cpp
@@ -35,6 +35,19 @@
   handle(service, PeerSaid{from, message}, now);
 }
 
+void OwnershipHost::on(HotKeysReport report, ProcessRole from, Time now) {
+  const OwnershipLeader *leader = find(report.Service);
+  if (leader == nullptr || !leader->record() ||
+      leader->record()->Members.empty())
+    return;
+  if (leader->isLeader())
+    return handle(report.Service, HotKeysReported{std::move(report.Rates)},
+                  now);
+  const VmId to = leader->record()->Members.front().Vm;
+  if (to != Self.Vm && from == ProcessRole::Router)
+    Links.commands().push(LinkSend{to, std::nullopt, std::move(report)});
+}
+
 void OwnershipHost::hear(const OwnershipRecord &record, Time now) {
   handle(record.Service, RecordHeard{record}, now);
 }
--- a/src/controller/ownership_host.h
+++ b/src/controller/ownership_host.h
@@ -38,6 +38,10 @@
     return it == Leaders.end() ? nullptr : &it->second;
   }
 
+  /// A router found hot keys: this controller leads their service, or passes
+  /// the report on to the one that does. What a controller passed on is not
+  /// passed on again.
+  void on(HotKeysReport report, ProcessRole from, Time now);
   /// Another controller published a record.
   void hear(const OwnershipRecord &record, Time now);
   /// The configuration in force changed.
--- a/src/link/link_message.cpp
+++ b/src/link/link_message.cpp
@@ -86,6 +86,12 @@
   Json operator()(const HomeAsk &it) const {
     return {"home_ask", encodeHomeAsk(it)};
   }
+  Json operator()(const HotKeysReport &it) const {
+    Json rates = Json::array();
+    for (const auto &[key, rate] : it.Rates)
+      rates.push_back({key.Value, rate});
+    return {"hot_keys", {it.Service.Value, rates}};
+  }
   Json operator()(const HomeAnswer &it) const {
     return {"home_answer", encodeHomeAnswer(it)};
   }
@@ -120,6 +126,15 @@
   return update;
 }
 
+LinkMessage decodeHotKeys(const Json &body) {
+  HotKeysReport report;
+  report.Service = ServiceId(body.at(0).get<std::string>());
+  for (const Json &row : body.at(1))
+    report.Rates[KeyHash(row.at(0).get<std::uint64_t>())] =
+        row.at(1).get<double>();
+  return report;
+}
+
 LinkMessage decodeOwners(const Json &body) {
   auto record = decodeRecord(fromBinary(body));
   if (!record.ok())
@@ -164,6 +179,7 @@
     DecoderRow{
         "homes",
         [](const Json &body) { return LinkMessage(decodeHomesUpdate(body)); }},
+    DecoderRow{"hot_keys", decodeHotKeys},
     DecoderRow{"beat", decodeHeartbeat},
     DecoderRow{"members", decodeMembersUpdate},
     DecoderRow{"members?", decodeMembersCompare},
--- a/src/link/link_message_type.h
+++ b/src/link/link_message_type.h
@@ -14,6 +14,8 @@
 #include "traffic/crash_suspect_type.h"
 #include "traffic/home_type.h"
 
+#include "traffic/router_core_type.h"
+
 #include <variant>
 #include <vector>
 
@@ -57,7 +59,8 @@
 using LinkMessage =
     std::variant<LinkHello, DocumentsUpdate, OwnersUpdate, OwnershipEnvelope,
                  CrashMarksUpdate, MembershipEnvelope, RelayEnvelope,
-                 RevisionReportsUpdate, HomeAsk, HomeAnswer, HomesUpdate>;
+                 RevisionReportsUpdate, HomeAsk, HomeAnswer, HomesUpdate,
+                 HotKeysReport>;
 
 } // namespace waxwing
 
--- a/src/router/router_process.cpp
+++ b/src/router/router_process.cpp
@@ -157,6 +157,8 @@
     Link.send(CrashMarksUpdate{std::move(action.Marks)});
   }
 
+  void carryOut(HotKeysReport &action, Time) { Link.send(std::move(action)); }
+
   void carryOut(SendHomeAsk &action, Time) { Link.send(std::move(action.Ask)); }
 
   void carryOut(AnswerCaller &action, Time now) {
--- a/src/traffic/router_core.cpp
+++ b/src/traffic/router_core.cpp
@@ -24,6 +24,11 @@
          why == Reason::IdempotencyExpired || why == Reason::SuspectedCrasher;
 }
 
+constexpr Duration HotKeysReportPeriod = seconds(1);
+
+/// Keys with fewer requests per second are not reported.
+constexpr double HotKeyRate = 100;
+
 } // namespace
 
 RouterCore::RouterCore(const VmId &self, std::uint64_t seed)
@@ -117,10 +122,23 @@
   Dispatch.tick(now);
   notePartitions(now);
   checkHealth(now);
+  reportHotKeys(now);
   while (!Paused.empty() && Paused.begin()->first <= now)
     resume(*Requests.at(Paused.begin()->second), now);
 }
 
+void RouterCore::reportHotKeys(Time now) {
+  if (now < NextHotKeysReport)
+    return;
+  NextHotKeysReport = now + HotKeysReportPeriod;
+  for (auto &[service, sketch] : HotKeys) {
+    auto rates = sketch.takeRates(now);
+    std::erase_if(rates, [](const auto &it) { return it.second < HotKeyRate; });
+    if (!rates.empty())
+      Actions.emplace_back(HotKeysReport{service, std::move(rates)});
+  }
+}
+
 void RouterCore::on(DrainStarted &, Time now) {
   RefuseFrom = now + DrainGrace;
   Dispatch.leaveHomes();
@@ -159,6 +177,8 @@
   const auto *target = std::get_if<UpstreamTarget>(&decision.Target);
   if (target != nullptr && !isSafeAt(request, target->Upstream, now))
     return Dispatch.endAttempt(decision.Attempt, Reason::Cancelled, now);
+  if (target != nullptr && target->Owned)
+    HotKeys[request.Request.Service].add(target->Key);
   request.Live.push_back(decision.Attempt);
   request.AttemptsMade += decision.IsHedge ? 0 : 1;
   AttemptState &attempt = Attempts[decision.Attempt];
--- a/src/traffic/router_core_base.h
+++ b/src/traffic/router_core_base.h
@@ -9,6 +9,7 @@
 #include "traffic/connection_health_base.h"
 #include "traffic/crash_suspects_base.h"
 #include "traffic/dispatcher_base.h"
+#include "traffic/hot_key_sketch_base.h"
 #include "traffic/idempotency_home_base.h"
 #include "traffic/idempotency_memory_base.h"
 #include "traffic/retry_budget_base.h"
@@ -141,6 +142,7 @@
   /// @return who asks, or the reason of the refusal
   std::variant<Admission, Reason> admit(const CallerRequest &request,
                                         Time now) const;
+  void reportHotKeys(Time now);
   void carryOutDecisions(Time now);
   void carryOut(DispatchStart &decision, Time now);
   void carryOut(DispatchRefuse &decision, Time now);
@@ -201,6 +203,8 @@
   std::map<UpstreamId, Time> ProbedAt;
   std::atomic<std::uint64_t> SilentFound{0};
   std::uint64_t NextSend = 1; ///< counts attempts at homes of keys
+  std::map<ServiceId, HotKeySketch> HotKeys; ///< of attempts made here
+  Time NextHotKeysReport;
   ReasonCounters Answers;
   ReasonCounters AttemptEnds;
   ReasonCounters Retries;
--- a/src/traffic/router_core_type.h
+++ b/src/traffic/router_core_type.h
@@ -13,6 +13,7 @@
 #include "traffic/crash_suspect_type.h"
 #include "traffic/home_type.h"
 
+#include <map>
 #include <memory>
 #include <optional>
 #include <variant>
@@ -181,9 +182,16 @@
   std::vector<CrashMark> Marks;
 };
 
+/// Rates of a service's most requested keys whose owners have their home
+/// here; goes to the service's leader.
+struct HotKeysReport {
+  ServiceId Service;
+  std::map<KeyHash, double> Rates; ///< requests per second
+};
+
 using RouterAction =
     std::variant<StartAttempt, CancelAttempt, AnswerCaller, SendHomeAsk,
-                 ProbeUpstream, DropIdle, ShareCrashMarks>;
+                 ProbeUpstream, DropIdle, ShareCrashMarks, HotKeysReport>;
 
 } // namespace waxwing
 
--- a/tests/end_to_end_test.cpp
+++ b/tests/end_to_end_test.cpp
@@ -95,5 +95,25 @@
   EXPECT_EQ(load.wait(), 0) << deployment.loadReport();
 }
 
+TEST(EndToEnd, HotKeyIsSplitOffAndStaysServed) {
+  Deployment deployment(
+      {.Name = "e2e-hot",
+       .BasePort = 26500,
+       .Services = {
+           {.Name = "keyed", .IsDividedByKey = true, .ServiceTimeUs = 1000}}});
+  deployment.start();
+  ASSERT_TRUE(deployment.waitUntilAllServed());
+  ChildProcess load = deployment.startLoad(
+      {{.Rate = 500,
+        .Services = {"keyed"},
+        .MoreSettings = "write_share = 0\nhot_keys = 1\nhot_share = 90\n"}},
+      6000);
+  EXPECT_EQ(load.wait(), 0) << deployment.loadReport();
+  std::string records;
+  for (int n = 1; n <= 3; ++n)
+    records += deployment.askUpstream("keyed", n, "/record");
+  EXPECT_NE(records.find("unit key:"), std::string::npos);
+}
+
 } // namespace
 } // namespace waxwing
