Fix: [Membership] A router could learn no other controller

Cause: it was told of other controllers only when a member's state changed, which may come before this VM has chosen its links; the list was then empty. Change: told after each choice of links too. Seen with 5 VMs on loopback: a router whose controller was killed stayed without until it came back; now it links to another at once, takes the next change there, and returns.

--- a/src/controller/configuration_host.cpp
+++ b/src/controller/configuration_host.cpp
@@ -107,6 +107,8 @@
   for (const MemberEntry &it : members())
     command.Known[it.Vm] = it.Link;
   Links.commands().push(std::move(command));
+  send({std::nullopt, ProcessRole::Router,
+        MembershipEnvelope{controllersForRouters()}});
 }
 
 void ConfigurationHost::carryOut(DropLink &action, Time) {
