--- a/src/router/upstream_port.cpp
+++ b/src/router/upstream_port.cpp
@@ -115,7 +115,7 @@
   const Time now = readClock();
   Client.sendAlone(
       probe.Address, std::move(request), now + ProbeTimeout,
-      [this, upstream = probe.Upstream, now](HttpOutcome outcome) {
+      [this, upstream = probe.Upstream, now](const HttpOutcome &outcome) {
         const bool isAnswered = outcome.Progress == HttpProgress::Answered;
         Probes.push({upstream, isAnswered, outcome.IsRefused, now});
       });
--- a/src/traffic/idempotency_key.cpp
+++ b/src/traffic/idempotency_key.cpp
@@ -5,9 +5,9 @@
 #include "traffic/idempotency_func.h"
 
 #include <absl/status/status.h>
+#include <absl/strings/numbers.h>
 #include <algorithm>
 #include <cctype>
-#include <charconv>
 #include <fmt/format.h>
 #include <optional>
 #include <xxhash.h>
@@ -19,15 +19,6 @@
 constexpr std::size_t RandomLength = 8; ///< shortest random part
 constexpr std::size_t UuidVersionAt = 14;
 
-std::optional<std::int64_t> parseNumber(std::string_view text, int base) {
-  std::int64_t n = 0;
-  const char *last = text.data() + text.size();
-  const auto [end, ec] = std::from_chars(text.data(), last, n, base);
-  if (ec != std::errc() || end != last || n < 0)
-    return std::nullopt;
-  return n;
-}
-
 /// @return milliseconds of a version 7 UUID
 std::optional<std::int64_t> parseUuid(const std::string &key) {
   if (key.size() != UuidLength || key[UuidVersionAt] != '7')
@@ -38,7 +29,10 @@
                : std::isxdigit(static_cast<unsigned char>(key[n])) == 0)
       return std::nullopt;
   }
-  return parseNumber(key.substr(0, 8) + key.substr(9, 4), 16);
+  std::int64_t ms = 0;
+  if (!absl::SimpleHexAtoi(key.substr(0, 8) + key.substr(9, 4), &ms))
+    return std::nullopt;
+  return ms;
 }
 
 /// @return milliseconds of "<unix ms>-<random>"
@@ -46,7 +40,10 @@
   const auto dash = key.find('-');
   if (dash == std::string::npos || key.size() - dash - 1 < RandomLength)
     return std::nullopt;
-  return parseNumber(std::string_view(key).substr(0, dash), 10);
+  std::int64_t ms = 0;
+  if (!absl::SimpleAtoi(key.substr(0, dash), &ms) || ms < 0)
+    return std::nullopt;
+  return ms;
 }
 
 /// Times beyond the year 5138 are no times of issue.
--- a/tests/idempotency_test.cpp
+++ b/tests/idempotency_test.cpp
@@ -224,8 +224,8 @@
   static WallTime wallOf(Time now) { return WallTime(now.time_since_epoch()); }
   /// Each router's clock is off by another amount.
   WallTime wallAt(std::size_t router) const {
-    constexpr std::array Offsets{-100, 0, 100};
-    return wallOf(Now) + milliseconds(Offsets.at(router));
+    constexpr std::array offsets{-100, 0, 100};
+    return wallOf(Now) + milliseconds(offsets.at(router));
   }
 
   void start(std::size_t router) {
--- a/tests/request_health_test.cpp
+++ b/tests/request_health_test.cpp
@@ -106,7 +106,7 @@
       Now += milliseconds(5);
       for (auto it = Links.begin(); it != Links.end() && it->At <= Now;
            it = Links.begin()) {
-        const Link link = *it;
+        const Link link = std::move(*it);
         Links.erase(it);
         handle(1 - link.From, CrashMarksHeard{link.Marks});
       }
@@ -295,6 +295,7 @@
   const Time due = world.Now + usual;
   while (!world.Found.contains(silent) && world.Now < due + seconds(5)) {
     std::vector<AttemptId> others;
+    others.reserve(static_cast<std::size_t>(parallel));
     for (int n = 0; n < parallel; ++n)
       others.push_back(world.start());
     world.pass(usual);
