--- a/src/controller/configuration_host.h
+++ b/src/controller/configuration_host.h
@@ -47,7 +47,7 @@
     return Node.membership().others();
   }
 
-  /// @return the newest record of each service that is known here
+  /// @return the newest ownership records known here
   std::vector<OwnershipRecord> records() const { return Node.records(); }
 
   void tick(Time now);
--- a/src/router/controller_link.cpp
+++ b/src/router/controller_link.cpp
@@ -102,14 +102,16 @@
     OwnTrial.reset();
   if (!Link || Link->Id != id)
     return;
-  // The own controller may just have restarted; others follow in turn.
   const bool hasStood = Link->IsOpen;
-  Choice = hasStood ? 0 : (Choice + 1) % Controllers.size();
+  Choice = (Choice + 1) % Controllers.size();
   NextTrial = readClock() + OwnTrialPeriod;
   if (Choice != 0)
     spdlog::info("links to controller {} instead of its own",
                  formatEndpoint(Controllers[Choice]));
   Link.reset();
+  // Those that refuse are tried in turn at the pace of maintain().
+  if (hasStood)
+    connect();
 }
 
 void ControllerLink::onMessage(LinkId id, const std::string &bytes) {
