--- a/src/ownership/ownership_leader.cpp
+++ b/src/ownership/ownership_leader.cpp
@@ -89,9 +89,10 @@
   if (answer.Held.Record > Record->Rev && now >= NextStoreCall)
     readRecord(now);
   clearEnded(now);
-  updateGrants(now);
-  Orders.sendDue(answer.From, Record->Rev, isRenewalConfirmed(now), now,
-                 Actions);
+  std::set<UpstreamId> due = updateGrants(now);
+  due.insert(answer.From);
+  for (const UpstreamId &id : due)
+    Orders.sendDue(id, Record->Rev, isRenewalConfirmed(now), now, Actions);
   publishDue(now);
 }
 
@@ -124,7 +125,8 @@
   if (!Record || Renewing == Role::None || !Rounds.isAnswer(reply))
     return;
   OwnWitness.raise(reply.Fence);
-  Rounds.take(from, reply, Record->Members);
+  if (Terms.Policy == ConfirmationPolicy::Witnessed)
+    Rounds.take(from, reply, Record->Members);
   HeardMembers[from] = now;
   Quiet.take(from, reply.Fence, reply.IsSole, now);
   // One process runs on a VM at a time, and this one answered a request
@@ -270,11 +272,11 @@
   if (isNew || before->Members != Record->Members)
     MembersSince = Record->Rev;
   if (isNew) {
-    Renewing = Role::Leader;
+    const Role earlier = std::exchange(Renewing, Role::Leader);
     LedSince = Record->Rev;
     Quiet.reset();
     Ledger.begin(*Record);
-    Orders.begin(*Record, 0, now);
+    Orders.begin(*Record, 0, earlier == Role::None, now);
     HeardMembers.clear();
     for (const RecordMember &member : Record->Members)
       HeardMembers[member] = now;
@@ -297,6 +299,8 @@
 
 void OwnershipLeader::followQuiet(Time now) {
   std::vector<MemberSet> sets = Record->Former;
+  if (Terms.Faults.ForgetsFormer && sets.size() > 1)
+    sets.erase(sets.begin(), sets.end() - 1);
   // A revision that first names the members has no lower one with them.
   if (Record->Rev != MembersSince)
     sets.push_back(Record->Members);
@@ -329,8 +333,13 @@
       Terms.Policy != ConfirmationPolicy::StoreOnly &&
       Standby.isRenewalDue(rank(), now))
     becomeDeputy(now);
-  if (Standby.isTakeoverDue(rank(), now) && now >= NextStoreCall &&
-      PendingCall == StoreCall::None) {
+  // The members watch their leader; others act when all of them are gone.
+  if (!rank().IsMember && std::ranges::any_of(Record->Members, [&](auto &it) {
+        return isReachable(it);
+      }))
+    Standby.hearLeader(now);
+  if (Standby.isTakeoverDue(rank(), now) && mayTakeOver(now) &&
+      now >= NextStoreCall && PendingCall == StoreCall::None) {
     WantsLead = true;
     readRecord(now);
   }
@@ -338,6 +347,27 @@
     renew(now);
 }
 
+bool OwnershipLeader::isReachable(const RecordMember &member) const {
+  return std::ranges::any_of(Controllers, [&](const ControllerMember &it) {
+    return it.Member == member && !it.IsSuspected;
+  });
+}
+
+bool OwnershipLeader::reachesMostControllers() const {
+  const auto reached =
+      std::ranges::count(Controllers, false, &ControllerMember::IsSuspected);
+  return 2 * (static_cast<std::size_t>(reached) + 1) > Controllers.size() + 1;
+}
+
+bool OwnershipLeader::mayTakeOver(Time now) const {
+  if (Terms.Policy != ConfirmationPolicy::Witnessed || Record->Members.empty())
+    return true;
+  // A member that most members answer can go on where the leader ended.
+  if (isNamed())
+    return Rounds.isConfirmed(Record->Rev, now) || Standby.isSilentForLong(now);
+  return rank().IsMember || reachesMostControllers();
+}
+
 void OwnershipLeader::takeLeadership(Time now) {
   Standby.noteAttempt(now);
   std::vector<RecordCommand> commands{TakeLeadership{
@@ -350,7 +380,7 @@
 void OwnershipLeader::becomeDeputy(Time now) {
   Renewing = Role::Deputy;
   Ledger.begin(*Record);
-  Orders.begin(*Record, rank().Place, now);
+  Orders.begin(*Record, rank().Place, true, now);
   NextRound = now;
 }
 
--- a/src/ownership/ownership_leader_type.h
+++ b/src/ownership/ownership_leader_type.h
@@ -31,6 +31,7 @@
   bool SkipsTakeoverWait = false; ///< rights by earlier leaders count as ended
   bool RewritesBlindly = false;   ///< a lost answer leads to a second write
   bool IgnoresFence = false;      ///< witnesses confirm old revisions
+  bool ForgetsFormer = false;     ///< only the last former members count
   bool HasDeadlineFromReceipt = false; ///< upstreams count the term themselves
 };
 
@@ -44,6 +45,9 @@
   ConfirmationPolicy Policy = ConfirmationPolicy::Witnessed;
   OwnershipFaults Faults;
 
+  /// @return time until the next renewal or round: a tick comes at least
+  ///   every half heartbeat, and none may slip to the third
+  Duration renewalPeriod() const { return Heartbeat * 3 / 4; }
   /// @return a wait here that covers @p span by any other clock
   Duration covering(Duration span) const {
     return Faults.HasNoDriftBound ? span : withDrift(span, DriftPpm);
--- a/src/ownership/ownership_renewal.cpp
+++ b/src/ownership/ownership_renewal.cpp
@@ -20,7 +20,7 @@
 }
 
 void OwnershipLeader::beginRound(Time now) {
-  NextRound = now + Terms.Heartbeat;
+  NextRound = now + Terms.renewalPeriod();
   const ConfirmRequest request = Rounds.begin(Service, Record->Rev, now);
   std::set<VmId> asked{Self.Vm};
   const auto ask = [&](const MemberSet &set) {
@@ -31,7 +31,7 @@
   ask(Record->Members);
   if (Renewing == Role::Leader)
     std::ranges::for_each(Record->Former, ask);
-  if (Terms.Policy == ConfirmationPolicy::StoreOnly)
+  if (Terms.Policy != ConfirmationPolicy::Witnessed)
     return;
   const ConfirmReply own = OwnWitness.answer(Self, request, now);
   Rounds.take(Self, own, Record->Members);
@@ -45,7 +45,7 @@
   const Revision record = Record->Rev;
   // The store is asked only when the members do not answer.
   if (Renewing == Role::Leader && now >= NextStoreCall &&
-      Rounds.confirmedUntil(record) < now + Terms.ConfirmationTerm / 2)
+      Rounds.isUnanswered(now))
     readRecord(now);
   updateGrants(now);
   Orders.sendDue(record, isRenewalConfirmed(now), now, Actions);
@@ -55,25 +55,33 @@
   if (Renewing != Role::Leader)
     return;
   Quiet.advance(now);
-  const bool isSettled = Record->Former.empty();
-  Ledger.clear([&](const UnitRights &rights) {
-    if (Terms.Faults.SkipsTakeoverWait && !rights.From)
-      return true;
-    if (Quiet.isOver(std::max(LedSince, Revision(rights.Fence.Value))))
-      return true;
-    if (!rights.From || !isSettled ||
-        !Quiet.isSole(Revision(rights.Fence.Value)))
-      return false;
-    const UpstreamOrders *from = Orders.find(*rights.From);
-    const bool isReleased = from != nullptr && from->Definition.ChecksOrders &&
-                            from->HeldRecord >= Revision(rights.Fence.Value);
-    return isReleased || now >= rights.FromEnd;
-  });
+  Ledger.clear([&](const UnitRights &rights) { return hasEnded(rights, now); });
 }
 
-void OwnershipLeader::updateGrants(Time now) {
-  for (const UpstreamId &id : Ledger.takeTouched())
+bool OwnershipLeader::hasEnded(const UnitRights &rights, Time now) const {
+  const Revision moved(rights.Fence.Value);
+  if (Terms.Faults.SkipsTakeoverWait && !rights.From)
+    return true;
+  if (Quiet.isOver(std::max(LedSince, moved)))
+    return true;
+  if (!Quiet.isSole(moved))
+    return false;
+  // From here on only this process can have given rights since MembersSince.
+  if (!rights.From)
+    return Quiet.isOver(MembersSince);
+  if (!Record->Former.empty())
+    return false;
+  const UpstreamOrders *from = Orders.find(*rights.From);
+  const bool isReleased = from != nullptr && from->Definition.ChecksOrders &&
+                          from->HeldRecord >= moved;
+  return isReleased || now >= rights.FromEnd;
+}
+
+std::set<UpstreamId> OwnershipLeader::updateGrants(Time now) {
+  std::set<UpstreamId> touched = Ledger.takeTouched();
+  for (const UpstreamId &id : touched)
     Orders.grant(id, Ledger.grantsOf(id), now);
+  return touched;
 }
 
 void OwnershipLeader::publishDue(Time now) {
