--- a/src/traffic/dispatcher.cpp
+++ b/src/traffic/dispatcher.cpp
@@ -62,10 +62,11 @@
 void Dispatcher::setHomes(std::shared_ptr<const HomesUpdate> homes, Time now) {
   const ServiceId id = homes->Service;
   Service &service = Services[id];
-  if (!Homes.take(homes))
+  const HomesUpdate &update = *homes;
+  if (!Homes.take(std::move(homes)))
     return;
   if (service.Holder)
-    service.Holder->takeHomes(*homes);
+    service.Holder->takeHomes(update);
   rebuild(id, service);
   placeHeld(now);
 }
@@ -159,13 +160,13 @@
 }
 
 void Dispatcher::returnSlot(const Lingering &end, Time now) {
-  static const ServiceConfig Removed;
+  static const ServiceConfig removed;
   const auto service = Services.find(end.Service);
   const bool isKnown =
       service != Services.end() && service->second.Config != nullptr;
   const SlotSign sign =
       Slots[end.Upstream].end(end.Why, end.ColdStarts, end.Latency,
-                              isKnown ? *service->second.Config : Removed, now);
+                              isKnown ? *service->second.Config : removed, now);
   if (sign == SlotSign::ColdStart)
     Counters.add(DispatchCount::ColdStarts);
   if (sign == SlotSign::LatencyJump)
@@ -237,10 +238,10 @@
 }
 
 const TierConfig &Dispatcher::tierConfig(const DispatchRequest &request) const {
-  static const TierConfig Unknown;
+  static const TierConfig unknown;
   const TeamConfig *team = findTeam(request.Team);
   const auto it = team->Tiers.find(request.Tier);
-  return it == team->Tiers.end() ? Unknown : it->second;
+  return it == team->Tiers.end() ? unknown : it->second;
 }
 
 bool Dispatcher::isEligible(const TeamConfig &team,
@@ -280,9 +281,9 @@
 
 int Dispatcher::freeSlots(const Service &service, const UpstreamId &upstream,
                           Time now) const {
-  static const UpstreamSlots Untouched;
+  static const UpstreamSlots untouched;
   const auto it = Slots.find(upstream);
-  const UpstreamSlots &slots = it == Slots.end() ? Untouched : it->second;
+  const UpstreamSlots &slots = it == Slots.end() ? untouched : it->second;
   return slots.freeSlots(rightAt(service, upstream, now), *service.Config, now);
 }
 
--- a/src/traffic/dispatcher_base.h
+++ b/src/traffic/dispatcher_base.h
@@ -162,7 +162,7 @@
                  AttemptTarget target, bool isHedge);
 
   // dispatcher_wait.cpp: requests that wait, and hedges.
-  void enqueue(RequestId id, Service &service, GroupId group, Time now);
+  void enqueue(RequestId id, Service &service, const GroupId &group, Time now);
   void hold(RequestId id, Service &service, Reason why);
   void leaveWait(RequestId id);
   bool isLastSlot(const Service &service, const GroupId &group, Time now) const;
--- a/src/traffic/dispatcher_wait.cpp
+++ b/src/traffic/dispatcher_wait.cpp
@@ -16,7 +16,7 @@
 
 } // namespace
 
-void Dispatcher::enqueue(RequestId id, Service &service, GroupId group,
+void Dispatcher::enqueue(RequestId id, Service &service, const GroupId &group,
                          Time now) {
   Request &request = Requests.at(id);
   TierQueue &queue = Queues[group];
--- a/src/traffic/home_view_base.h
+++ b/src/traffic/home_view_base.h
@@ -48,6 +48,7 @@
       peer.Upstreams.push_back(*upstream);
     }
     std::vector<HomePeer> list;
+    list.reserve(peers.size());
     for (auto &[vm, peer] : peers)
       list.push_back(std::move(peer));
     return list;
