Fix: [Homes] A leader's loss no longer ends all home leases; restarted idle upstreams start cold

Cause 1: a new lessor answered no question before grants of earlier leaders had ended (V + G), about 1.5 s after the loss, so every lease (600 ms) lapsed, and regained homes of idempotency keys refused what was issued before. Change: it answers once earlier confirmations have ended (V), routers ask at once when the leader changes, leases last 800 ms.

Cause 2: an upstream that restarted while nothing was in flight was not noticed.

--- a/src/controller/controller_process.cpp
+++ b/src/controller/controller_process.cpp
@@ -111,7 +111,7 @@
     const OwnershipRecord &record = *leader->record();
     HomeLeadership leadership{leader->isLeader(),
                               leader->isConfirmed(now),
-                              leader->isQuietOver(now),
+                              leader->haveEarlierConfirmationsEnded(now),
                               FirstLed.contains(service),
                               record.Rev,
                               {}};
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -4,6 +4,7 @@
  */
 #include "net/http_client.h"
 
+#include <algorithm>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core.hpp>
@@ -148,6 +149,8 @@
     });
   }
 
+  std::function<void(const Endpoint &)> PeerClosedHandler;
+
 private:
   template <class F> void closeIdleIf(const Endpoint &endpoint, F &&isChosen) {
     const auto it = Pools.find(endpoint);
@@ -175,6 +178,8 @@
       auto connection = std::move(pool.Idle.back());
       pool.Idle.pop_back();
       if (isUsable(*connection)) {
+        beast::error_code ec;
+        connection->Socket.cancel(ec); // ends watchIdle()
         exchange->Channel = std::move(connection);
         write(id, exchange);
         return;
@@ -328,6 +333,7 @@
     if (isReusable) {
       exchange.Channel->LastAnswer = readClock();
       pool.Idle.push_back(exchange.Channel);
+      watchIdle(exchange.To, exchange.Channel);
       return;
     }
     beast::error_code ec;
@@ -336,6 +342,31 @@
       --pool.OpenCount;
   }
 
+  /// Notices at once that the peer closes an idle connection.
+  void watchIdle(const Endpoint &endpoint,
+                 const std::shared_ptr<Connection> &connection) {
+    connection->Socket.async_wait(Tcp::socket::wait_read,
+                                  [self = shared_from_this(), endpoint,
+                                   connection](beast::error_code ec) {
+                                    if (!ec)
+                                      self->dropIdle(endpoint, connection);
+                                  });
+  }
+
+  /// Bytes or an end on an idle connection: it is of no use any more.
+  void dropIdle(const Endpoint &endpoint,
+                const std::shared_ptr<Connection> &connection) {
+    Pool &pool = Pools[endpoint];
+    const bool isIdle =
+        std::ranges::find(pool.Idle, connection) != pool.Idle.end();
+    if (!isIdle || isUsable(*connection))
+      return;
+    std::erase(pool.Idle, connection);
+    --pool.OpenCount;
+    if (pool.OpenCount == 0 && PeerClosedHandler)
+      PeerClosedHandler(endpoint);
+  }
+
   IoThread &Io;
   std::size_t Limit;
   std::map<Endpoint, Pool> Pools;
@@ -368,6 +399,10 @@
   Impl->closeIdle(endpoint, lastAnswer);
 }
 
+void HttpClient::onPeerClosed(std::function<void(const Endpoint &)> handler) {
+  Impl->PeerClosedHandler = std::move(handler);
+}
+
 void HttpClient::closeConnection(const Endpoint &endpoint,
                                  std::uint64_t connection) {
   Impl->closeConnection(endpoint, connection);
--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -51,6 +51,10 @@
   /// @p lastAnswer.
   void closeIdle(const Endpoint &endpoint, Time lastAnswer);
 
+  /// Called on the client's thread when a peer closed the last connection to
+  /// an endpoint while it was idle; the peer may have restarted.
+  void onPeerClosed(std::function<void(const Endpoint &)> handler);
+
   /// Closes one connection if it is idle.
   void closeConnection(const Endpoint &endpoint, std::uint64_t connection);
 
--- a/src/ownership/confirmation.cpp
+++ b/src/ownership/confirmation.cpp
@@ -143,6 +143,13 @@
 
 bool QuietTracker::isOver(Revision record) const { return OverUpto >= record; }
 
+bool QuietTracker::haveConfirmationsEnded(Time now) const {
+  if (OverUpto > Revision(0))
+    return true;
+  return !Targets.empty() && Targets.front().QuietAt &&
+         now + Terms.covering(Terms.GrantTerm) >= *Targets.front().QuietAt;
+}
+
 void QuietTracker::settle(Target &target, Time now) {
   if (hasMajority(target.Members, target.Sole))
     SoleUpto = std::max(SoleUpto, target.Record);
--- a/src/ownership/confirmation_base.h
+++ b/src/ownership/confirmation_base.h
@@ -113,6 +113,9 @@
 
   /// @return whether all rights based on revisions below @p record ended
   bool isOver(Revision record) const;
+  /// @return whether the confirmations ended that leaders before the first
+  ///   followed revision had; grants based on them may still last
+  bool haveConfirmationsEnded(Time now) const;
   /// @return whether nobody but this process had rights based on a revision
   ///   below @p record within the present member set
   bool isSole(Revision record) const { return SoleUpto >= record; }
--- a/src/ownership/ownership_leader.cpp
+++ b/src/ownership/ownership_leader.cpp
@@ -42,6 +42,10 @@
   return isLeader() && Record->Former.empty();
 }
 
+bool OwnershipLeader::haveEarlierConfirmationsEnded(Time now) const {
+  return isQuietOver(now) || (isLeader() && Quiet.haveConfirmationsEnded(now));
+}
+
 bool OwnershipLeader::isNamed() const {
   return Record &&
          std::ranges::find(Record->Members, Self) != Record->Members.end();
--- a/src/ownership/ownership_leader_base.h
+++ b/src/ownership/ownership_leader_base.h
@@ -49,6 +49,9 @@
   bool isConfirmed(Time now) const;
   /// @return whether all rights given by earlier leaders have ended
   bool isQuietOver(Time now) const;
+  /// @return whether no earlier leader is confirmed any more; upstreams may
+  ///   still hold what it granted
+  bool haveEarlierConfirmationsEnded(Time now) const;
   /// @return the newest record known, absent before the first read
   const std::optional<OwnershipRecord> &record() const { return Record; }
 
--- a/src/router/router_process.cpp
+++ b/src/router/router_process.cpp
@@ -98,6 +98,7 @@
         [&](LinkMessage &&it) { handleLink(std::move(it), now); });
     Port.probes().drain(
         [&](UpstreamProbed &&it) { handle(std::move(it), now); });
+    Port.closings().drain([&](PeerClosed &&it) { handle(std::move(it), now); });
     Port.ends().drain([&](AttemptEnded &&it) { handle(std::move(it), now); });
     Edge.events().drain([&](EdgeEvent &&event) {
       std::visit(
--- a/src/router/upstream_port.cpp
+++ b/src/router/upstream_port.cpp
@@ -85,9 +85,12 @@
                    });
                  });
                }),
-      Ends(AttemptLimit, wakeDecisions),
-      Probes(ProbeLimit, std::move(wakeDecisions)),
-      WirePrefix(fmt::format("{:x}", std::random_device()())) {}
+      Ends(AttemptLimit, wakeDecisions), Probes(ProbeLimit, wakeDecisions),
+      Closings(ProbeLimit, std::move(wakeDecisions)),
+      WirePrefix(fmt::format("{:x}", std::random_device()())) {
+  Client.onPeerClosed(
+      [this](const Endpoint &address) { Closings.push(PeerClosed{address}); });
+}
 
 void UpstreamPort::carryOut(StartAttempt attempt) {
   const std::string wireId =
--- a/src/router/upstream_port.h
+++ b/src/router/upstream_port.h
@@ -39,6 +39,8 @@
   BoundedRing<AttemptEnded> &ends() { return Ends; }
   /// Consumed by the decisions.
   BoundedRing<UpstreamProbed> &probes() { return Probes; }
+  /// Consumed by the decisions.
+  BoundedRing<PeerClosed> &closings() { return Closings; }
   void stop() { Io.stop(); }
 
 private:
@@ -69,6 +71,7 @@
   BoundedRing<PortCommand> Commands;
   BoundedRing<AttemptEnded> Ends;
   BoundedRing<UpstreamProbed> Probes;
+  BoundedRing<PeerClosed> Closings;
   absl::flat_hash_map<AttemptId, Exchange> Exchanges;
   std::deque<AttemptEnded> UnreportedEnds; ///< that found the ring full
   std::string WirePrefix; ///< makes wire ids unique among routers
--- a/src/traffic/dispatcher.cpp
+++ b/src/traffic/dispatcher.cpp
@@ -21,6 +21,13 @@
          why == Reason::SilentConnection;
 }
 
+/// @return the controller that leads, or nothing while none does
+std::optional<RecordMember> leaderOf(const OwnershipRecord &record) {
+  if (record.Members.empty())
+    return std::nullopt;
+  return record.Members.front();
+}
+
 } // namespace
 
 Dispatcher::Dispatcher(VmId self, std::uint64_t seed)
@@ -52,11 +59,22 @@
   Service &service = Services[owners->Service];
   if (service.Owners && service.Owners->Rev >= owners->Rev)
     return;
+  const bool isSameLeader =
+      service.Owners && leaderOf(*service.Owners) == leaderOf(*owners);
+  if (!isSameLeader && service.Holder)
+    service.Holder->askSoon();
   service.Owners = std::move(owners);
   pumpAll(now);
   placeHeld(now);
 }
 
+void Dispatcher::notePeerClosed(const Endpoint &address) {
+  for (const auto &[teamId, team] : Config->teams())
+    for (const auto &[id, upstream] : team.Upstreams)
+      if (upstream.Address == address)
+        Slots[id].turnCold();
+}
+
 void Dispatcher::leaseHomes(const HomeIdentity &self) { Leasing = self; }
 
 void Dispatcher::setHomes(std::shared_ptr<const HomesUpdate> homes, Time now) {
--- a/src/traffic/dispatcher_base.h
+++ b/src/traffic/dispatcher_base.h
@@ -38,6 +38,10 @@
   void configure(std::shared_ptr<const Configuration> config, Time now);
   void setOwners(std::shared_ptr<const OwnershipRecord> owners, Time now);
 
+  /// The last connection to an upstream was closed by it; it may have
+  /// restarted, so nothing is known of its warmth.
+  void notePeerClosed(const Endpoint &address);
+
   /// See RouterCore::leaseHomes().
   void leaseHomes(const HomeIdentity &self);
   void setHomes(std::shared_ptr<const HomesUpdate> homes, Time now);
--- a/src/traffic/home_holder.cpp
+++ b/src/traffic/home_holder.cpp
@@ -12,13 +12,14 @@
     : Service(std::move(service)), Self(std::move(self)), Terms(terms) {}
 
 bool HomeHolder::isAskDue(Time now) const {
-  if (Round == 0)
+  if (IsAskWanted)
     return true;
   return now >= AskedAt + (IsAnswered ? Terms.AskPeriod : Terms.AnswerWait);
 }
 
 HomeAsk HomeHolder::beginAsk(Time now) {
   AskedAt = now;
+  IsAskWanted = false;
   IsAnswered = false;
   return {Service,      Self.Router, Self.Process, Self.Domain,
           Self.Forward, ++Round,     {},           IsLeaving};
--- a/src/traffic/home_holder_base.h
+++ b/src/traffic/home_holder_base.h
@@ -46,6 +46,9 @@
   std::vector<HomeLease> take(const HomeAnswer &answer, Time now);
   /// Homes that name another router end this router's minimum.
   void takeHomes(const HomesUpdate &homes);
+  /// The leader changed; the question is due at once, since the new one
+  /// extends leases that have not ended.
+  void askSoon() { IsAskWanted = true; }
   /// The router shuts down.
   void leave() { IsLeaving = true; }
 
@@ -77,6 +80,7 @@
     });
   }
 
+  bool IsAskWanted = true;
   ServiceId Service;
   HomeIdentity Self;
   HomeTerms Terms;
--- a/src/traffic/home_lessor.cpp
+++ b/src/traffic/home_lessor.cpp
@@ -43,9 +43,9 @@
 }
 
 void HomeLessor::setLeadership(const HomeLeadership &leadership, Time now) {
-  const bool wasLeading = Leadership.IsLeader && Leadership.IsQuietOver;
+  const bool wasLeading = Leadership.IsLeader && Leadership.HaveOthersEnded;
   Leadership = leadership;
-  const bool isLeading = Leadership.IsLeader && Leadership.IsQuietOver;
+  const bool isLeading = Leadership.IsLeader && Leadership.HaveOthersEnded;
   if (!Leadership.IsLeader) {
     // What was known may be outdated by another lessor's leases.
     AssignsFrom.reset();
--- a/src/traffic/home_lessor_base.h
+++ b/src/traffic/home_lessor_base.h
@@ -20,7 +20,7 @@
   bool IsLeader = false;    ///< the newest known record names it
   bool IsConfirmed = false; ///< and is proven to be the newest
   /// All confirmations of earlier leaders have ended.
-  bool IsQuietOver = false;
+  bool HaveOthersEnded = false;
   /// The record never had another leader, so no earlier lease exists.
   bool IsFirst = false;
   Revision Record; ///< newest record revision known
--- a/src/traffic/home_type.h
+++ b/src/traffic/home_type.h
@@ -29,9 +29,9 @@
 
 /// Terms of home leases.
 struct HomeTerms {
-  Duration Term = milliseconds(600);       ///< from the router's question
+  Duration Term = milliseconds(800);       ///< from the router's question
   Duration AskPeriod = milliseconds(150);  ///< between a router's questions
-  Duration AnswerWait = milliseconds(250); ///< then the question is repeated
+  Duration AnswerWait = milliseconds(150); ///< then the question is repeated
   std::int64_t DriftPpm = 10'000; ///< bound on the relative rate of two clocks
 };
 
--- a/src/traffic/router_core_base.h
+++ b/src/traffic/router_core_base.h
@@ -125,6 +125,7 @@
   void on(HomesLeased &event, Time now);
   void on(UpstreamProbed &event, Time now);
   void on(CrashMarksHeard &event, Time now);
+  void on(PeerClosed &event, Time now);
   void on(RouterTick &event, Time now);
   void on(DrainStarted &event, Time now);
 
--- a/src/traffic/router_core_health.cpp
+++ b/src/traffic/router_core_health.cpp
@@ -24,6 +24,11 @@
     Suspects.noteDead(event.Upstream, now);
 }
 
+void RouterCore::on(PeerClosed &event, Time) {
+  if (Config)
+    Dispatch.notePeerClosed(event.Address);
+}
+
 void RouterCore::on(CrashMarksHeard &event, Time now) {
   Suspects.merge(event.Marks, now);
 }
--- a/src/traffic/router_core_type.h
+++ b/src/traffic/router_core_type.h
@@ -95,6 +95,11 @@
   std::vector<CrashMark> Marks;
 };
 
+/// The last connection to an endpoint was closed by its peer while idle.
+struct PeerClosed {
+  Endpoint Address;
+};
+
 /// Time passed.
 struct RouterTick {
   WallTime Wall;
@@ -106,7 +111,7 @@
 using RouterEvent =
     std::variant<CallerRequest, CallerLost, AttemptEnded, ConfigurationChanged,
                  OwnersChanged, HomesChanged, HomesLeased, UpstreamProbed,
-                 CrashMarksHeard, RouterTick, DrainStarted>;
+                 PeerClosed, CrashMarksHeard, RouterTick, DrainStarted>;
 
 /// Attempts at the home of an idempotency key have ids from here on; those
 /// of the dispatcher are below.
--- a/src/traffic/upstream_slots_base.h
+++ b/src/traffic/upstream_slots_base.h
@@ -22,6 +22,9 @@
   void gain(const HomeLease &lease, const ServiceConfig &service, Time now);
   /// The upstream returned from a drain or with its failure domain.
   void returnCold() { Warmth.startCold(); }
+  /// Nothing is known of the upstream any more; answers to attempts from
+  /// before do not count.
+  void turnCold();
 
   /// @return cold starts seen so far, to be given to end()
   std::uint64_t begin() {
@@ -37,8 +40,6 @@
   const LatencyWindow &latency() const { return Latency; }
 
 private:
-  void turnCold();
-
   int InFlight = 0;
   std::uint64_t ColdStarts = 0;
   WarmUp Warmth;
