--- a/tests/dispatch_fleet.h
+++ b/tests/dispatch_fleet.h
@@ -295,7 +295,7 @@
     submit(entry, id, request);
   }
 
-  void submit(int router, RequestId id, Request request) {
+  void submit(int router, RequestId id, const Request &request) {
     Requests[{router, id}] = request;
     if (hasNoSlots() && !Options.IsKeyed)
       return sendUnbounded(router, id);
--- a/tests/dispatch_test.cpp
+++ b/tests/dispatch_test.cpp
@@ -308,7 +308,7 @@
     case 3:
       fleet.setLeading(*rc::gen::arbitrary<bool>());
       break;
-    case 4:
+    default:
       fleet.turnCold(upstream);
       break;
     }
--- a/tests/home_lease_test.cpp
+++ b/tests/home_lease_test.cpp
@@ -23,6 +23,7 @@
 
 std::vector<HomeResource> makeResources(std::uint32_t upstreams) {
   std::vector<HomeResource> resources;
+  resources.reserve(upstreams + 1);
   for (std::uint32_t n = 0; n < upstreams; ++n)
     resources.emplace_back(UpstreamId("t/u" + std::to_string(n)));
   resources.emplace_back(PartitionId(0));
@@ -166,6 +167,7 @@
   Fleet fleet;
   fleet.runQuietly(seconds(1));
   std::vector<std::vector<int>> before;
+  before.reserve(fleet.Resources.size());
   for (const HomeResource &resource : fleet.Resources)
     before.push_back(fleet.fullHolders(resource));
   fleet.Gained.clear();
--- a/tests/upstream_port_test.cpp
+++ b/tests/upstream_port_test.cpp
@@ -6,6 +6,7 @@
 #include "fake_tcp_upstream.h"
 #include "router/upstream_port.h"
 
+#include <algorithm>
 #include <future>
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
@@ -139,9 +140,10 @@
 TEST(UpstreamPort, SaysNotRunWhenThePoolIsFull) {
   FakeTcpUpstream upstream(FirstPort + 2);
   PortDriver port(FirstPort + 2);
-  std::vector<AttemptId> held;
-  for (int n = 0; n < 8; ++n)
-    held.push_back(port.start("/" + std::to_string(n) + "/late"));
+  std::vector<AttemptId> held(8);
+  std::ranges::generate(held, [&, n = 0]() mutable {
+    return port.start("/" + std::to_string(n++) + "/late");
+  });
   const AttemptEnded end = port.run("/9/whole");
   EXPECT_EQ(end.Why, Reason::SendFailed);
   EXPECT_EQ(end.Proven, Verdict::NotRun);
