--- a/src/controller/admin_answer.cpp
+++ b/src/controller/admin_answer.cpp
@@ -14,13 +14,8 @@
 namespace {
 
 OwnerAnswer findOwner(const OwnershipRecord &record, const std::string &key) {
-  const KeyHash hash = hashKey(key);
-  const ShardId shard = shardOf(hash, record.Shards.size());
-  const auto split = record.Splits.find(hash);
-  const bool isSplit = split != record.Splits.end();
-  const UnitOwner &owner = isSplit ? split->second : record.Shards[shard.Value];
-  return {true, owner.Owner, owner.Fence, record.Rev,
-          formatUnit(isSplit ? OwnedUnit(hash) : OwnedUnit(shard))};
+  const auto [unit, owner] = ownerOf(record, hashKey(key));
+  return {true, owner.Owner, owner.Fence, record.Rev, formatUnit(unit)};
 }
 
 } // namespace
--- a/src/ownership/ownership_record.cpp
+++ b/src/ownership/ownership_record.cpp
@@ -114,6 +114,13 @@
   return KeyHash(XXH3_64bits(key.data(), key.size()));
 }
 
+KeyOwner ownerOf(const OwnershipRecord &record, KeyHash key) {
+  if (const auto it = record.Splits.find(key); it != record.Splits.end())
+    return {key, it->second};
+  const ShardId shard = shardOf(key, record.Shards.size());
+  return {shard, record.Shards[shard.Value]};
+}
+
 ShardId shardOf(KeyHash key, std::size_t shardCount) {
   const auto scaled =
       static_cast<unsigned __int128>(key.Value) * shardCount >> 64;
--- a/src/ownership/ownership_record_base.h
+++ b/src/ownership/ownership_record_base.h
@@ -72,6 +72,16 @@
 /// @return hash of a caller's key
 KeyHash hashKey(const std::string &key);
 
+/// The unit that a key belongs to, with its owner.
+struct KeyOwner {
+  OwnedUnit Unit;
+  UnitOwner Owner;
+};
+
+/// @param record with at least one shard
+/// @return the split key itself if it is one, else its shard
+KeyOwner ownerOf(const OwnershipRecord &record, KeyHash key);
+
 /// @return the range of the hash space that @p key falls into
 ShardId shardOf(KeyHash key, std::size_t shardCount);
 
--- a/src/standin/store.cpp
+++ b/src/standin/store.cpp
@@ -11,27 +11,71 @@
 
 StoredValue StoreState::get(const std::string &key) const {
   const auto it = Values.find(key);
-  return it == Values.end() ? StoredValue() : it->second;
+  const bool isAbsent = it == Values.end() || it->second.IsAbsent;
+  return isAbsent ? StoredValue() : it->second;
 }
 
 bool StoreState::compareAndSwap(const std::string &key, Revision expected,
-                                std::string value, Revision &current) {
+                                std::string value, Revision &current,
+                                LeaseId lease) {
   current = get(key).Rev;
   if (current != expected)
     return false;
+  if (lease != LeaseId() && !Leases.contains(lease))
+    return false;
   LastRevision = Revision(LastRevision.Value + 1);
-  Values[key] = {LastRevision, std::move(value)};
+  Values[key] = {LastRevision, std::move(value), lease, false};
   current = LastRevision;
   return true;
 }
 
+LeaseId StoreState::grantLease(Duration term, Time now) {
+  LastLease = LeaseId(LastLease.Value + 1);
+  Leases[LastLease] = now + term;
+  return LastLease;
+}
+
+bool StoreState::renewLease(LeaseId lease, Duration term, Time now) {
+  const auto it = Leases.find(lease);
+  if (it == Leases.end() || now >= it->second)
+    return false;
+  it->second = now + term;
+  return true;
+}
+
+bool StoreState::endLeases(Time now) {
+  std::vector<LeaseId> ended;
+  for (const auto &[lease, end] : Leases)
+    if (now >= end)
+      ended.push_back(lease);
+  bool hasVanished = false;
+  for (const LeaseId lease : ended)
+    hasVanished = dropLease(lease) || hasVanished;
+  return hasVanished;
+}
+
+bool StoreState::lapseLeases() { return endLeases(Time::max()); }
+
+bool StoreState::dropLease(LeaseId lease) {
+  Leases.erase(lease);
+  bool hasVanished = false;
+  for (auto &[key, value] : Values) {
+    if (value.Lease != lease || value.IsAbsent)
+      continue;
+    LastRevision = Revision(LastRevision.Value + 1);
+    value = {LastRevision, "", LeaseId(), true};
+    hasVanished = true;
+  }
+  return hasVanished;
+}
+
 std::string StoreState::encodeEntries(const std::string &prefix,
                                       Revision after) const {
   using Json = nlohmann::json;
   Json entries = Json::array();
   for (auto it = Values.lower_bound(prefix);
        it != Values.end() && it->first.starts_with(prefix); ++it)
-    if (it->second.Rev > after)
+    if (it->second.Rev > after && !it->second.IsAbsent)
       entries.push_back(
           {it->first, it->second.Rev.Value,
            Json::binary(std::vector<std::uint8_t>(it->second.Value.begin(),
--- a/src/standin/store_base.h
+++ b/src/standin/store_base.h
@@ -16,10 +16,15 @@
 
 namespace waxwing {
 
+/// A lease of the store; keys written under it vanish when it ends.
+using LeaseId = StrongId<struct LeaseTag, std::uint64_t>;
+
 /// A value of the store.
 struct StoredValue {
   Revision Rev;
   std::string Value;
+  LeaseId Lease;         ///< 0: none
+  bool IsAbsent = false; ///< its lease ended; Rev is that of the end
 };
 
 /// Calls counted since start; a waiting watch is one.
@@ -41,10 +46,20 @@
 public:
   /// @return the value, Rev 0 when absent
   StoredValue get(const std::string &key) const;
+  /// @param lease that the value ends with, 0 for none
   /// @return whether the write took place; @p current is the key's revision
   ///   after the call
   bool compareAndSwap(const std::string &key, Revision expected,
-                      std::string value, Revision &current);
+                      std::string value, Revision &current,
+                      LeaseId lease = LeaseId());
+  LeaseId grantLease(Duration term, Time now);
+  /// @return false when the lease has ended
+  bool renewLease(LeaseId lease, Duration term, Time now);
+  /// Ends the leases whose time is over.
+  /// @return whether a key vanished
+  bool endLeases(Time now);
+  /// Ends all leases under their holders, as a test asks.
+  bool lapseLeases();
   /// @return entries under @p prefix with a revision above @p after, as the
   ///   CBOR body of /list and /watch
   std::string encodeEntries(const std::string &prefix, Revision after) const;
@@ -55,7 +70,11 @@
   StoreFaults Faults;
 
 private:
+  bool dropLease(LeaseId lease);
+
   std::map<std::string, StoredValue> Values;
+  std::map<LeaseId, Time> Leases; ///< with their ends
+  LeaseId LastLease;
   Revision LastRevision;
 };
 
--- a/src/standin/store_main.cpp
+++ b/src/standin/store_main.cpp
@@ -1,7 +1,7 @@
 /**
  * @file store_main.cpp
- * standin-store: a small key-value service over HTTP with compare-and-swap
- * and watches. A second port takes faults and tells the counted calls.
+ * standin-store: a small key-value service over HTTP with compare-and-swap,
+ * leases and watches. A second port takes faults and tells the counted calls.
  */
 #include "standin/standin_func.h"
 #include "standin/store_base.h"
@@ -15,6 +15,9 @@
 /// Value size that the platform's service bears.
 constexpr std::size_t ValueBytes = 1u << 20;
 
+/// Distance of the looks for ended leases.
+constexpr Duration LeasePeriod = milliseconds(10);
+
 /// A watch that waits for a change.
 struct WaitingWatch {
   std::uint64_t Id = 0;
@@ -34,7 +37,12 @@
 public:
   StoreServer()
       : Main(Io, {}, [this](HttpExchange it) { take(std::move(it)); }),
-        Admin(Io, {}, [this](const HttpExchange &it) { administer(it); }) {}
+        Admin(Io, {}, [this](const HttpExchange &it) { administer(it); }) {
+    Io.runEvery(LeasePeriod, [this] {
+      if (State.endLeases(readClock()))
+        notifyWatches();
+    });
+  }
 
   absl::Status listen(const Endpoint &main, const Endpoint &admin) {
     if (const absl::Status status = Main.listen(main); !status.ok())
@@ -50,6 +58,8 @@
     const std::string &call = target->Parts[0];
     if (call == "kv" && exchange.Request.Method == "PUT")
       return put(*target, std::move(exchange));
+    if (call == "lease")
+      return lease(*target, exchange);
     if (call == "watch")
       return watch(*target, std::move(exchange));
     ++State.Counts.Reads;
@@ -76,7 +86,8 @@
     Revision current;
     const bool isDone = State.compareAndSwap(
         target.text("key"), Revision(target.number("expect")),
-        std::move(exchange.Request.Body), current);
+        std::move(exchange.Request.Body), current,
+        LeaseId(target.number("lease")));
     if (isDone)
       notifyWatches();
     if (isDone && State.Faults.AnswersToLose > 0) {
@@ -86,6 +97,20 @@
     answer(exchange.Reply, withRevision(isDone ? 200 : 409, current, ""));
   }
 
+  /// POST /lease?term_ms=N grants one; with id=N it renews that one.
+  void lease(const UrlTarget &target, const HttpExchange &exchange) {
+    ++State.Counts.Writes;
+    const Duration term = milliseconds(target.number("term_ms", 1000));
+    const Time now = readClock();
+    LeaseId id(target.number("id"));
+    const bool isNew = id == LeaseId();
+    if (isNew)
+      id = State.grantLease(term, now);
+    const bool isHeld = isNew || State.renewLease(id, term, now);
+    answer(exchange.Reply,
+           textResponse(isHeld ? 200 : 404, std::to_string(id.Value) + "\n"));
+  }
+
   void watch(const UrlTarget &target, HttpExchange exchange) {
     ++State.Counts.Watches;
     const std::uint64_t id = NextWatch++;
@@ -135,6 +160,8 @@
           "delay_ms", static_cast<std::uint64_t>(faults.Delay.count()) / 1000));
       faults.AnswersToLose =
           target->number("lose_answers", faults.AnswersToLose);
+      if (target->number("lapse_leases") != 0 && State.lapseLeases())
+        notifyWatches();
     }
     exchange.Reply(
         textResponse(200, fmt::format("reads {}\nwrites {}\nwatches {}\n",
--- a/src/standin/upstream_base.h
+++ b/src/standin/upstream_base.h
@@ -24,6 +24,7 @@
   Duration WarmUp{};         ///< from cold to warm
   Duration NetworkLatency{}; ///< one way, added to each answer twice
   Duration ReportLag{};      ///< age of the load that /waxwing/status tells
+  int ReportPercent = 100;   ///< load told, of the true one
   bool ChecksOrders = true;
   bool IsDividedByKey = false;
   std::string CrashMarker; ///< a target that contains it ends the process
--- a/src/standin/upstream_main.cpp
+++ b/src/standin/upstream_main.cpp
@@ -20,6 +20,7 @@
   traits.WarmUp = milliseconds(options["warm-up-ms"].as<int>());
   traits.NetworkLatency = microseconds(options["latency-us"].as<int>());
   traits.ReportLag = milliseconds(options["report-lag-ms"].as<int>());
+  traits.ReportPercent = options["report-percent"].as<int>();
   traits.ChecksOrders = options["checks-orders"].as<bool>();
   traits.IsDividedByKey = options["divided-by-key"].as<bool>();
   traits.CrashMarker = options["crash-marker"].as<std::string>();
@@ -65,6 +66,8 @@
       cxxopts::value<int>()->default_value("0"));
   add("report-lag-ms", "age of the load told, ms",
       cxxopts::value<int>()->default_value("0"));
+  add("report-percent", "load told, of the true one",
+      cxxopts::value<int>()->default_value("100"));
   add("checks-orders", "refuse orders with an older stamp",
       cxxopts::value<bool>()->default_value("true"));
   add("divided-by-key", "serve owned keys only",
--- a/src/standin/upstream_server.cpp
+++ b/src/standin/upstream_server.cpp
@@ -104,7 +104,8 @@
   const Time asOf = readClock() - Traits.ReportLag;
   const auto newer = std::ranges::find_if(
       Reports, [asOf](const LoadReport &it) { return it.At > asOf; });
-  const int told = newer == Reports.begin() ? 0 : std::prev(newer)->Load;
+  const int known = newer == Reports.begin() ? 0 : std::prev(newer)->Load;
+  const int told = known * Traits.ReportPercent / 100;
   HttpResponse response =
       textResponse(200, fmt::format("load {}\nslots {}\n", told, Traits.Slots));
   echoId(exchange.Request, response);
--- a/src/traffic/dispatcher_place.cpp
+++ b/src/traffic/dispatcher_place.cpp
@@ -69,12 +69,7 @@
                       Time now) const {
   if (!service.Owners || service.Owners->Shards.empty())
     return Reason::NoOwner;
-  const OwnershipRecord &record = *service.Owners;
-  const auto split = record.Splits.find(request.Key);
-  const bool isSplit = split != record.Splits.end();
-  const ShardId shard = shardOf(request.Key, record.Shards.size());
-  const UnitOwner &owner = isSplit ? split->second : record.Shards[shard.Value];
-  const OwnedUnit unit = isSplit ? OwnedUnit(request.Key) : OwnedUnit(shard);
+  const auto [unit, owner] = ownerOf(*service.Owners, request.Key);
   const auto moving = service.Moving.find(unit);
   const bool isMoving = moving != service.Moving.end() &&
                         moving->second.first == owner.Fence &&
--- /dev/null
+++ b/tests/store_state_test.cpp
@@ -0,0 +1,49 @@
+/**
+ * @file store_state_test.cpp
+ * The store stand-in's compare-and-swap and leases.
+ */
+#include "standin/store_base.h"
+
+#include <gtest/gtest.h>
+
+namespace waxwing {
+namespace {
+
+constexpr Time Start{seconds(1)};
+
+TEST(StoreState, CompareAndSwapRefusesAnotherRevision) {
+  StoreState store;
+  Revision current;
+  ASSERT_TRUE(store.compareAndSwap("/a", Revision(0), "1", current));
+  EXPECT_FALSE(store.compareAndSwap("/a", Revision(0), "2", current));
+  EXPECT_EQ(current, store.get("/a").Rev);
+  EXPECT_EQ(store.get("/a").Value, "1");
+}
+
+TEST(StoreState, KeyVanishesWithItsLease) {
+  StoreState store;
+  Revision current;
+  const LeaseId lease = store.grantLease(milliseconds(100), Start);
+  ASSERT_TRUE(store.compareAndSwap("/a", Revision(0), "1", current, lease));
+  EXPECT_TRUE(
+      store.renewLease(lease, milliseconds(100), Start + milliseconds(90)));
+  EXPECT_FALSE(store.endLeases(Start + milliseconds(150)));
+  EXPECT_TRUE(store.endLeases(Start + milliseconds(190)));
+  EXPECT_EQ(store.get("/a").Rev, Revision(0));
+  EXPECT_TRUE(store.hasNewer("/", current));
+  EXPECT_FALSE(
+      store.renewLease(lease, milliseconds(100), Start + milliseconds(200)));
+}
+
+TEST(StoreState, LeasesLapseUnderTheirHolders) {
+  StoreState store;
+  Revision current;
+  const LeaseId lease = store.grantLease(seconds(60), Start);
+  ASSERT_TRUE(store.compareAndSwap("/a", Revision(0), "1", current, lease));
+  EXPECT_TRUE(store.lapseLeases());
+  EXPECT_EQ(store.get("/a").Rev, Revision(0));
+  EXPECT_FALSE(store.compareAndSwap("/b", Revision(0), "1", current, lease));
+}
+
+} // namespace
+} // namespace waxwing
