--- a/tests/http_server_test.cpp
+++ b/tests/http_server_test.cpp
@@ -20,7 +20,8 @@
 /// A server that answers each request with its target, the first one late.
 class EchoServer {
 public:
-  EchoServer() : Server(Io, limits(), [this](HttpExchange it) { take(it); }) {
+  EchoServer()
+      : Server(Io, limits(), [this](const HttpExchange &it) { take(it); }) {
     EXPECT_TRUE(Server.listen({"127.0.0.1", Port}).ok());
   }
   ~EchoServer() { Io.stop(); }
