--- a/scripts/deployment.sh
+++ b/scripts/deployment.sh
@@ -154,7 +154,13 @@
   export WAXWING_TOKEN=$OperatorToken WAXWING_SERVER=127.0.0.1:$((vm_base + 14))
   "$bin/waxwingctl" validate "$team" "$run/$team.ini" >/dev/null
   "$bin/waxwingctl" apply "$team" "$run/$team.ini" >/dev/null
-  sleep 2
+  local n
+  for n in $(seq 20); do
+    sleep 0.5
+    if [ "$("$bin/waxwingctl" revisions | wc -l)" -ge "$(wc -w <<<"$routers")" ]; then
+      break
+    fi
+  done
   "$bin/waxwingctl" revisions
 }
 
