Codechange: [Homes] Unused partitionOf(KeyHash) removed

Cause: two lanes each brought a way from an idempotency key to its partition; only the one in idempotency_func.h is called. The dangling else in upstream_port_test that the compiler warned of has braces now; its checks are the same. home_lease, idempotency, upstream_port, dispatch, router_core and parser_fuzz tests: 6 of 6 passed; the changed files lint clean.

--- a/src/traffic/home_type.h
+++ b/src/traffic/home_type.h
@@ -109,11 +109,6 @@
   bool operator==(const HomesUpdate &) const = default;
 };
 
-/// @return the partition of an idempotency key's hash
-inline PartitionId partitionOf(KeyHash key) {
-  return PartitionId(static_cast<std::uint32_t>(key.Value % PartitionCount));
-}
-
 } // namespace waxwing
 
 #endif
--- a/tests/upstream_port_test.cpp
+++ b/tests/upstream_port_test.cpp
@@ -174,8 +174,9 @@
     const std::string target = "/" + std::to_string(n) + "/whole";
     const AttemptEnded end = port.run(target);
     EXPECT_NE(end.Proven, Verdict::NotRun);
-    if (end.Why != Reason::None)
+    if (end.Why != Reason::None) {
       EXPECT_EQ(end.Why, Reason::ConnectionLost);
+    }
   }
 }
 
