Add: [Ranges] Moves by the waiting that they save, announced before the release

Cause: keys sat on slow upstreams; a moved range was asked of its old owner until the new map arrived. Change: upstreams' own slowness figure is their speed; planMoves() compares callers' waiting before and after; the map marks a range as moving.

--- a/src/node/attempt.h
+++ b/src/node/attempt.h
@@ -61,6 +61,10 @@
   /// @return true when the answer goes to the caller
   bool isDelivering() const { return IsDelivering; }
   int answerStatus() const { return AnswerStatus; }
+  /// @return what the answer told of the upstream's load, if anything
+  const std::optional<platform::LoadReport> &load() const {
+    return AnswerMeta.Load;
+  }
 
   bool onAnswerHead(http::AnswerHead &head) override;
   void onAnswerBody(std::string bytes) override;
--- a/src/node/cluster.cpp
+++ b/src/node/cluster.cpp
@@ -19,8 +19,6 @@
 using boost::system::error_code;
 
 constexpr std::string_view VmPrefix = "waxwing/vms/";
-constexpr std::string_view LeaderKey = "waxwing/leader";
-constexpr std::string_view RangePrefix = "waxwing/ranges/";
 
 /// Wanted length of a VM's lease: a lost leader is replaced after it, and
 /// grants last longer than it.
--- a/src/node/cluster.h
+++ b/src/node/cluster.h
@@ -30,6 +30,8 @@
 class Cluster {
 public:
   static constexpr std::string_view Prefix = "waxwing/";
+  static constexpr std::string_view LeaderKey = "waxwing/leader";
+  static constexpr std::string_view RangePrefix = "waxwing/ranges/";
 
   Cluster(boost::asio::io_context &loop, const NodeSettings &settings,
           CallClient &calls, StoreFeed &feed, UpstreamTable &upstreams);
--- a/src/node/cluster_lead.cpp
+++ b/src/node/cluster_lead.cpp
@@ -11,8 +11,6 @@
 namespace waxwing {
 namespace {
 
-constexpr std::string_view LeaderKey = "waxwing/leader";
-constexpr std::string_view RangePrefix = "waxwing/ranges/";
 constexpr Duration CallTimeout = milliseconds(1500);
 constexpr Duration GrantTimeout = milliseconds(1000);
 /// A release is answered when the running work on its keys has ended.
@@ -20,11 +18,13 @@
 constexpr Duration ReadRetry = milliseconds(200);
 /// Connections refused for this long prove that the process has ended.
 constexpr Duration RefusedForDead = milliseconds(250);
+/// Work time that is assumed before any was seen, s.
+constexpr double DefaultWorkSeconds = 0.15;
 /// Lives that are remembered as ended.
 constexpr std::size_t MaxDeadLives = 4096;
 
 std::string mapKey(const ServiceId &service) {
-  return std::string(RangePrefix) + service.Value;
+  return std::string(Cluster::RangePrefix) + service.Value;
 }
 
 } // namespace
@@ -68,6 +68,16 @@
   std::set<UpstreamId> owners;
   for (const RangeRow &row : map.Rows)
     owners.insert(row.Owner);
+  double work = 0;
+  int known = 0;
+  for (const auto &[id, upstream] : Upstreams.all())
+    if (upstream.Entry.Service == service && upstream.Load.workUs() > 0) {
+      work += upstream.Load.workUs();
+      ++known;
+    }
+  constexpr double MicrosPerSecond = 1e6;
+  const double usualWork =
+      known > 0 ? work / known / MicrosPerSecond : DefaultWorkSeconds;
   std::vector<RangeUpstream> result;
   bool isAnyWarm = false;
   for (const auto &[id, upstream] : Upstreams.all()) {
@@ -79,7 +89,8 @@
     view.Id = id;
     view.Address = upstream.Entry.Address;
     view.Born = upstream.Entry.Born;
-    view.Capacity = upstream.Entry.Slots / upstream.Load.speedRatio(now);
+    view.Slots = upstream.Entry.Slots;
+    view.WorkSeconds = usualWork * upstream.Load.lastingSlowness();
     view.IsEligible = Upstreams.isUsable(upstream) && !isDead && isWarm;
     isAnyWarm |= view.IsEligible;
     result.push_back(view);
--- a/src/node/exchange.h
+++ b/src/node/exchange.h
@@ -45,7 +45,10 @@
   int RunSends = 0;       ///< of these, without proof that it has not run
   bool IsWaiting = false; ///< stands in a queue
   Time WaitingSince;
-  Time NotBefore; ///< next try, after an upstream did not hold the key
+  /// Fence of the key's range when an upstream did not hold it, and until
+  /// when another entry of the range is awaited.
+  std::uint64_t MisplacedFence = 0;
+  Time AwaitOwnerUntil;
   Reason LastReason = Reason::None; ///< of the last attempt
   bool IsFinished = false;          ///< the final answer is decided
   bool IsCallerGone = false;
--- a/src/node/gateway.cpp
+++ b/src/node/gateway.cpp
@@ -354,8 +354,6 @@
 bool Gateway::trySend(const std::shared_ptr<Exchange> &exchange, Time now,
                       bool &isServable) {
   isServable = true;
-  if (now < exchange->NotBefore)
-    return false;
   ChoiceRequest request;
   request.Service = exchange->Service;
   request.Tried = exchange->Tried;
@@ -369,6 +367,12 @@
       isServable = false;
       return false;
     }
+    const bool isAwaitingOwner = exchange->MisplacedFence == row->Fence &&
+                                 now < exchange->AwaitOwnerUntil;
+    if (row->IsMoving || isAwaitingOwner) {
+      exchange->LastReason = Reason::NoOwner;
+      return false;
+    }
     request.Only = row->Owner;
   }
   const Choice choice = Upstreams.choose(
@@ -447,8 +451,7 @@
     exchange->IsWaiting = false;
     found->second.remove(exchange);
     const Admission decision = admission(*exchange, now, isServable);
-    const bool isOver = !decision.IsWaiting && now >= exchange->NotBefore;
-    if (isOver) {
+    if (!decision.IsWaiting) {
       refuse(exchange, exchange->LastReason, decision.ReturnAfter);
       continue;
     }
@@ -477,7 +480,6 @@
 void Gateway::sweep() {
   const Time now = bootNow();
   Pool.sweep(now);
-  Upstreams.refreshUsualWork();
   std::vector<std::shared_ptr<CallerConnection>> callers;
   for (const auto &[key, connection] : Callers)
     callers.push_back(connection);
--- a/src/node/gateway_send.cpp
+++ b/src/node/gateway_send.cpp
@@ -15,9 +15,9 @@
 /// A connection idle for longer is not used for a request that must not run
 /// twice: its loss could not be told from a lost answer.
 constexpr Duration SafeIdle = milliseconds(2500);
-/// Pause after an upstream did not hold the key: by then the new owner's
-/// entry has usually arrived.
-constexpr Duration OwnerPause = milliseconds(40);
+/// Longest pause after an upstream did not hold the key, unless another entry
+/// of its range arrives: a grant that was lost is repeated by then.
+constexpr Duration OwnerPause = milliseconds(250);
 /// Sendings that proved not to run, beyond the route's attempts.
 constexpr int MaxNotRunSends = 4;
 /// A repeat needs at least this part of the usual work as time.
@@ -94,6 +94,8 @@
   if (result.End == AttemptEnd::Misplaced && OnMisplaced)
     OnMisplaced();
   if (exchange->IsFinished) {
+    const platform::LoadReport load =
+        attempt.load().value_or(platform::LoadReport{});
     if (exchange->Answer.IsWhole) {
       ++Counters.Answered;
       const std::string &route = exchange->Matched->Name;
@@ -103,11 +105,11 @@
                                              : LineWeight::Notable,
             now, exchange->Answer.IsWhole ? "answered" : "answer_broken",
             "request={} upstream={} status={} cause={} latency_ms={} "
-            "total_ms={} detail={}",
+            "total_ms={} running={} waiting={} slowness={} detail={}",
             logSafe(exchange->Meta.Id), attempt.upstream().Id.Value,
             attempt.answerStatus(), reasonInfo(result.Cause).Name,
-            toMs(latency), toMs(now - exchange->ArrivedAt),
-            logSafe(result.Detail));
+            toMs(latency), toMs(now - exchange->ArrivedAt), load.Running,
+            load.Waiting, load.SlownessPercent, logSafe(result.Detail));
     noteFinished(exchange);
     return;
   }
@@ -139,7 +141,11 @@
     return;
   }
   if (result.End == AttemptEnd::Misplaced) {
-    exchange->NotBefore = now + OwnerPause;
+    const RangeRow *row =
+        exchange->Meta.Key ? Ranges[exchange->Service].find(*exchange->Meta.Key)
+                           : nullptr;
+    exchange->MisplacedFence = row == nullptr ? 0 : row->Fence;
+    exchange->AwaitOwnerUntil = now + OwnerPause;
     exchange->Tried.clear();
   }
   place(exchange);
--- a/src/node/node_process.cpp
+++ b/src/node/node_process.cpp
@@ -34,7 +34,8 @@
 NodeProcess::NodeProcess(std::string settingsPath, const NodeSettings &settings)
     : SettingsPath(std::move(settingsPath)), Settings(settings), Loop(1),
       Signals(Loop, SIGTERM, SIGINT, SIGHUP), Calls(Loop),
-      Feed(Loop, Calls, parseEndpoint(settings.Store.text("address"))),
+      Feed(Loop, Calls, parseEndpoint(settings.Store.text("address")),
+           std::string(Cluster::RangePrefix)),
       Data(Loop, settings),
       Peers(Loop, settings, Calls, Feed, Data.upstreams()),
       Ready(Loop, [this] { return readyPage(); }),
--- a/src/node/store_feed.cpp
+++ b/src/node/store_feed.cpp
@@ -19,6 +19,8 @@
 constexpr Duration LoadTimeout = milliseconds(2000);
 /// Pause before the next watch, in which changes gather.
 constexpr Duration GatherPause = milliseconds(120);
+/// Pause after changes by this system itself, which others act upon at once.
+constexpr Duration OwnGatherPause = milliseconds(5);
 /// Pause after a failed call, doubled up to the longest.
 constexpr Duration FirstRetry = milliseconds(100);
 constexpr int MaxRetryDoublings = 3;
@@ -26,8 +28,9 @@
 } // namespace
 
 StoreFeed::StoreFeed(boost::asio::io_context &loop, CallClient &calls,
-                     Endpoint store)
-    : Calls(calls), Store(std::move(store)), NextTimer(loop, [this] {
+                     Endpoint store, std::string urgentPrefix)
+    : Calls(calls), Store(std::move(store)),
+      UrgentPrefix(std::move(urgentPrefix)), NextTimer(loop, [this] {
         if (MustLoad)
           load("");
         else
@@ -182,13 +185,17 @@
     return;
   }
   noteContact(true);
+  Duration pause = changes->Changes.empty() ? Duration() : GatherPause;
   for (const platform::StoreChange &change : changes->Changes)
     applyChange(change);
+  if (std::ranges::any_of(changes->Changes, [&](const auto &change) {
+        return change.Key.starts_with(UrgentPrefix);
+      }))
+    pause = OwnGatherPause;
   Revision = std::max(Revision, changes->StoreRevision);
   if (!changes->Changes.empty())
     OnBatchEnd();
-  NextTimer.setBy(bootNow() +
-                  (changes->Changes.empty() ? Duration() : GatherPause));
+  NextTimer.setBy(bootNow() + pause);
 }
 
 } // namespace waxwing
--- a/src/node/store_feed.h
+++ b/src/node/store_feed.h
@@ -19,7 +19,9 @@
   /// sure only while the store has been reached without trouble.
   using ChangeHandler = std::function<void(const platform::StoreChange &)>;
 
-  StoreFeed(boost::asio::io_context &loop, CallClient &calls, Endpoint store);
+  /// @param urgentPrefix changes of keys that begin so are not gathered
+  StoreFeed(boost::asio::io_context &loop, CallClient &calls, Endpoint store,
+            std::string urgentPrefix);
 
   void start(ChangeHandler onChange, std::function<void()> onBatchEnd);
   /// Asks for changes now rather than after the pause that groups them.
@@ -48,6 +50,7 @@
 
   CallClient &Calls;
   Endpoint Store;
+  std::string UrgentPrefix;
   ChangeHandler OnChange;
   std::function<void()> OnBatchEnd;
   DueTimer NextTimer;
--- a/src/ranges/range_balance.cpp
+++ b/src/ranges/range_balance.cpp
@@ -1,95 +1,223 @@
 /**
  * @file range_balance.cpp
- * Load of an upstream is the request rate of its keys over its capacity.
+ * An upstream's cost is the time that its callers spend in sum: request rate
+ * times expected latency. Keys move where the sum over both ends falls.
  */
 #include "ranges/range_balance_func.h"
 
 #include <algorithm>
+#include <array>
 #include <cmath>
 #include <map>
-#include <numeric>
+#include <optional>
 
 namespace waxwing {
 namespace {
 
-/// Keys move when the most loaded upstream has this much of the mean load;
-/// below it a move costs callers more than the imbalance does.
-constexpr double ImbalanceToMove = 1.5;
-/// Rates below this say little about the next second, requests/s.
-constexpr double LeastRateToMove = 3.0;
+/// Least gain of a move, seconds of waiting saved in each second. A move
+/// holds its keys for some tenths of a second and costs each VM two calls.
+constexpr double LeastGain = 0.4;
 /// Weight of an idle key, so that upstreams without traffic still differ by
 /// the number of keys they own; requests/s for each key.
-constexpr double IdleKeyRate = 1e-4;
+constexpr double IdleKeyRate = 1e-5;
+/// Utilization from which the queueing formula goes on as a straight line.
+constexpr double SteepUtilization = 0.9;
+/// Parts of the giver's rate that are tried as the amount to move.
+constexpr std::array<double, 6> MoveShares{0.75, 0.5, 0.35, 0.2, 0.1, 0.05};
 constexpr int KeyCount = 65536;
 
+double queueFactor(double utilization, double slots) {
+  return std::pow(utilization, std::sqrt(2 * (slots + 1)) - 1) /
+         (slots * (1 - utilization));
+}
+
+double cost(const RangeUpstream &upstream, double rate) {
+  return rate * expectedLatency(upstream, rate);
+}
+
+/// An upstream with the load that a plan gives it.
 struct LoadView {
   const RangeUpstream *Upstream = nullptr;
   double Rate = 0; ///< requests/s
   bool OwnsKeys = false;
 
-  double relative() const { return Rate / std::max(Upstream->Capacity, 1e-3); }
+  double marginal() const {
+    return cost(*Upstream, Rate + 1) - cost(*Upstream, Rate);
+  }
 };
 
-std::map<UpstreamId, LoadView>
-viewLoads(const std::vector<RangeRow> &rows,
-          const std::vector<RangeUpstream> &upstreams, const KeyLoad &load) {
-  std::map<UpstreamId, LoadView> views;
+using LoadViews = std::map<UpstreamId, LoadView>;
+
+double rateOf(const KeyRange &range, const KeyLoad &load) {
+  return load.rate(range) + IdleKeyRate * range.size();
+}
+
+LoadViews viewLoads(const std::vector<RangeRow> &rows,
+                    const std::vector<RangeUpstream> &upstreams,
+                    const KeyLoad &load) {
+  LoadViews views;
   for (const RangeUpstream &upstream : upstreams)
     if (upstream.IsEligible)
       views[upstream.Id].Upstream = &upstream;
   for (const RangeRow &row : rows)
     if (const auto it = views.find(row.Owner); it != views.end()) {
-      it->second.Rate += load.rate(row.Range) + IdleKeyRate * row.Range.size();
+      it->second.Rate += rateOf(row.Range, load);
       it->second.OwnsKeys = true;
     }
   return views;
 }
 
-/// @return the row of @p owner with the highest rate
-const RangeRow *busiestRow(const std::vector<RangeRow> &rows,
-                           const UpstreamId &owner, const KeyLoad &load) {
-  const RangeRow *best = nullptr;
-  double bestRate = -1;
-  for (const RangeRow &row : rows) {
-    const double rate = load.rate(row.Range) + IdleKeyRate * row.Range.size();
-    if (row.Owner == owner && rate > bestRate) {
-      best = &row;
-      bestRate = rate;
-    }
+struct Candidate {
+  RangeMove Move;
+  double Gain = 0;
+};
+
+/// The best move of keys in @p row to @p taker.
+std::optional<Candidate> bestPart(const RangeRow &row, const LoadView &giver,
+                                  const LoadView &taker, const KeyLoad &load) {
+  std::optional<Candidate> best;
+  for (const double share : MoveShares) {
+    const KeyRange part = load.narrowest(row.Range, share * giver.Rate);
+    const double moved = rateOf(part, load);
+    const double before =
+        cost(*giver.Upstream, giver.Rate) + cost(*taker.Upstream, taker.Rate);
+    const double after =
+        cost(*giver.Upstream, std::max(giver.Rate - moved, 0.0)) +
+        cost(*taker.Upstream, taker.Rate + moved);
+    const double gain = before - after;
+    if (gain > LeastGain && (!best || gain > best->Gain))
+      best = Candidate{{part, taker.Upstream->Id}, gain};
   }
   return best;
 }
 
-KeyRange upperHalf(const KeyRange &range) {
-  return {static_cast<std::uint16_t>(range.From + range.size() / 2), range.To};
+/// A joined upstream without keys gets some of the busiest one's.
+std::optional<RangeMove> shareWithNewcomer(const std::vector<RangeRow> &rows,
+                                           const LoadViews &views,
+                                           const KeyLoad &load) {
+  const auto newcomer = std::ranges::find_if(
+      views, [](const auto &entry) { return !entry.second.OwnsKeys; });
+  if (newcomer == views.end() || views.size() < 2)
+    return std::nullopt;
+  const RangeRow *busiest = nullptr;
+  double rate = -1;
+  for (const RangeRow &row : rows)
+    if (const double n = rateOf(row.Range, load);
+        n > rate && row.Range.size() > 1 && views.contains(row.Owner)) {
+      busiest = &row;
+      rate = n;
+    }
+  if (busiest == nullptr)
+    return std::nullopt;
+  double total = 0;
+  for (const auto &[id, view] : views)
+    total += view.Rate;
+  const KeyRange part = load.narrowest(
+      busiest->Range,
+      std::min(0.5 * rate, total / static_cast<double>(views.size())));
+  return RangeMove{
+      part == busiest->Range
+          ? KeyRange{static_cast<std::uint16_t>(part.From + part.size() / 2),
+                     part.To}
+          : part,
+      newcomer->first};
+}
+
+std::optional<RangeMove> planMove(const std::vector<RangeRow> &rows,
+                                  const std::vector<RangeUpstream> &upstreams,
+                                  const KeyLoad &load) {
+  const LoadViews views = viewLoads(rows, upstreams, load);
+  if (views.size() < 2)
+    return std::nullopt;
+  if (auto move = shareWithNewcomer(rows, views, load))
+    return move;
+  const auto marginal = [](const auto &entry) {
+    return entry.second.marginal();
+  };
+  const auto most = std::ranges::max_element(views, {}, [&](const auto &entry) {
+    return entry.second.Rate < 1 ? -1 : marginal(entry);
+  });
+  const auto least = std::ranges::min_element(views, {}, marginal);
+  if (most == least)
+    return std::nullopt;
+  std::optional<Candidate> best;
+  for (const RangeRow &row : rows) {
+    if (row.Owner != most->first || row.IsMoving)
+      continue;
+    const auto candidate = bestPart(row, most->second, least->second, load);
+    if (candidate && (!best || candidate->Gain > best->Gain))
+      best = candidate;
+  }
+  if (!best)
+    return std::nullopt;
+  return best->Move;
+}
+
+/// Applies a planned move to @p rows.
+void applyMove(std::vector<RangeRow> &rows, const RangeMove &move) {
+  const auto it = std::ranges::find_if(rows, [&](const RangeRow &row) {
+    return row.Range.contains(move.Range.From);
+  });
+  const RangeRow row = *it;
+  std::vector<RangeRow> parts;
+  const auto add = [&](int from, int to, bool isMoved) {
+    if (from > to)
+      return;
+    parts.push_back(row);
+    parts.back().Range = {static_cast<std::uint16_t>(from),
+                          static_cast<std::uint16_t>(to)};
+    if (isMoved) {
+      parts.back().Owner = move.To;
+      parts.back().IsMoving = true;
+    }
+  };
+  add(row.Range.From, move.Range.From - 1, false);
+  add(move.Range.From, move.Range.To, true);
+  add(move.Range.To + 1, row.Range.To, false);
+  rows.insert(rows.erase(it), parts.begin(), parts.end());
 }
 
 } // namespace
 
+double expectedLatency(const RangeUpstream &upstream, double rate) {
+  const double work = std::max(upstream.WorkSeconds, 1e-4);
+  const double slots = std::max(upstream.Slots, 1);
+  const double utilization = rate * work / slots;
+  if (utilization <= SteepUtilization)
+    return work * (1 + queueFactor(utilization, slots));
+  // Work that piles up for a second delays everybody by what exceeds.
+  return work * (1 + queueFactor(SteepUtilization, slots)) +
+         2 * (utilization - SteepUtilization);
+}
+
 std::vector<RangeRow> divideKeys(const std::vector<RangeUpstream> &upstreams) {
   std::vector<const RangeUpstream *> eligible;
+  const auto share = [](const RangeUpstream &upstream) {
+    const double work = std::max(upstream.WorkSeconds, 1e-4);
+    return upstream.Slots / (work * work);
+  };
   double total = 0;
   for (const RangeUpstream &upstream : upstreams)
     if (upstream.IsEligible) {
       eligible.push_back(&upstream);
-      total += upstream.Capacity;
+      total += share(upstream);
     }
   std::vector<RangeRow> rows;
   double sum = 0;
   int from = 0;
   for (const RangeUpstream *upstream : eligible) {
-    sum += upstream->Capacity;
+    sum += share(*upstream);
     const int end = upstream == eligible.back()
                         ? KeyCount
                         : static_cast<int>(std::lround(KeyCount * sum / total));
     if (end <= from)
       continue;
-    rows.push_back({{static_cast<std::uint16_t>(from),
-                     static_cast<std::uint16_t>(end - 1)},
-                    upstream->Id,
-                    upstream->Born,
-                    0,
-                    ""});
+    RangeRow row;
+    row.Range = {static_cast<std::uint16_t>(from),
+                 static_cast<std::uint16_t>(end - 1)};
+    row.Owner = upstream->Id;
+    row.OwnerBorn = upstream->Born;
+    rows.push_back(row);
     from = end;
   }
   return rows;
@@ -98,51 +226,24 @@
 const RangeUpstream *leastLoaded(const std::vector<RangeRow> &rows,
                                  const std::vector<RangeUpstream> &upstreams,
                                  const KeyLoad &load) {
-  const auto views = viewLoads(rows, upstreams, load);
+  const LoadViews views = viewLoads(rows, upstreams, load);
   const auto it = std::ranges::min_element(
-      views, {}, [](const auto &entry) { return entry.second.relative(); });
+      views, {}, [](const auto &entry) { return entry.second.marginal(); });
   return it == views.end() ? nullptr : it->second.Upstream;
 }
 
-std::optional<RangeMove> planMove(const std::vector<RangeRow> &rows,
-                                  const std::vector<RangeUpstream> &upstreams,
-                                  const KeyLoad &load) {
-  const auto views = viewLoads(rows, upstreams, load);
-  if (views.size() < 2)
-    return std::nullopt;
-  const auto relative = [](const auto &entry) {
-    return entry.second.relative();
-  };
-  const auto most = std::ranges::max_element(views, {}, relative);
-  const auto least = std::ranges::min_element(views, {}, relative);
-  const LoadView &giver = most->second;
-  const LoadView &taker = least->second;
-  const RangeRow *row = busiestRow(rows, most->first, load);
-  if (row == nullptr || most == least)
-    return std::nullopt;
-  if (!taker.OwnsKeys && row->Range.size() > 1 && giver.Rate < LeastRateToMove)
-    return RangeMove{upperHalf(row->Range), least->first};
-  double total = 0;
-  double capacity = 0;
-  for (const auto &[id, view] : views) {
-    total += view.Rate;
-    capacity += view.Upstream->Capacity;
+std::vector<RangeMove> planMoves(std::vector<RangeRow> rows,
+                                 const std::vector<RangeUpstream> &upstreams,
+                                 const KeyLoad &load, int most) {
+  std::vector<RangeMove> moves;
+  while (static_cast<int>(moves.size()) < most) {
+    const auto move = planMove(rows, upstreams, load);
+    if (!move)
+      break;
+    applyMove(rows, *move);
+    moves.push_back(*move);
   }
-  const double mean = total / std::max(capacity, 1e-3);
-  const bool isEven = giver.relative() < ImbalanceToMove * mean;
-  if (giver.Rate < LeastRateToMove || (isEven && taker.OwnsKeys))
-    return std::nullopt;
-  // The move after which both ends are equally loaded.
-  const double wanted = (giver.relative() - taker.relative()) /
-                        (1 / giver.Upstream->Capacity +
-                         1 / std::max(taker.Upstream->Capacity, 1e-3));
-  const KeyRange part = load.narrowest(row->Range, wanted);
-  // A move that only passes the whole load on to the other end gains nothing.
-  const double moved = load.rate(part);
-  const double after = taker.Rate + moved;
-  if (after / taker.Upstream->Capacity >= giver.relative())
-    return std::nullopt;
-  return RangeMove{part, least->first};
+  return moves;
 }
 
 } // namespace waxwing
--- a/src/ranges/range_balance_func.h
+++ b/src/ranges/range_balance_func.h
@@ -8,7 +8,7 @@
 #include "ranges/key_load_base.h"
 #include "ranges/range_type.h"
 
-#include <optional>
+#include <vector>
 
 namespace waxwing {
 
@@ -18,20 +18,25 @@
   UpstreamId To;
 };
 
-/// Divides all keys among @p upstreams by their capacities.
+/// Expected time of a request at @p upstream, waiting included, while it gets
+/// @p rate requests/s; s.
+double expectedLatency(const RangeUpstream &upstream, double rate);
+
+/// Divides all keys among @p upstreams, fewer to slow ones.
 std::vector<RangeRow> divideKeys(const std::vector<RangeUpstream> &upstreams);
 
-/// @return the eligible upstream with the least load for its capacity, or
+/// @return the eligible upstream where one more request costs least, or
 ///   nullptr when none is eligible
 const RangeUpstream *leastLoaded(const std::vector<RangeRow> &rows,
                                  const std::vector<RangeUpstream> &upstreams,
                                  const KeyLoad &load);
 
-/// Finds the move that takes most off the most loaded upstream.
-/// @return nullopt while the load is even enough
-std::optional<RangeMove> planMove(const std::vector<RangeRow> &rows,
-                                  const std::vector<RangeUpstream> &upstreams,
-                                  const KeyLoad &load);
+/// Finds moves that shorten what callers wait in sum, the best first.
+/// @param rows as they will be when moves under way have ended
+/// @param most bound on the moves
+std::vector<RangeMove> planMoves(std::vector<RangeRow> rows,
+                                 const std::vector<RangeUpstream> &upstreams,
+                                 const KeyLoad &load, int most);
 
 } // namespace waxwing
 
--- a/src/ranges/range_codec.cpp
+++ b/src/ranges/range_codec.cpp
@@ -28,7 +28,8 @@
           UpstreamId(json.at(2).get<std::string>()),
           json.at(3).get<std::int64_t>(),
           json.at(4).get<std::uint64_t>(),
-          json.at(5).get<std::string>()};
+          json.at(5).get<std::string>(),
+          json.at(6).get<bool>()};
 }
 
 } // namespace
@@ -43,7 +44,7 @@
   nlohmann::json rows = nlohmann::json::array();
   for (const RangeRow &row : map.Rows)
     rows.push_back({row.Range.From, row.Range.To, row.Owner.Value,
-                    row.OwnerBorn, row.Fence, row.Handover});
+                    row.OwnerBorn, row.Fence, row.Handover, row.IsMoving});
   const auto bytes =
       nlohmann::json::to_cbor({{"next", map.NextFence}, {"rows", rows}});
   return {bytes.begin(), bytes.end()};
--- a/src/ranges/range_leader.cpp
+++ b/src/ranges/range_leader.cpp
@@ -15,7 +15,7 @@
 constexpr Duration OrderRetry = milliseconds(300);
 /// Moves for balance that may run at a time; each keeps its keys unserved
 /// for some milliseconds.
-constexpr int MaxMoves = 3;
+constexpr int MaxMoves = 4;
 
 } // namespace
 
@@ -44,10 +44,16 @@
 
 void RangeLeader::setUpstreams(std::vector<RangeUpstream> upstreams, Time now) {
   Upstreams = std::move(upstreams);
-  const bool isAnyEligible =
-      std::ranges::any_of(Upstreams, &RangeUpstream::IsEligible);
-  if (isAnyEligible && FirstDivisionAt == Time::max())
-    FirstDivisionAt = now + Terms.Settle;
+  const auto eligible =
+      std::ranges::count_if(Upstreams, &RangeUpstream::IsEligible);
+  if (eligible > EligibleSeen) {
+    // Upstreams still arrive: dividing now would move keys right afterwards.
+    EligibleSeen = eligible;
+    if (FirstEligibleAt == Time::max())
+      FirstEligibleAt = now;
+    FirstDivisionAt =
+        std::min(now + Terms.Settle, FirstEligibleAt + 3 * Terms.Settle);
+  }
 }
 
 void RangeLeader::noteDead(const UpstreamId &id, std::int64_t born) {
@@ -196,7 +202,8 @@
   states.insert(states.begin() + at, rows.size(), state);
 }
 
-/// Chooses moves for balance; a part of a row becomes a row of its own first.
+/// Chooses moves for balance. The map announces them first, so that requests
+/// for keys that are being released wait instead of being turned away.
 void RangeLeader::startMoves(Time now) {
   if (now < NextMoveAt || InFlight || Stored.Rows.empty())
     return;
@@ -204,32 +211,34 @@
   NextMoveAt = now + Terms.MoveGap;
   const auto moving = std::ranges::count_if(
       States, [](const RowState &state) { return state.MoveTo.has_value(); });
-  if (moving >= MaxMoves)
-    return;
   std::vector<RangeRow> future = Stored.Rows;
   for (std::size_t n = 0; n < future.size(); ++n)
     if (States[n].MoveTo)
       future[n].Owner = *States[n].MoveTo;
-  const auto move = planMove(future, Upstreams, Load);
-  if (!move)
-    return;
-  const auto it = std::ranges::find_if(Stored.Rows, [&](const RangeRow &row) {
-    return row.Range.contains(move->Range.From);
-  });
-  const auto index = static_cast<std::size_t>(it - Stored.Rows.begin());
-  if (States[index].MoveTo || States[index].Step != Phase::Serving)
-    return;
-  ++MovesStarted;
-  if (it->Range == move->Range) {
-    States[index].MoveTo = move->To;
-    return;
-  }
+  const auto moves =
+      planMoves(future, Upstreams, Load, MaxMoves - static_cast<int>(moving));
   RangeMap map = Stored;
   std::vector<RowState> states = States;
-  splitRow(index, move->Range, map, states);
-  for (std::size_t n = 0; n < map.Rows.size(); ++n)
-    if (map.Rows[n].Range == move->Range)
-      states[n].MoveTo = move->To;
+  for (const RangeMove &move : moves) {
+    const auto it = std::ranges::find_if(map.Rows, [&](const RangeRow &row) {
+      return row.Range.contains(move.Range.From);
+    });
+    const auto index = static_cast<std::size_t>(it - map.Rows.begin());
+    const RowState &state = states[index];
+    if (state.MoveTo || state.Step != Phase::Serving || mustLeave(*it, state) ||
+        !it->Range.contains(move.Range.To))
+      continue;
+    splitRow(index, move.Range, map, states);
+    for (std::size_t n = 0; n < map.Rows.size(); ++n)
+      if (map.Rows[n].Range == move.Range) {
+        map.Rows[n].IsMoving = true;
+        states[n].MoveTo = move.To;
+        states[n].NextOrderAt = now;
+      }
+    ++MovesStarted;
+  }
+  if (map.Rows == Stored.Rows)
+    return;
   InFlight = std::move(map);
   InFlightStates = std::move(states);
 }
@@ -258,8 +267,8 @@
         target = leastLoaded(map.Rows, Upstreams, Load);
       if (target == nullptr)
         continue;
-      row = {row.Range, target->Id, target->Born, map.NextFence++,
-             state.Handover};
+      row = {row.Range,       target->Id,     target->Born,
+             map.NextFence++, state.Handover, false};
       state = {};
       state.NeedsGrant = true;
       isChanged = true;
@@ -273,6 +282,7 @@
       // one can take effect any more.
       row.Fence = map.NextFence++;
       row.Handover.clear();
+      row.IsMoving = state.MoveTo.has_value();
       state.HasStrayOrders = false;
       state.NeedsFence = false;
       state.NeedsGrant = true;
@@ -280,6 +290,10 @@
       state.Step = Phase::Serving;
       ++state.Refences;
       isChanged = true;
+    } else if (row.IsMoving && !mustLeave(row, state) &&
+               state.Step == Phase::Serving) {
+      row.IsMoving = false; // an earlier leader's plan
+      isChanged = true;
     }
   }
   if (!isChanged)
--- a/src/ranges/range_leader_base.h
+++ b/src/ranges/range_leader_base.h
@@ -120,6 +120,8 @@
   std::map<std::uint64_t, RangeOrder> Orders; ///< without an outcome yet
   std::uint64_t NextOrder = 1;
   KeyLoad Load;
+  std::ptrdiff_t EligibleSeen = 0; ///< most upstreams seen at a time
+  Time FirstEligibleAt = Time::max();
   Time FirstDivisionAt = Time::max();
   Time NextMoveAt;
   bool IsStoreTroubled = false;
--- a/src/ranges/range_type.h
+++ b/src/ranges/range_type.h
@@ -22,6 +22,7 @@
   std::int64_t OwnerBorn = 0; ///< life of the owner that the grant names
   std::uint64_t Fence = 0;    ///< fencing token of the owner's grants
   std::string Handover;       ///< token of the last holder, "" for none
+  bool IsMoving = false; ///< its owner is about to release it: requests wait
 
   bool operator==(const RangeRow &) const = default;
 };
@@ -76,8 +77,9 @@
   UpstreamId Id;
   Endpoint Address;
   std::int64_t Born = 0;
-  double Capacity = 1;     ///< requests per second it bears, relative
-  bool IsEligible = false; ///< may receive and keep keys
+  int Slots = 1;            ///< requests that it processes at a time
+  double WorkSeconds = 0.1; ///< expected work time of one request there, s
+  bool IsEligible = false;  ///< may receive and keep keys
 };
 
 } // namespace waxwing
--- a/src/routing/upstream_load.cpp
+++ b/src/routing/upstream_load.cpp
@@ -13,6 +13,8 @@
 /// Weight of one observation in the average of work times: about twenty
 /// answers outweigh the older ones.
 constexpr double WorkWeight = 0.08;
+/// Weight of one report in the lasting slowness when it rises.
+constexpr double SlownessWeight = 0.15;
 /// Weight of one attempt in the failure rate.
 constexpr double FailureWeight = 0.12;
 /// Other VMs' requests that a report counted are gone after about this long.
@@ -35,9 +37,14 @@
   // The report counts this VM's requests too, but not the answered one.
   OthersBusy = std::max(0, report.Running + report.Waiting - Outstanding);
   ReportAt = now;
-  Slowness = std::clamp(report.SlownessPercent, 10, 2000);
+  Slowness = std::clamp(report.SlownessPercent, 10, 2000) / 100.0;
+  // Disturbances only ever slow work down: low values are followed at once,
+  // high ones little by little.
+  const double weight =
+      !HasReport || Slowness < LastingSlowness ? 1 : SlownessWeight;
+  LastingSlowness += weight * (Slowness - LastingSlowness);
+  HasReport = true;
   ReportedSlots = report.Slots;
-  ReportedWaiting = report.Waiting;
 }
 
 void UpstreamLoad::onEnd(AttemptEnd end, Duration latency, Time now) {
@@ -59,7 +66,7 @@
     const double slots = std::max(ReportedSlots, 1);
     const double waits = std::max(0.0, busy(now) + 1 - slots) / slots;
     const double work =
-        static_cast<double>(latency.count()) / (1 + waits) * 100 / Slowness;
+        static_cast<double>(latency.count()) / (1 + waits) / Slowness;
     WorkUs = WorkUs == 0 ? work : WorkUs + WorkWeight * (work - WorkUs);
     break;
   }
@@ -88,18 +95,16 @@
          OthersBusy * std::exp(-ageUs(ReportAt, now) / ReportMemoryUs);
 }
 
-double UpstreamLoad::speedRatio(Time now) const {
-  const double slowness =
-      1 + (Slowness / 100.0 - 1) *
-              std::exp(-ageUs(ReportAt, now) / SlownessMemoryUs);
-  const double speed = WorkUs > 0 && UsualWorkUs > 0 ? WorkUs / UsualWorkUs : 1;
-  return std::clamp(speed * slowness, 0.1, 20.0);
+double UpstreamLoad::slowness(Time now) const {
+  return LastingSlowness +
+         (Slowness - LastingSlowness) *
+             std::exp(-ageUs(ReportAt, now) / SlownessMemoryUs);
 }
 
 double UpstreamLoad::cost(int slots, Time now) const {
   const double waits =
       std::max(0.0, busy(now) + 1 - slots) / std::max(slots, 1);
-  return speedRatio(now) * (1 + waits) * (1 + FailureCost * FailureRate);
+  return slowness(now) * (1 + waits) * (1 + FailureCost * FailureRate);
 }
 
 } // namespace waxwing
--- a/src/routing/upstream_load_base.h
+++ b/src/routing/upstream_load_base.h
@@ -51,24 +51,25 @@
   int outstanding() const { return Outstanding; }
   /// @return when it may next be tried
   Time avoidUntil() const { return AvoidUntil; }
-  /// @return work time there relative to others, 1 is usual
-  double speedRatio(Time now) const;
-  /// The service's usual work time, for the speed ratio.
-  void setUsualWork(double us) { UsualWorkUs = us; }
-  /// @return work time of one request as observed, without waiting, us;
-  ///   0 while unknown
+  /// @return expected work time of a request that is sent now, relative to
+  ///   an upstream of usual speed
+  double slowness(Time now) const;
+  /// @return lasting part of slowness(), without momentary disturbances
+  double lastingSlowness() const { return LastingSlowness; }
+  /// @return work time of one request at usual speed, as observed without
+  ///   waiting, us; 0 while unknown
   double workUs() const { return WorkUs; }
   double failureRate() const { return FailureRate; }
 
 private:
-  int Outstanding = 0;   ///< sent by this VM, without an end
-  double OthersBusy = 0; ///< of other VMs, at ReportAt
-  Time ReportAt;         ///< of the last load report
-  int Slowness = 100;    ///< percent, at ReportAt
+  int Outstanding = 0;        ///< sent by this VM, without an end
+  double OthersBusy = 0;      ///< of other VMs, at ReportAt
+  Time ReportAt;              ///< of the last load report
+  double Slowness = 1;        ///< at ReportAt, relative to usual
+  double LastingSlowness = 1; ///< moving average of the low values
+  bool HasReport = false;
   int ReportedSlots = 0;
-  int ReportedWaiting = 0;
-  double WorkUs = 0;      ///< moving average, without slowness
-  double UsualWorkUs = 0; ///< of all upstreams of the service
+  double WorkUs = 0;      ///< moving average at usual speed
   double FailureRate = 0; ///< moving average, 0 to 1
   int BrokenInRow = 0;    ///< attempts without an answer since the last one
   Time AvoidUntil;
--- a/src/routing/upstream_table.cpp
+++ b/src/routing/upstream_table.cpp
@@ -146,19 +146,4 @@
   upstream.ColdSends.add(now);
 }
 
-void UpstreamTable::refreshUsualWork() {
-  for (const auto &[service, members] : ByService) {
-    double sum = 0;
-    int count = 0;
-    for (const UpstreamId &id : members)
-      if (const double work = Upstreams[id].Load.workUs(); work > 0) {
-        sum += work;
-        ++count;
-      }
-    if (count > 0)
-      for (const UpstreamId &id : members)
-        Upstreams[id].Load.setUsualWork(sum / count);
-  }
-}
-
 } // namespace waxwing
--- a/src/routing/upstream_table.h
+++ b/src/routing/upstream_table.h
@@ -76,8 +76,6 @@
 
   Upstream *find(const UpstreamId &id);
   std::map<UpstreamId, Upstream> &all() { return Upstreams; }
-  /// Recomputes the usual work time of each service.
-  void refreshUsualWork();
 
 private:
   bool hasRoom(Upstream &upstream, const ChoiceContext &context,
