--- a/src/node/attempt.cpp
+++ b/src/node/attempt.cpp
@@ -200,6 +200,7 @@
 }
 
 void Attempt::onAnswerBody(std::string bytes) {
+  const auto self = shared_from_this(); // delivering may end the exchange
   BodyBytes += bytes.size();
   AnswerBody += bytes;
   const auto exchange = Owner.lock();
@@ -211,6 +212,8 @@
       return;
   }
   deliver(false);
+  if (IsEnded)
+    return;
   if (exchange->Answer.Bytes.size() > MaxUntakenBytes) {
     IsPaused = true;
     Connection->setPaused(true);
@@ -227,6 +230,7 @@
 }
 
 void Attempt::onAnswerEnd() {
+  const auto self = shared_from_this();
   AttemptResult result = judgeWholeAnswer();
   const auto exchange = Owner.lock();
   if (exchange && !IsDelivering) {
@@ -241,6 +245,7 @@
 }
 
 void Attempt::onConnectionLost(const std::string &why, bool isSent) {
+  const auto self = shared_from_this();
   AttemptResult result;
   result.Detail = why;
   if (!isSent) {
--- a/src/node/attempt.h
+++ b/src/node/attempt.h
@@ -37,7 +37,8 @@
   virtual bool wouldRepeat(const Exchange &exchange) const = 0;
 };
 
-class Attempt : public ExchangeObserver {
+class Attempt : public ExchangeObserver,
+                public std::enable_shared_from_this<Attempt> {
 public:
   Attempt(AttemptHost &host, const std::shared_ptr<Exchange> &exchange,
           const UpstreamEntry &upstream,
--- a/src/node/caller_connection.cpp
+++ b/src/node/caller_connection.cpp
@@ -4,6 +4,7 @@
  */
 #include "node/caller_connection.h"
 
+#include "node/attempt.h"
 #include "node/node_clock.h"
 #include "node/socket_options.h"
 
@@ -82,6 +83,7 @@
 void CallerConnection::parseAll() {
   if (IsParsing)
     return;
+  const auto self = shared_from_this();
   IsParsing = true;
   while (!IsClosed && !IsLast && !InBuf.empty() && parseOne()) {
   }
@@ -188,9 +190,13 @@
   if (IsWriting || IsClosed)
     return;
   const auto self = shared_from_this();
-  while (!IsClosed) {
-    if (OutBuf.empty() && !Exchanges.empty())
-      OutBuf = std::exchange(Exchanges.front()->Answer.Bytes, {});
+  while (!IsClosed && !IsWriting) {
+    if (OutBuf.empty() && !Exchanges.empty()) {
+      const auto front = Exchanges.front();
+      OutBuf = std::exchange(front->Answer.Bytes, {});
+      if (front->Current)
+        front->Current->onAnswerTaken();
+    }
     if (OutBuf.empty()) {
       if (Exchanges.empty() || !(Exchanges.front()->Answer.IsWhole ||
                                  Exchanges.front()->Answer.IsBroken))
--- a/src/node/cluster.h
+++ b/src/node/cluster.h
@@ -85,6 +85,7 @@
   std::vector<RangeUpstream> rangeUpstreams(const ServiceId &service,
                                             const RangeMap &map, Time now);
   void noteRefusal(const RangeOrder &order, Time now);
+  void noteDead(const RangeOrder &order, Time now, std::string_view why);
   void reportKeys();
   void receiveReport();
   void tick();
--- a/src/node/cluster_lead.cpp
+++ b/src/node/cluster_lead.cpp
@@ -20,6 +20,10 @@
 constexpr Duration RefusedForDead = milliseconds(250);
 /// Work time that is assumed before any was seen, s.
 constexpr double DefaultWorkSeconds = 0.15;
+/// Answers of a process that is not the one the order names: its address was
+/// given to another upstream, which happens only after the first has ended.
+constexpr int StatusMisdirected = 421;
+constexpr int StatusBadRequest = 400;
 /// Lives that are remembered as ended.
 constexpr std::size_t MaxDeadLives = 4096;
 
@@ -219,19 +223,28 @@
              });
 }
 
+/// Connections that are refused for some time prove that the process ended.
 void Cluster::noteRefusal(const RangeOrder &order, Time now) {
   const Upstream *upstream = Upstreams.find(order.Upstream);
-  if (upstream == nullptr || upstream->Entry.Address != order.Address)
+  if (upstream == nullptr)
     return;
   const std::pair life{order.Upstream, upstream->Entry.Born};
   const Time since = RefusedSince.try_emplace(life, now).first->second;
-  if (now < since + RefusedForDead || DeadLives.size() > MaxDeadLives)
+  if (now >= since + RefusedForDead)
+    noteDead(order, now, "connections_refused");
+}
+
+/// The life that the order was meant for has ended and holds nothing.
+void Cluster::noteDead(const RangeOrder &order, Time now,
+                       std::string_view why) {
+  const Upstream *upstream = Upstreams.find(order.Upstream);
+  if (upstream == nullptr || upstream->Entry.Address != order.Address ||
+      DeadLives.size() > MaxDeadLives)
     return;
-  if (DeadLives.insert(life).second)
+  if (DeadLives.insert({order.Upstream, upstream->Entry.Born}).second)
     logLine(LineWeight::State, now, "upstream_dead",
-            "upstream={} born={} why=connections_refused refused_ms={}",
-            order.Upstream.Value, life.second,
-            std::chrono::duration_cast<milliseconds>(now - since).count());
+            "upstream={} born={} entry_rev={} why={}", order.Upstream.Value,
+            upstream->Entry.Born, upstream->EntryRevision, why);
 }
 
 void Cluster::onOrder(const ServiceId &service, const RangeOrder &order,
@@ -250,7 +263,11 @@
   else if (result.Status >= 500)
     outcome = OrderOutcome::Unanswered;
   ++Counters.Outcomes[static_cast<std::size_t>(outcome)];
-  if (result.IsRefused)
+  const bool isElsewhere = result.Status == StatusMisdirected ||
+                           result.Status == StatusBadRequest;
+  if (isElsewhere)
+    noteDead(order, now, "address_in_use_by_another");
+  else if (result.IsRefused)
     noteRefusal(order, now);
   else if (const Upstream *upstream = Upstreams.find(order.Upstream))
     RefusedSince.erase({order.Upstream, upstream->Entry.Born});
--- a/src/node/node_clock.cpp
+++ b/src/node/node_clock.cpp
@@ -16,6 +16,10 @@
                                         std::chrono::nanoseconds(now.tv_nsec)));
 }
 
+DueTimer::DueTimer(boost::asio::io_context &loop, std::function<void()> onDue)
+    : Timer(loop), OnDue(std::move(onDue)),
+      IsAlive(std::make_shared<bool>(true)) {}
+
 void DueTimer::setBy(Time time) {
   if (time >= DueAt)
     return;
@@ -30,12 +34,18 @@
 
 void DueTimer::arm() {
   Timer.expires_after(std::max(DueAt - bootNow(), Duration()));
-  Timer.async_wait([this](const boost::system::error_code &ec) {
-    if (ec)
-      return; // set to another time
-    DueAt = Time::max();
-    OnDue();
-  });
+  Timer.async_wait(
+      [this, isAlive = IsAlive](const boost::system::error_code &ec) {
+        if (ec || !*isAlive)
+          return; // set to another time, or destroyed
+        if (bootNow() < DueAt) {
+          if (DueAt != Time::max())
+            arm(); // the steady clock ran ahead, or it was set anew
+          return;
+        }
+        DueAt = Time::max();
+        OnDue();
+      });
 }
 
 } // namespace waxwing
--- a/src/node/node_clock.h
+++ b/src/node/node_clock.h
@@ -11,6 +11,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <functional>
+#include <memory>
 
 namespace waxwing {
 
@@ -20,8 +21,10 @@
 /// A timer that is set to the next moment at which something is due.
 class DueTimer {
 public:
-  DueTimer(boost::asio::io_context &loop, std::function<void()> onDue)
-      : Timer(loop), OnDue(std::move(onDue)) {}
+  DueTimer(boost::asio::io_context &loop, std::function<void()> onDue);
+  ~DueTimer() { *IsAlive = false; }
+  DueTimer(const DueTimer &) = delete;
+  DueTimer &operator=(const DueTimer &) = delete;
 
   /// Fires at @p time unless it is set to an earlier moment already.
   void setBy(Time time);
@@ -33,6 +36,8 @@
   boost::asio::steady_timer Timer;
   std::function<void()> OnDue;
   Time DueAt = Time::max();
+  /// False once this is destroyed: a handler may be queued by then.
+  std::shared_ptr<bool> IsAlive;
 };
 
 } // namespace waxwing
--- a/src/node/store_feed.cpp
+++ b/src/node/store_feed.cpp
@@ -173,6 +173,9 @@
     return;
   }
   if (result.Status != platform::StatusOk) {
+    // A watch that was cut may have missed changes that its history has lost;
+    // a load shows the present state in any case.
+    MustLoad = true;
     retry(result.Status == 0 ? result.Error
                              : fmt::format("watch: status {}", result.Status));
     return;
