--- a/src/node/gateway.cpp
+++ b/src/node/gateway.cpp
@@ -25,7 +25,9 @@
 constexpr Duration QueueCheck = milliseconds(15);
 /// Idle connections and silent callers are looked for this often.
 constexpr Duration SweepEvery = milliseconds(500);
-/// Answers from the deadline on come too late to be of use.
+/// A caller that this VM refuses at shutdown may return at once: its next
+/// connection goes to another VM.
+constexpr Duration ReturnElsewhere = milliseconds(20);
 constexpr int ListenBacklog = 1024;
 
 std::int64_t toMs(Duration duration) {
@@ -159,6 +161,15 @@
 
 void Gateway::beginDraining() { IsDraining = true; }
 
+void Gateway::beginRefusing() {
+  IsRefusing = true;
+  std::vector<std::shared_ptr<Exchange>> waiting;
+  for (const auto &[service, queue] : Queues)
+    waiting.insert(waiting.end(), queue.begin(), queue.end());
+  for (const auto &exchange : waiting)
+    refuse(exchange, Reason::Draining, ReturnElsewhere);
+}
+
 void Gateway::closeIdleCallers() {
   std::vector<std::shared_ptr<CallerConnection>> idle;
   for (const auto &[key, connection] : Callers)
@@ -175,6 +186,10 @@
   exchange->Answer.MustClose = IsDraining || !exchange->Head.IsKeepAlive;
   exchange->Config = Config;
   exchange->CallerDeadlineAt = exchange->TimeoutAt = now + seconds(30);
+  if (IsRefusing) {
+    refuse(exchange, Reason::Draining, ReturnElsewhere);
+    return;
+  }
   if (!Config) {
     refuse(exchange, Reason::NoConfiguration, milliseconds(300));
     return;
--- a/src/node/gateway.h
+++ b/src/node/gateway.h
@@ -55,6 +55,8 @@
 
   /// From now on answers close their connections.
   void beginDraining();
+  /// From now on requests are refused: there is no time left to serve them.
+  void beginRefusing();
   /// Closes callers' connections that have no request.
   void closeIdleCallers();
   bool hasExchanges() const { return ActiveExchanges > 0; }
@@ -132,6 +134,7 @@
   std::map<std::string, LatencyStats> Latencies; ///< by route kind
   int ActiveExchanges = 0;
   bool IsDraining = false;
+  bool IsRefusing = false;
 };
 
 } // namespace waxwing
--- a/src/node/node_process.cpp
+++ b/src/node/node_process.cpp
@@ -25,7 +25,10 @@
 /// The balancer asks once per second and turns away after two misses.
 constexpr Duration BalancerTurnsAway = milliseconds(2600);
 /// Part of the grace that is left for ending.
-constexpr Duration EndMargin = milliseconds(300);
+constexpr Duration EndMargin = milliseconds(150);
+/// Requests that arrive later than this before the end are refused: most
+/// could not be served whole.
+constexpr Duration LastServing = milliseconds(1500);
 constexpr Duration ShutdownCheck = milliseconds(50);
 constexpr Duration LogFlushEvery = milliseconds(100);
 
@@ -302,6 +305,8 @@
   const bool isTurnedAway = now > StoppedAt + BalancerTurnsAway;
   if (isTurnedAway)
     Data.closeIdleCallers();
+  if (now >= MustEndBy - LastServing)
+    Data.beginRefusing();
   if (now >= MustEndBy || (isTurnedAway && !Data.hasExchanges())) {
     Loop.stop();
     return;
--- /dev/null
+++ b/tests/range_leader_fuzz_test.cpp
@@ -0,0 +1,75 @@
+/**
+ * @file range_leader_fuzz_test.cpp
+ * No key has two owners at a time, whatever is lost, late or replaced.
+ */
+#include "range_world.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+namespace waxwing {
+namespace {
+
+constexpr int StepsPerHistory = 600;
+
+void expectOneOwner(RangeWorld &world, int steps) {
+  for (int n = 0; n < steps; ++n) {
+    const auto broken = world.step();
+    RC_ASSERT(!broken.has_value());
+  }
+}
+
+RC_GTEST_PROP(RangeLeaderFuzz, OneOwnerUnderAllFaults, ()) {
+  RangeWorld world(*rc::gen::arbitrary<std::uint64_t>());
+  expectOneOwner(world, StepsPerHistory);
+}
+
+RC_GTEST_PROP(RangeLeaderFuzz, OneOwnerWhileOrdersComeLateAfterLeaderChanges,
+              ()) {
+  RangeFaults faults;
+  faults.OrderLate = 0.3;
+  faults.LeaderChange = 0.05;
+  RangeWorld world(*rc::gen::arbitrary<std::uint64_t>(), faults);
+  expectOneOwner(world, StepsPerHistory);
+}
+
+RC_GTEST_PROP(RangeLeaderFuzz, OneOwnerWhileWritesTakeEffectLate, ()) {
+  RangeFaults faults;
+  faults.WriteUnanswered = 0.5;
+  faults.UpstreamDrain = 0.05;
+  RangeWorld world(*rc::gen::arbitrary<std::uint64_t>(), faults);
+  expectOneOwner(world, StepsPerHistory);
+}
+
+RC_GTEST_PROP(RangeLeaderFuzz, OneOwnerWhileUpstreamsComeAndGo, ()) {
+  RangeFaults faults;
+  faults.UpstreamCrash = 0.03;
+  faults.UpstreamCut = 0.05;
+  RangeWorld world(*rc::gen::arbitrary<std::uint64_t>(), faults);
+  expectOneOwner(world, StepsPerHistory);
+}
+
+RC_GTEST_PROP(RangeLeaderFuzz, EveryKeyIsServedAgainOnceFaultsEnd, ()) {
+  RangeWorld world(*rc::gen::arbitrary<std::uint64_t>());
+  expectOneOwner(world, StepsPerHistory);
+  world.calm();
+  // The longest right and a few rounds of orders, in steps of 110 ms.
+  expectOneOwner(world, 250);
+  int held = 0;
+  for (int n = 0; n < 50 && held < RangeWorld::sampleSize(); ++n) {
+    world.step();
+    held = world.heldKeys();
+  }
+  RC_ASSERT(held == RangeWorld::sampleSize());
+}
+
+TEST(RangeLeader, BusyKeysMoveOnACalmDay) {
+  RangeWorld world(7, {0, 0, 0, 0, 0, 0, 0, 0});
+  for (int n = 0; n < 400; ++n)
+    ASSERT_FALSE(world.step().has_value());
+  EXPECT_GT(world.moves(), 0U);
+  EXPECT_EQ(world.heldKeys(), RangeWorld::sampleSize());
+}
+
+} // namespace
+} // namespace waxwing
