--- a/src/node/cluster.cpp
+++ b/src/node/cluster.cpp
@@ -1,15 +1,15 @@
 /**
  * @file cluster.cpp
- * Lease, registration, election and key reports.
+ * Probes of the leader's key, election, and datagrams between VMs.
  */
 #include "node/cluster.h"
 
 #include "core/hash_func.h"
 #include "core/random_func.h"
 #include "node/node_log.h"
+#include "node/store_keys.h"
 
 #include <algorithm>
-#include <nlohmann/json.hpp>
 
 namespace waxwing {
 namespace {
@@ -18,39 +18,62 @@
 using asio::ip::udp;
 using boost::system::error_code;
 
-constexpr std::string_view VmPrefix = "waxwing/vms/";
-
-/// Wanted length of a VM's lease: a lost leader is replaced after it, and
-/// grants last longer than it.
-constexpr Duration WantedLease = seconds(3);
-/// Renewals of the lease, relative to its length.
-constexpr int KeepsPerLease = 4;
-/// A lease counts as ended this much before the store may end it: clocks of
-/// the store and of this VM may differ by 2 %.
-constexpr double LeaseSafety = 0.95;
-constexpr Duration CallTimeout = milliseconds(1500);
-constexpr Duration ReportEvery = milliseconds(300);
+/// Probes of the leader's key may be stale, so they cost a tenth of a read;
+/// they also show whether the store answers.
+constexpr Duration ProbeEvery = milliseconds(1500);
+/// While the leader is silent, it may have been replaced.
+constexpr Duration ProbeWithoutLeader = milliseconds(400);
+constexpr Duration ProbeTimeout = milliseconds(1200);
+constexpr Duration HelloEvery = milliseconds(400);
+/// The leader is taken as silent after this long without a datagram.
+constexpr Duration SilentLeader = milliseconds(1300);
+/// A VM that said no hello for this long is not counted.
+constexpr Duration SilentPeer = seconds(3);
+/// Maps are read from the store this often while the leader is silent.
+constexpr Duration FetchEvery = milliseconds(700);
 /// Candidates for leadership try one after the other in an order by hash.
-constexpr Duration CandidateGap = milliseconds(25);
-constexpr int MaxCandidateGaps = 40;
-constexpr Duration TickEvery = milliseconds(250);
-constexpr std::size_t MaxReportedKeys = 400;
+constexpr Duration CandidateGap = milliseconds(60);
+constexpr int MaxCandidateGaps = 25;
+constexpr Duration TickEvery = milliseconds(100);
+constexpr std::size_t MaxReportedKeys = 1000;
 
 } // namespace
 
+/// Sends each kind of datagram to its handler.
+struct Cluster::MessageHandler {
+  Cluster &Owner;
+  udp::endpoint Sender;
+
+  void operator()(const PeerHello &hello) const {
+    Owner.onHello(hello, Sender);
+  }
+  void operator()(const PeerReply &reply) const { Owner.onReply(reply); }
+  void operator()(const PeerRanges &ranges) const {
+    Owner.onRangesMessage(ranges);
+  }
+};
+
 Cluster::Cluster(asio::io_context &loop, const NodeSettings &settings,
-                 CallClient &calls, StoreFeed &feed, UpstreamTable &upstreams)
-    : Loop(loop), Calls(calls), Feed(feed), Upstreams(upstreams),
+                 CallClient &calls, StoreHealth &health,
+                 UpstreamTable &upstreams)
+    : Loop(loop), Calls(calls), Health(health),
       Store(parseEndpoint(settings.Store.text("address"))),
       Self(settings.Vm.text("name")),
       PeerAddress(parseEndpoint(settings.Listen.text("peers"))), Udp(loop),
       Random(drawNumber()), Tick(loop, [this] { tick(); }),
-      LeadTimer(loop, [this] { lead(); }) {
-  Terms.LongestHold = settings.Bounds.seconds("longest_hold");
-  Terms.Hold = std::min(Terms.Hold, Terms.LongestHold);
-  Terms.RenewAfter = std::min<Duration>(Terms.RenewAfter, Terms.Hold / 3);
-  LeaseTerm =
-      std::max<Duration>(WantedLease, settings.Store.seconds("least_lease"));
+      Lead(loop, settings, calls, health, upstreams), Vms{Self} {
+  Lead.OnMap = [this](const ServiceId &service, const RangeMap &before,
+                      const RangeMap &after) {
+    onOwnMap(service, before, after);
+  };
+  Lead.OnLeading = [this](std::uint64_t term) {
+    setLeader({Self, PeerAddress, term});
+  };
+  Lead.OnEnded = [this] {
+    if (Leader.Name == Self)
+      setLeader({});
+    Peers.clear();
+  };
 }
 
 absl::Status Cluster::start() {
@@ -60,292 +83,266 @@
     Udp.open(udp::v4(), ec);
   if (!ec)
     Udp.bind({ip, PeerAddress.Port}, ec);
+  if (!ec)
+    Udp.non_blocking(true, ec);
   if (ec)
     return absl::UnavailableError(
-        fmt::format("cannot receive reports on {}: {}",
+        fmt::format("cannot receive datagrams on {}: {}",
                     formatEndpoint(PeerAddress), ec.message()));
-  receiveReport();
+  listen();
   tick();
   return absl::OkStatus();
 }
 
-void Cluster::storeCall(const platform::Call &call, Duration timeout,
-                        CallClient::Callback callback) {
-  ++Counters.StoreCalls;
-  Calls.call(Store, call, "", bootNow() + timeout,
-             [this, callback = std::move(callback)](const CallResult &result) {
-               Feed.noteContact(result.Status != 0 && result.Status < 500 &&
-                                result.Status != 429);
-               callback(result);
-             });
-}
-
 void Cluster::tick() {
-  const Time now = bootNow();
-  if (!IsResigned) {
-    if (isLeader() && !isLeaseValid(now))
-      stepDown("lease_ended");
-    if (now >= NextKeepAt && !IsLeaseBusy)
-      keepLease();
-    considerLeading();
-    reportKeys();
-  }
-  Tick.setBy(
-      std::min(now + TickEvery, std::max(NextKeepAt, now + milliseconds(50))));
-}
-
-void Cluster::keepLease() {
-  NextKeepAt = bootNow() + LeaseTerm / KeepsPerLease;
-  if (Lease == 0) {
-    openLease();
+  if (IsResigned)
     return;
-  }
-  if (!IsRegistered)
-    registerVm();
-  IsLeaseBusy = true;
-  const Time askedAt = bootNow();
-  storeCall(
-      platform::renewCall(Lease), CallTimeout,
-      [this, askedAt](const CallResult &result) {
-        IsLeaseBusy = false;
-        if (result.Status == platform::StatusOk) {
-          LeaseValidUntil = std::max(
-              LeaseValidUntil, askedAt + std::chrono::duration_cast<Duration>(
-                                             LeaseSafety * LeaseTerm));
-          return;
-        }
-        if (result.Status != platform::StatusNotFound)
-          return; // asked again at the next renewal
-        logLine(LineWeight::State, bootNow(), "lease_lost", "lease={}", Lease);
-        Lease = 0;
-        IsRegistered = false;
-        LeaseValidUntil = Time();
-        if (isLeader())
-          stepDown("lease_ended");
-        openLease();
-      });
+  const Time now = bootNow();
+  if (now >= NextProbeAt && !IsProbing)
+    probe();
+  if (now >= NextHelloAt)
+    sayHello(now);
+  const bool isLeaderSilent = now > LeaderHeardAt + SilentLeader;
+  if (!isLeader() && isLeaderSilent && Leader.Term != 0 && now >= NextFetchAt &&
+      !IsFetching)
+    fetchRanges();
+  considerLeading(now);
+  if (isLeader())
+    refreshPeers(now);
+  Tick.setBy(now + TickEvery);
 }
 
-void Cluster::openLease() {
-  IsLeaseBusy = true;
-  const Time askedAt = bootNow();
-  storeCall(platform::leaseCall(LeaseTerm), CallTimeout,
-            [this, askedAt](const CallResult &result) {
-              IsLeaseBusy = false;
-              onLease(result, askedAt);
-            });
+void Cluster::probe() {
+  IsProbing = true;
+  ++StoreCalls;
+  const Time now = bootNow();
+  const bool isUrgent =
+      !isLeader() && (Leader.Term == 0 || now > LeaderHeardAt + SilentLeader);
+  NextProbeAt = now + (isUrgent ? ProbeWithoutLeader : ProbeEvery);
+  Calls.call(Store, platform::staleRangeCall(std::string(LeaderKey)), "",
+             now + ProbeTimeout, [this](const CallResult &result) {
+               IsProbing = false;
+               onProbe(result);
+             });
 }
 
-void Cluster::onLease(const CallResult &result, Time askedAt) {
-  if (result.Status != platform::StatusOk)
+void Cluster::onProbe(const CallResult &result) {
+  const Time now = bootNow();
+  const auto page = platform::decodePage(result.Body);
+  const bool isAnswered = result.Status == platform::StatusOk && page.ok();
+  Health.note(isAnswered, result.Error, now);
+  if (!isAnswered || isLeader())
     return;
-  const auto lease = platform::decodeLease(result.Body);
-  if (!lease.ok()) {
-    logLine(LineWeight::Notable, bootNow(), "lease_unreadable", "why={}",
-            logSafe(std::string(lease.status().message())));
+  const auto item =
+      std::ranges::find(page->Items, LeaderKey, &platform::StoreItem::Key);
+  if (item == page->Items.end()) {
+    if (NoLeaderSince == Time())
+      NoLeaderSince = now;
+    if (Leader.Term != 0)
+      setLeader({});
     return;
   }
-  Lease = lease->Id;
-  LeaseTerm = lease->Term;
-  LeaseValidUntil =
-      askedAt + std::chrono::duration_cast<Duration>(LeaseSafety * LeaseTerm);
-  logLine(LineWeight::State, bootNow(), "lease_opened", "lease={} term_ms={}",
-          Lease, std::chrono::duration_cast<milliseconds>(LeaseTerm).count());
-  registerVm();
+  NoLeaderSince = Time();
+  if (item->Revision <= Leader.Term)
+    return; // known, or an older answer
+  const auto end = item->Value.find('\n');
+  setLeader({VmId(item->Value.substr(0, end)),
+             parseEndpoint(
+                 end == std::string::npos ? "" : item->Value.substr(end + 1)),
+             item->Revision});
 }
 
-void Cluster::registerVm() {
-  platform::StoreTransaction transaction;
-  transaction.Writes.push_back(
-      {std::string(VmPrefix) + Self.Value, formatEndpoint(PeerAddress), Lease});
-  storeCall(platform::transactionCall(transaction), CallTimeout,
-            [this](const CallResult &result) {
-              IsRegistered = result.Status == platform::StatusOk;
-            });
+void Cluster::setLeader(const LeaderInfo &leader) {
+  Leader = leader;
+  LeaderHeardAt = bootNow();
+  NextHelloAt = bootNow();
+  logLine(LineWeight::State, bootNow(), "leader", "name={} term={}",
+          Leader.Name.Value.empty() ? "-" : logSafe(Leader.Name.Value),
+          Leader.Term);
 }
 
-void Cluster::onStoreChange(const platform::StoreChange &change) {
-  const Time now = bootNow();
-  if (change.Key.starts_with(VmPrefix)) {
-    const std::string name = change.Key.substr(VmPrefix.size());
-    if (change.Value)
-      Vms[name] = *change.Value;
-    else
-      Vms.erase(name);
-    std::vector<VmId> vms;
-    for (const auto &[vm, address] : Vms)
-      vms.emplace_back(vm);
-    OnVms(std::move(vms));
+/// VMs try in an order that differs with each vacancy, so that the first one
+/// usually succeeds before the others have asked.
+void Cluster::considerLeading(Time now) {
+  if (isLeader() || Lead.isElecting() || IsResigned ||
+      NoLeaderSince == Time() || Health.isTroubled() || !Lead.isWanted())
     return;
-  }
-  if (change.Key == LeaderKey) {
-    LeaderKeyRevision = change.Value ? change.Revision : 0;
-    const std::string value = change.Value.value_or("");
-    LeaderName = value.substr(0, value.find('\n'));
-    LeaderAddress = change.Value
-                        ? parseEndpoint(value.substr(value.find('\n') + 1))
-                        : Endpoint{};
-    logLine(LineWeight::State, now, "leader", "name={} revision={}",
-            LeaderName.empty() ? "-" : logSafe(LeaderName), change.Revision);
-    if (!change.Value)
-      LeaderGoneAt = now;
-    if (isLeader() && change.Revision > LeaderRevision)
-      stepDown("replaced");
-    considerLeading();
-    return;
-  }
-  if (change.Key.starts_with(RangePrefix)) {
-    const ServiceId service(change.Key.substr(RangePrefix.size()));
-    if (!change.Value)
-      return;
-    auto map = decodeRangeMap(*change.Value, change.Revision);
-    if (!map.ok()) {
-      logLine(LineWeight::State, now, "ranges_unreadable",
-              "service={} revision={} why={}", service.Value, change.Revision,
-              logSafe(std::string(map.status().message())));
-      return;
-    }
-    if (change.Revision <= Maps[service].Revision)
-      return;
-    Maps[service] = *map;
-    logLine(LineWeight::State, now, "ranges",
-            "service={} revision={} rows={} next_fence={}", service.Value,
-            change.Revision, map->Rows.size(), map->NextFence);
-    OnRanges(service, *map);
-  }
+  const std::uint64_t own = hashText(Self.Value, Leader.Term);
+  const auto before = std::min<std::ptrdiff_t>(
+      std::ranges::count_if(Vms,
+                            [&](const VmId &vm) {
+                              return hashText(vm.Value, Leader.Term) < own;
+                            }),
+      MaxCandidateGaps);
+  const Duration spread =
+      Vms.size() > 1 ? CandidateGap * before
+                     : milliseconds(own % 300); // nothing is known at a start
+  if (now >= NoLeaderSince + spread)
+    Lead.tryLead(Self, PeerAddress);
 }
 
-void Cluster::considerLeading() {
-  if (isLeader() || IsElecting || IsResigned || !LeaderName.empty() ||
-      !Feed.isLoaded() || Lease == 0 || !IsRegistered)
-    return;
-  const Time now = bootNow();
-  if (!isLeaseValid(now) || Feed.isTroubled())
-    return;
-  const std::uint64_t own = hashText(
-      Self.Value, LeaderGoneAt.time_since_epoch().count() == 0 ? 1 : 2);
-  const auto before = std::ranges::count_if(Vms, [&](const auto &entry) {
-    return hashText(entry.first,
-                    LeaderGoneAt.time_since_epoch().count() == 0 ? 1 : 2) < own;
-  });
-  IsElecting = true;
-  const auto timer = std::make_shared<asio::steady_timer>(Loop);
-  timer->expires_after(
-      CandidateGap * std::min<int>(static_cast<int>(before), MaxCandidateGaps));
-  timer->async_wait([this, timer](const error_code &) { tryLead(); });
+void Cluster::fetchRanges() {
+  IsFetching = true;
+  ++StoreCalls;
+  NextFetchAt = bootNow() + FetchEvery;
+  Calls.call(Store, platform::staleRangeCall(std::string(RangePrefix)), "",
+             bootNow() + ProbeTimeout, [this](const CallResult &result) {
+               IsFetching = false;
+               const auto page = platform::decodePage(result.Body);
+               if (result.Status != platform::StatusOk || !page.ok())
+                 return; // the probe notes the store's trouble
+               for (const platform::StoreItem &item : page->Items) {
+                 const ServiceId service(item.Key.substr(RangePrefix.size()));
+                 const auto map = decodeRangeMap(item.Value, item.Revision);
+                 if (map.ok() && Copy.take(service, *map))
+                   OnRanges(service, *Copy.find(service));
+               }
+             });
 }
 
-void Cluster::tryLead() {
-  const Time now = bootNow();
-  if (!LeaderName.empty() || IsResigned || !isLeaseValid(now)) {
-    IsElecting = false;
+void Cluster::sayHello(Time now) {
+  NextHelloAt = now + HelloEvery;
+  if (isLeader() || Leader.Address.Port == 0)
     return;
-  }
-  ++Counters.Elections;
-  platform::StoreTransaction transaction;
-  transaction.Conditions.push_back({std::string(LeaderKey), 0});
-  transaction.Writes.push_back({std::string(LeaderKey),
-                                Self.Value + "\n" + formatEndpoint(PeerAddress),
-                                Lease});
-  storeCall(platform::transactionCall(transaction), CallTimeout,
-            [this](const CallResult &result) {
-              IsElecting = false;
-              if (result.Status != platform::StatusOk) {
-                Feed.hurry();
-                return;
-              }
-              const auto revision = platform::decodeRevision(result.Body);
-              if (revision.ok())
-                beginLeading(*revision);
-            });
+  PeerHello hello;
+  hello.Vm = Self;
+  hello.VmsHash = hashVms(Vms);
+  hello.MapRevisions = Copy.revisions();
+  hello.Keys = std::exchange(Keys, {});
+  send(hello);
 }
 
-void Cluster::beginLeading(std::uint64_t revision) {
-  LeaderRevision = revision;
-  LeaderName = Self.Value;
-  LeaderAddress = PeerAddress;
-  AreMapsLoaded = false;
-  Leaderships.clear();
-  logLine(LineWeight::State, bootNow(), "leading", "revision={} lease={}",
-          revision, Lease);
-  loadMaps();
-}
-
-void Cluster::stepDown(std::string_view why) {
-  logLine(LineWeight::State, bootNow(), "leading_ended", "revision={} why={}",
-          LeaderRevision, why);
-  LeaderRevision = 0;
-  if (LeaderName == Self.Value)
-    LeaderName.clear();
-  Leaderships.clear();
-  AreMapsLoaded = false;
-  LeadTimer.cancel();
+void Cluster::hurry() {
+  if (!isLeader())
+    sayHello(bootNow());
 }
 
 void Cluster::noteKey(const ServiceId &service, std::uint16_t key) {
   if (isLeader()) {
-    if (const auto it = Leaderships.find(service); it != Leaderships.end())
-      it->second.Ranges.noteRequest(key);
+    Lead.noteRequest(service, key);
     return;
   }
-  auto &keys = KeyReports[service];
+  auto &keys = Keys[service];
   if (keys.size() < MaxReportedKeys)
     keys.push_back(key);
 }
 
-void Cluster::reportKeys() {
-  const Time now = bootNow();
-  if (now < NextReportAt)
-    return;
-  NextReportAt = now + ReportEvery;
-  for (auto &[service, keys] : KeyReports) {
-    if (keys.empty() || LeaderAddress.Port == 0 || isLeader()) {
-      keys.clear();
-      continue;
-    }
-    const auto bytes = nlohmann::json::to_cbor(
-        nlohmann::json{{"service", service.Value}, {"keys", keys}});
-    error_code ec;
-    const auto ip = asio::ip::make_address(LeaderAddress.Address, ec);
-    if (!ec)
-      Udp.send_to(asio::buffer(bytes), {ip, LeaderAddress.Port}, 0, ec);
-    if (ec)
-      logLine(LineWeight::Routine, now, "key_report_failed", "error={}",
-              logSafe(ec.message()));
-    keys.clear();
-  }
+void Cluster::send(const PeerMessage &message) {
+  error_code ec;
+  const auto ip = asio::ip::make_address(Leader.Address.Address, ec);
+  if (!ec)
+    sendTo({ip, Leader.Address.Port}, message);
 }
 
-void Cluster::receiveReport() {
+void Cluster::sendTo(const udp::endpoint &address, const PeerMessage &message) {
+  error_code ec;
+  Udp.send_to(asio::buffer(encodePeerMessage(message)), address, 0, ec);
+  if (ec)
+    logLine(LineWeight::Routine, bootNow(), "datagram_not_sent", "error={}",
+            logSafe(ec.message())); // the next hello makes up for it
+}
+
+void Cluster::listen() {
   Udp.async_receive_from(
       asio::buffer(UdpBuffer), UdpSender,
       [this](const error_code &ec, std::size_t size) {
         if (ec == asio::error::operation_aborted)
           return;
-        if (!ec && isLeader()) {
-          const auto json = nlohmann::json::from_cbor(
-              UdpBuffer.begin(), UdpBuffer.begin() + size, true, false);
-          if (json.is_object() && json.contains("service") &&
-              json["service"].is_string() && json.contains("keys") &&
-              json["keys"].is_array())
-            if (const auto it = Leaderships.find(
-                    ServiceId(json["service"].get<std::string>()));
-                it != Leaderships.end())
-              for (const auto &key : json["keys"])
-                if (key.is_number_unsigned() && key.get<unsigned>() <= 65535)
-                  it->second.Ranges.noteRequest(key.get<std::uint16_t>());
+        if (!ec) {
+          const auto message =
+              decodePeerMessage(std::string(UdpBuffer.data(), size));
+          if (message.ok())
+            std::visit(MessageHandler{*this, UdpSender}, *message);
+          else
+            logLine(LineWeight::Notable, bootNow(), "datagram_unreadable",
+                    "why={}", logSafe(std::string(message.status().message())));
         }
-        receiveReport();
+        listen();
       });
 }
 
+void Cluster::onHello(const PeerHello &hello, const udp::endpoint &sender) {
+  if (!isLeader())
+    return;
+  const Time now = bootNow();
+  Peers[hello.Vm] = {sender, now};
+  for (const auto &[service, keys] : hello.Keys)
+    for (const std::uint16_t key : keys)
+      Lead.noteRequest(service, key);
+  PeerReply reply{Leader.Term, {}};
+  if (hello.VmsHash != hashVms(Vms))
+    reply.Vms = Vms;
+  sendTo(sender, reply);
+  for (const auto &[service, revision] : Copy.revisions()) {
+    const auto known = hello.MapRevisions.find(service);
+    if (revision != 0 &&
+        (known == hello.MapRevisions.end() || known->second < revision))
+      for (const PeerRanges &part :
+           RangeCopy::describe(service, nullptr, *Copy.find(service)))
+        sendTo(sender, part);
+  }
+}
+
+void Cluster::onReply(const PeerReply &reply) {
+  if (isLeader() || reply.Term < Leader.Term)
+    return;
+  LeaderHeardAt = bootNow();
+  if (!reply.Vms.empty())
+    setVms(reply.Vms);
+}
+
+void Cluster::onRangesMessage(const PeerRanges &ranges) {
+  if (isLeader())
+    return;
+  if (Copy.take(ranges)) {
+    logLine(LineWeight::Routine, bootNow(), "ranges",
+            "service={} revision={} base={} rows={}", ranges.Service.Value,
+            ranges.Revision, ranges.Base, ranges.Rows.size());
+    OnRanges(ranges.Service, *Copy.find(ranges.Service));
+  } else if (const RangeMap *map = Copy.find(ranges.Service);
+             ranges.Base != 0 &&
+             (map == nullptr || map->Revision < ranges.Base)) {
+    sayHello(bootNow()); // an earlier change was lost
+  }
+}
+
+void Cluster::onOwnMap(const ServiceId &service, const RangeMap &before,
+                       const RangeMap &after) {
+  if (!Copy.take(service, after))
+    return;
+  for (const PeerRanges &part : RangeCopy::describe(service, &before, after))
+    for (const auto &[vm, peer] : Peers)
+      sendTo(peer.Address, part);
+  OnRanges(service, after);
+}
+
+/// The leader's list of VMs: those that said hello of late, and itself.
+void Cluster::refreshPeers(Time now) {
+  std::erase_if(Peers, [&](const auto &entry) {
+    return now > entry.second.HeardAt + SilentPeer;
+  });
+  std::vector<VmId> vms{Self};
+  for (const auto &[vm, peer] : Peers)
+    vms.push_back(vm);
+  std::ranges::sort(vms);
+  if (vms != Vms)
+    setVms(std::move(vms));
+}
+
+void Cluster::setVms(std::vector<VmId> vms) {
+  Vms = std::move(vms);
+  logLine(LineWeight::State, bootNow(), "vms", "count={} term={}", Vms.size(),
+          Leader.Term);
+  OnVms(Vms);
+}
+
+void Cluster::onBeliefsChanged(const RouteTable &config) {
+  Lead.onBeliefsChanged(config);
+}
+
 void Cluster::resign() {
   IsResigned = true;
-  if (isLeader())
-    stepDown("shutdown");
-  if (Lease != 0)
-    storeCall(platform::endLeaseCall(Lease), CallTimeout,
-              [](const CallResult &) {});
+  Lead.resign();
   Tick.cancel();
 }
 
--- a/src/node/cluster.h
+++ b/src/node/cluster.h
@@ -1,136 +1,114 @@
 /**
  * @file cluster.h
- * This VM among the others: its lease in the store, the list of VMs, who
- * leads, and the leader's duties for services divided by key.
+ * This VM among the others: finds or becomes the leader, tells it of keys
+ * that are asked for, and keeps a copy of who owns which keys.
  */
 #ifndef WAXWING_NODE_CLUSTER_H
 #define WAXWING_NODE_CLUSTER_H
 
-#include "node/store_feed.h"
-#include "ranges/range_leader_base.h"
+#include "node/call_client.h"
+#include "node/leadership.h"
+#include "node/node_clock.h"
+#include "node/store_health.h"
+#include "peers/range_copy_base.h"
 #include "routing/route_table.h"
 #include "routing/upstream_table.h"
 #include "settings/node_settings_base.h"
 
 #include <absl/status/status.h>
+#include <array>
 #include <boost/asio/ip/udp.hpp>
 #include <random>
 
 namespace waxwing {
 
-/// Counters of the cluster's duties.
-struct ClusterCounters {
-  std::uint64_t OrdersSent = 0;
-  std::array<std::uint64_t, OrderOutcomeNames.size()> Outcomes{};
-  std::uint64_t MapsWritten = 0;
-  std::uint64_t StoreCalls = 0;
-  std::uint64_t Elections = 0;
+/// The leader as its key in the store names it.
+struct LeaderInfo {
+  VmId Name;              ///< "" while there is none
+  Endpoint Address;       ///< for datagrams
+  std::uint64_t Term = 0; ///< revision of the key
 };
 
 class Cluster {
 public:
-  static constexpr std::string_view Prefix = "waxwing/";
-  static constexpr std::string_view LeaderKey = "waxwing/leader";
-  static constexpr std::string_view RangePrefix = "waxwing/ranges/";
-
   Cluster(boost::asio::io_context &loop, const NodeSettings &settings,
-          CallClient &calls, StoreFeed &feed, UpstreamTable &upstreams);
+          CallClient &calls, StoreHealth &health, UpstreamTable &upstreams);
 
-  /// Begins to register. @return Unavailable when the port is taken
+  /// Begins to look for the leader. @return Unavailable when the port is taken
   absl::Status start();
-  /// A key under Prefix has changed.
-  void onStoreChange(const platform::StoreChange &change);
   /// Services, upstreams or evacuations have changed.
   void onBeliefsChanged(const RouteTable &config);
   /// A request of this VM asked for @p key.
   void noteKey(const ServiceId &service, std::uint16_t key);
-  /// Gives leadership and the lease back.
+  /// Asks the leader at once whether the map has changed.
+  void hurry();
+  /// Gives leadership back.
   void resign();
 
-  bool isLeader() const { return LeaderRevision != 0; }
-  const std::string &leaderName() const { return LeaderName; }
-  const ClusterCounters &counters() const { return Counters; }
+  bool isLeader() const { return Lead.isLeading(); }
+  const LeaderInfo &leader() const { return Leader; }
+  const LeadershipCounters &counters() const { return Lead.counters(); }
+  std::uint64_t storeCalls() const { return StoreCalls + Lead.storeCalls(); }
   std::size_t vmCount() const { return Vms.size(); }
 
   std::function<void(const ServiceId &, const RangeMap &)> OnRanges;
-  std::function<void(std::vector<VmId>)> OnVms;
+  std::function<void(const std::vector<VmId> &)> OnVms;
 
 private:
-  struct Leadership {
-    RangeLeader Ranges;
-    bool IsWriting = false;
-    bool IsReading = false; ///< the fate of a write is being read
+  /// A VM that said hello to this leader.
+  struct Peer {
+    boost::asio::ip::udp::endpoint Address;
+    Time HeardAt;
   };
+  struct MessageHandler;
 
-  void storeCall(const platform::Call &call, Duration timeout,
-                 CallClient::Callback callback);
-  void keepLease();
-  void openLease();
-  void registerVm();
-  void onLease(const CallResult &result, Time askedAt);
-  bool isLeaseValid(Time now) const { return now < LeaseValidUntil; }
-  void considerLeading();
-  void tryLead();
-  void beginLeading(std::uint64_t revision);
-  void stepDown(std::string_view why);
-  void loadMaps();
-  void lead();
-  void runLeadership(const ServiceId &service, Leadership &leadership,
-                     Time now);
-  void writeMap(const ServiceId &service, const RangeMap &map);
-  void readMap(const ServiceId &service);
-  void sendOrder(const ServiceId &service, const RangeOrder &order);
-  void onOrder(const ServiceId &service, const RangeOrder &order,
-               const CallResult &result);
-  std::vector<RangeUpstream> rangeUpstreams(const ServiceId &service,
-                                            const RangeMap &map, Time now);
-  void noteRefusal(const RangeOrder &order, Time now);
-  void noteDead(const RangeOrder &order, Time now, std::string_view why);
-  void reportKeys();
-  void receiveReport();
   void tick();
+  void probe();
+  void onProbe(const CallResult &result);
+  void setLeader(const LeaderInfo &leader);
+  void considerLeading(Time now);
+  void fetchRanges();
+  void sayHello(Time now);
+  void listen();
+  void onHello(const PeerHello &hello,
+               const boost::asio::ip::udp::endpoint &sender);
+  void onReply(const PeerReply &reply);
+  void onRangesMessage(const PeerRanges &ranges);
+  void onOwnMap(const ServiceId &service, const RangeMap &before,
+                const RangeMap &after);
+  void refreshPeers(Time now);
+  void setVms(std::vector<VmId> vms);
+  void sendTo(const boost::asio::ip::udp::endpoint &address,
+              const PeerMessage &message);
+  void send(const PeerMessage &message);
 
   boost::asio::io_context &Loop;
   CallClient &Calls;
-  StoreFeed &Feed;
-  UpstreamTable &Upstreams;
+  StoreHealth &Health;
   Endpoint Store;
   VmId Self;
   Endpoint PeerAddress;
-  RangeTerms Terms;
-  Duration LeaseTerm;
   boost::asio::ip::udp::socket Udp;
-  std::array<char, 2048> UdpBuffer{};
+  std::array<char, 65536> UdpBuffer{};
   boost::asio::ip::udp::endpoint UdpSender;
   std::mt19937_64 Random;
   DueTimer Tick;
-  DueTimer LeadTimer;
-
-  std::uint64_t Lease = 0; ///< 0: none
-  Time LeaseValidUntil;    ///< the store keeps it at least until then
-  Time NextKeepAt;
-  bool IsLeaseBusy = false;
-  bool IsRegistered = false;
+  Leadership Lead;
+  RangeCopy Copy;
+
+  LeaderInfo Leader;
+  Time LeaderHeardAt; ///< last datagram of the leader
+  Time NoLeaderSince; ///< first probe without a leader; Time() with one
+  Time NextProbeAt;
+  Time NextHelloAt;
+  Time NextFetchAt;
+  bool IsProbing = false;
+  bool IsFetching = false;
   bool IsResigned = false;
-
-  std::map<std::string, std::string> Vms; ///< peers' address by VM's name
-  std::string LeaderName;                 ///< "" while there is none
-  Endpoint LeaderAddress;
-  std::uint64_t LeaderKeyRevision = 0; ///< of the store's leader key
-  std::uint64_t LeaderRevision = 0;    ///< own leadership; 0: another's
-  Time LeaderGoneAt;
-  bool IsElecting = false;
-  bool AreMapsLoaded = false;
-
-  std::map<ServiceId, RangeMap> Maps; ///< newest known
-  std::map<ServiceId, Leadership> Leaderships;
-  std::set<ServiceId> Divided; ///< services divided by key
-  std::map<ServiceId, std::vector<std::uint16_t>> KeyReports;
-  /// First refusal of a connection in a row, by upstream and life.
-  std::map<std::pair<UpstreamId, std::int64_t>, Time> RefusedSince;
-  std::set<std::pair<UpstreamId, std::int64_t>> DeadLives;
-  Time NextReportAt;
-  ClusterCounters Counters;
+  std::vector<VmId> Vms;      ///< sorted; as the leader told last
+  std::map<VmId, Peer> Peers; ///< on the leader: VMs that said hello
+  std::map<ServiceId, std::vector<std::uint16_t>> Keys; ///< for the next hello
+  std::uint64_t StoreCalls = 0;
 };
 
 } // namespace waxwing
--- /dev/null
+++ b/src/node/leadership.cpp
@@ -0,0 +1,427 @@
+/**
+ * @file leadership.cpp
+ * Lease, maps in the store, orders to upstreams.
+ */
+#include "node/leadership.h"
+#include "key_orders.h"
+
+#include "node/node_log.h"
+#include "node/store_keys.h"
+
+#include <algorithm>
+
+namespace waxwing {
+namespace {
+
+/// Wanted length of the leader's lease: a lost leader is replaced after it,
+/// and grants last longer than it.
+constexpr Duration WantedLease = seconds(3);
+/// Renewals of the lease, relative to its length.
+constexpr int KeepsPerLease = 4;
+/// A lease counts as ended this much before the store may end it: clocks of
+/// the store and of this VM may differ by 2 %.
+constexpr double LeaseSafety = 0.95;
+constexpr Duration CallTimeout = milliseconds(1500);
+constexpr Duration GrantTimeout = milliseconds(1000);
+/// A release is answered when the running work on its keys has ended.
+constexpr Duration ReleaseTimeout = milliseconds(3500);
+constexpr Duration ReadRetry = milliseconds(200);
+/// Connections refused for this long prove that the process has ended.
+constexpr Duration RefusedForDead = milliseconds(250);
+/// Work time that is assumed before any was seen, s.
+constexpr double DefaultWorkSeconds = 0.15;
+/// Answers of a process that is not the one the order names: its address was
+/// given to another upstream, which happens only after the first has ended.
+constexpr int StatusMisdirected = 421;
+constexpr int StatusBadRequest = 400;
+constexpr int StatusTooManyRequests = 429;
+/// Lives that are remembered as ended.
+constexpr std::size_t MaxDeadLives = 4096;
+
+std::string mapKey(const ServiceId &service) {
+  return std::string(RangePrefix) + service.Value;
+}
+
+} // namespace
+
+Leadership::Leadership(boost::asio::io_context &loop,
+                       const NodeSettings &settings, CallClient &calls,
+                       StoreHealth &health, UpstreamTable &upstreams)
+    : Loop(loop), Calls(calls), Health(health), Upstreams(upstreams),
+      Store(parseEndpoint(settings.Store.text("address"))),
+      KeepTimer(loop, [this] { keepLease(); }),
+      LeadTimer(loop, [this] { lead(); }) {
+  Terms.LongestHold = settings.Bounds.seconds("longest_hold");
+  Terms.Hold = std::min(Terms.Hold, Terms.LongestHold);
+  Terms.RenewAfter = std::min<Duration>(Terms.RenewAfter, Terms.Hold / 3);
+  LeaseTerm =
+      std::max<Duration>(WantedLease, settings.Store.seconds("least_lease"));
+}
+
+void Leadership::storeCall(const platform::Call &call,
+                           CallClient::Callback callback) {
+  ++StoreCalls;
+  Calls.call(Store, call, "", bootNow() + CallTimeout,
+             [this, callback = std::move(callback)](const CallResult &result) {
+               Health.note(result.Status != 0 && result.Status < 500 &&
+                               result.Status != StatusTooManyRequests,
+                           result.Error, bootNow());
+               callback(result);
+             });
+}
+
+void Leadership::retryLater(std::function<void()> what) {
+  const auto timer =
+      std::make_shared<boost::asio::steady_timer>(Loop, ReadRetry);
+  timer->async_wait(
+      [this, term = Term, timer, what = std::move(what)](const auto & /*ec*/) {
+        if (Term == term && term != 0)
+          what();
+      });
+}
+
+void Leadership::tryLead(const VmId &self, const Endpoint &address) {
+  ++Counters.Elections;
+  IsElecting = true;
+  const Time askedAt = bootNow();
+  storeCall(platform::leaseCall(LeaseTerm),
+            [this, self, address, askedAt](const CallResult &result) {
+              const auto lease = platform::decodeLease(result.Body);
+              if (result.Status != platform::StatusOk || !lease.ok()) {
+                IsElecting = false;
+                return; // tried again while there is no leader
+              }
+              Lease = lease->Id;
+              LeaseTerm = lease->Term;
+              LeaseValidUntil = askedAt + std::chrono::duration_cast<Duration>(
+                                              LeaseSafety * LeaseTerm);
+              writeLeaderKey(self, address);
+            });
+}
+
+void Leadership::writeLeaderKey(const VmId &self, const Endpoint &address) {
+  platform::StoreTransaction transaction;
+  transaction.Conditions.push_back({std::string(LeaderKey), 0});
+  transaction.Writes.push_back({std::string(LeaderKey),
+                                self.Value + "\n" + formatEndpoint(address),
+                                Lease});
+  storeCall(
+      platform::transactionCall(transaction), [this](const CallResult &result) {
+        IsElecting = false;
+        const auto revision = platform::decodeRevision(result.Body);
+        const bool isWon = result.Status == platform::StatusOk &&
+                           revision.ok() && isLeaseValid(bootNow());
+        if (!isWon) {
+          // The key, if it was written, goes with the lease.
+          storeCall(platform::endLeaseCall(Lease), [](const CallResult &) {});
+          Lease = 0;
+          return;
+        }
+        Term = *revision;
+        AreMapsLoaded = false;
+        Leaders.clear();
+        Maps.clear();
+        logLine(LineWeight::State, bootNow(), "leading", "term={} lease={}",
+                Term, Lease);
+        KeepTimer.setBy(bootNow() + LeaseTerm / KeepsPerLease);
+        OnLeading(Term);
+        loadMaps();
+      });
+}
+
+void Leadership::keepLease() {
+  if (!isLeading())
+    return;
+  const Time askedAt = bootNow();
+  if (!isLeaseValid(askedAt)) {
+    end("lease_ended");
+    return;
+  }
+  KeepTimer.setBy(askedAt + LeaseTerm / KeepsPerLease);
+  storeCall(platform::renewCall(Lease),
+            [this, askedAt, term = Term](const CallResult &result) {
+              if (Term != term)
+                return;
+              if (result.Status == platform::StatusOk)
+                LeaseValidUntil =
+                    std::max(LeaseValidUntil,
+                             askedAt + std::chrono::duration_cast<Duration>(
+                                           LeaseSafety * LeaseTerm));
+              else if (result.Status == platform::StatusNotFound)
+                end("lease_lost");
+            });
+}
+
+void Leadership::end(std::string_view why) {
+  logLine(LineWeight::State, bootNow(), "leading_ended", "term={} why={}", Term,
+          why);
+  Term = 0;
+  Lease = 0;
+  LeaseValidUntil = Time();
+  Leaders.clear();
+  LeadTimer.cancel();
+  KeepTimer.cancel();
+  OnEnded();
+}
+
+void Leadership::resign() {
+  if (!isLeading())
+    return;
+  const std::uint64_t lease = Lease;
+  end("shutdown");
+  storeCall(platform::endLeaseCall(lease), [](const CallResult &) {});
+}
+
+void Leadership::noteRequest(const ServiceId &service, std::uint16_t key) {
+  if (const auto it = Leaders.find(service); it != Leaders.end())
+    it->second.noteRequest(key);
+}
+
+/// Reads all maps after the election: what was written before is in them.
+void Leadership::loadMaps() {
+  storeCall(platform::rangeCall(std::string(RangePrefix), ""),
+            [this, term = Term](const CallResult &result) {
+              if (Term != term)
+                return;
+              const auto page = platform::decodePage(result.Body);
+              if (result.Status != platform::StatusOk || !page.ok()) {
+                retryLater([this] { loadMaps(); });
+                return;
+              }
+              for (const platform::StoreItem &item : page->Items) {
+                const ServiceId service(item.Key.substr(RangePrefix.size()));
+                const auto map = decodeRangeMap(item.Value, item.Revision);
+                if (map.ok())
+                  publish(service, *map);
+                else
+                  logLine(LineWeight::State, bootNow(), "ranges_unreadable",
+                          "service={} revision={} why={}", service.Value,
+                          item.Revision,
+                          logSafe(std::string(map.status().message())));
+              }
+              AreMapsLoaded = true;
+              lead();
+            });
+}
+
+void Leadership::publish(const ServiceId &service, const RangeMap &map) {
+  const RangeMap before = std::exchange(Maps[service], map);
+  OnMap(service, before, map);
+}
+
+void Leadership::onBeliefsChanged(const RouteTable &config) {
+  Divided.clear();
+  for (const auto &[service, rules] : config.config().Services)
+    if (rules.IsDividedByKey)
+      Divided.insert(service);
+  lead();
+}
+
+std::vector<RangeUpstream> Leadership::rangeUpstreams(const ServiceId &service,
+                                                      const RangeMap &map,
+                                                      Time now) {
+  std::set<UpstreamId> owners;
+  for (const RangeRow &row : map.Rows)
+    owners.insert(row.Owner);
+  double work = 0;
+  int known = 0;
+  for (const auto &[id, upstream] : Upstreams.all())
+    if (upstream.Entry.Service == service && upstream.Load.workUs() > 0) {
+      work += upstream.Load.workUs();
+      ++known;
+    }
+  constexpr double MicrosPerSecond = 1e6;
+  const double usualWork =
+      known > 0 ? work / known / MicrosPerSecond : DefaultWorkSeconds;
+  std::vector<RangeUpstream> result;
+  bool isAnyWarm = false;
+  for (const auto &[id, upstream] : Upstreams.all()) {
+    if (upstream.Entry.Service != service)
+      continue;
+    const bool isDead = DeadLives.contains({id, upstream.Entry.Born});
+    const bool isWarm = now >= upstream.ColdUntil || owners.contains(id);
+    RangeUpstream view;
+    view.Id = id;
+    view.Address = upstream.Entry.Address;
+    view.Born = upstream.Entry.Born;
+    view.Slots = upstream.Entry.Slots;
+    view.WorkSeconds = usualWork * upstream.Load.lastingSlowness();
+    view.IsEligible = Upstreams.isUsable(upstream) && !isDead && isWarm;
+    isAnyWarm |= view.IsEligible;
+    result.push_back(view);
+  }
+  if (!isAnyWarm)
+    for (RangeUpstream &view : result) {
+      const Upstream *upstream = Upstreams.find(view.Id);
+      view.IsEligible = Upstreams.isUsable(*upstream) &&
+                        !DeadLives.contains({view.Id, view.Born});
+    }
+  return result;
+}
+
+void Leadership::lead() {
+  const Time now = bootNow();
+  if (!isLeading() || !AreMapsLoaded)
+    return;
+  if (!isLeaseValid(now)) {
+    end("lease_ended");
+    return;
+  }
+  for (const ServiceId &service : Divided) {
+    const auto it =
+        Leaders.try_emplace(service, Terms, Maps[service], now).first;
+    runService(service, it->second, now);
+  }
+}
+
+void Leadership::runService(const ServiceId &service, RangeLeader &ranges,
+                            Time now) {
+  ranges.setStoreTrouble(Health.isTroubled());
+  ranges.setUpstreams(rangeUpstreams(service, ranges.map(), now), now);
+  for (const auto &[id, born] : DeadLives)
+    ranges.noteDead(id, born);
+  const RangeActions actions = ranges.step(now, isLeaseValid(now));
+  if (actions.Write)
+    writeMap(service, *actions.Write);
+  for (const RangeOrder &order : actions.Orders)
+    sendOrder(service, order);
+  LeadTimer.setBy(std::min(actions.WakeAt, now + seconds(1)));
+}
+
+void Leadership::writeMap(const ServiceId &service, const RangeMap &map) {
+  ++Counters.MapsWritten;
+  platform::StoreTransaction transaction;
+  transaction.Conditions.push_back({mapKey(service), map.Revision});
+  transaction.Conditions.push_back({std::string(LeaderKey), Term});
+  transaction.Writes.push_back({mapKey(service), encodeRangeMap(map), 0});
+  storeCall(platform::transactionCall(transaction),
+            [this, service, map, term = Term](const CallResult &result) {
+              const auto it = Leaders.find(service);
+              if (Term != term || it == Leaders.end())
+                return;
+              const auto revision = platform::decodeRevision(result.Body);
+              if (result.Status != platform::StatusOk || !revision.ok()) {
+                logLine(LineWeight::State, bootNow(), "ranges_write_failed",
+                        "service={} over_revision={} status={} error={}",
+                        service.Value, map.Revision, result.Status,
+                        logSafe(result.Error));
+                readMap(service);
+                return;
+              }
+              it->second.onWritten(*revision);
+              RangeMap stored = map;
+              stored.Revision = *revision;
+              logLine(LineWeight::State, bootNow(), "ranges_written",
+                      "service={} revision={} rows={} next_fence={}",
+                      service.Value, *revision, stored.Rows.size(),
+                      stored.NextFence);
+              publish(service, stored);
+              lead();
+            });
+}
+
+/// Finds out what became of a write.
+void Leadership::readMap(const ServiceId &service) {
+  storeCall(platform::rangeCall(mapKey(service), ""),
+            [this, service, term = Term](const CallResult &result) {
+              const auto it = Leaders.find(service);
+              if (Term != term || it == Leaders.end())
+                return;
+              const auto page = platform::decodePage(result.Body);
+              if (result.Status != platform::StatusOk || !page.ok()) {
+                retryLater([this, service] { readMap(service); });
+                return;
+              }
+              RangeMap stored;
+              for (const platform::StoreItem &item : page->Items)
+                if (item.Key == mapKey(service))
+                  if (auto map = decodeRangeMap(item.Value, item.Revision);
+                      map.ok())
+                    stored = *std::move(map);
+              it->second.onStored(stored, bootNow());
+              if (stored.Revision > Maps[service].Revision)
+                publish(service, stored);
+              lead();
+            });
+}
+
+void Leadership::sendOrder(const ServiceId &service, const RangeOrder &order) {
+  ++Counters.OrdersSent;
+  const bool isGrant = order.Kind == OrderKind::Grant;
+  const platform::Call call =
+      isGrant ? platform::grantCall(order.Range, order.Fence, order.Hold,
+                                    order.Handover)
+              : platform::releaseCall(order.Range, order.Fence);
+  Calls.call(order.Address, call, order.Upstream.Value,
+             bootNow() + (isGrant ? GrantTimeout : ReleaseTimeout),
+             [this, service, order, term = Term](const CallResult &result) {
+               if (Term == term)
+                 onOrder(service, order, result);
+             });
+}
+
+/// Connections that are refused for some time prove that the process ended.
+void Leadership::noteRefusal(const RangeOrder &order, Time now) {
+  const Upstream *upstream = Upstreams.find(order.Upstream);
+  if (upstream == nullptr)
+    return;
+  const std::pair life{order.Upstream, upstream->Entry.Born};
+  const Time since = RefusedSince.try_emplace(life, now).first->second;
+  if (now >= since + RefusedForDead)
+    noteDead(order, now, "connections_refused");
+}
+
+/// The life that the order was meant for has ended and holds nothing.
+void Leadership::noteDead(const RangeOrder &order, Time now,
+                          std::string_view why) {
+  const Upstream *upstream = Upstreams.find(order.Upstream);
+  if (upstream == nullptr || upstream->Entry.Address != order.Address ||
+      DeadLives.size() > MaxDeadLives)
+    return;
+  if (DeadLives.insert({order.Upstream, upstream->Entry.Born}).second)
+    logLine(LineWeight::State, now, "upstream_dead",
+            "upstream={} born={} entry_rev={} why={}", order.Upstream.Value,
+            upstream->Entry.Born, upstream->EntryRevision, why);
+}
+
+void Leadership::onOrder(const ServiceId &service, const RangeOrder &order,
+                         const CallResult &result) {
+  const auto it = Leaders.find(service);
+  if (it == Leaders.end())
+    return;
+  const Time now = bootNow();
+  OrderOutcome outcome = OrderOutcome::NotDelivered;
+  if (result.Status == platform::StatusOk)
+    outcome = OrderOutcome::Accepted;
+  else if (result.Status == platform::StatusHigherFence)
+    outcome = OrderOutcome::HigherFence;
+  else if (result.Status == 0 && result.IsDelivered)
+    outcome = OrderOutcome::Unanswered;
+  else if (result.Status >= 500)
+    outcome = OrderOutcome::Unanswered;
+  ++Counters.Outcomes[static_cast<std::size_t>(outcome)];
+  const bool isElsewhere =
+      result.Status == StatusMisdirected || result.Status == StatusBadRequest;
+  if (isElsewhere)
+    noteDead(order, now, "address_in_use_by_another");
+  else if (result.IsRefused)
+    noteRefusal(order, now);
+  else if (const Upstream *upstream = Upstreams.find(order.Upstream))
+    RefusedSince.erase({order.Upstream, upstream->Entry.Born});
+  const bool isRoutine =
+      outcome == OrderOutcome::Accepted && order.Kind == OrderKind::Grant;
+  logLine(isRoutine ? LineWeight::Routine : LineWeight::State, now, "order",
+          "kind={} service={} upstream={} from={} to={} fence={} hold_ms={} "
+          "outcome={} status={} error={} map_revision={}",
+          OrderKindNames[static_cast<std::size_t>(order.Kind)], service.Value,
+          order.Upstream.Value, order.Range.From, order.Range.To, order.Fence,
+          std::chrono::duration_cast<milliseconds>(order.Hold).count(),
+          OrderOutcomeNames[static_cast<std::size_t>(outcome)], result.Status,
+          logSafe(result.Error), it->second.map().Revision);
+  it->second.onOrder(order.Id, outcome, platform::handoverOf(result.Headers),
+                     now);
+  if (!isRoutine)
+    runService(service, it->second, now);
+}
+
+} // namespace waxwing
--- a/src/node/node_process.cpp
+++ b/src/node/node_process.cpp
@@ -20,6 +20,11 @@
 constexpr Duration LapseReturn = milliseconds(2200);
 /// Removals this soon after trouble of the store may be lapses.
 constexpr Duration LapseDoubt = milliseconds(2500);
+/// Pauses between watches. Configurations come one by one and must be in force
+/// within two seconds; upstreams come and go in numbers, and leave two seconds
+/// after they said so.
+constexpr Duration OperatorGather = milliseconds(150);
+constexpr Duration EntryGather = milliseconds(600);
 /// Upstreams are kept this long after their removal, to take keys back.
 constexpr Duration KeepUnlisted = seconds(15);
 /// The balancer asks once per second and turns away after two misses.
@@ -37,10 +42,14 @@
 NodeProcess::NodeProcess(std::string settingsPath, const NodeSettings &settings)
     : SettingsPath(std::move(settingsPath)), Settings(settings), Loop(1),
       Signals(Loop, SIGTERM, SIGINT, SIGHUP), Calls(Loop),
-      Feed(Loop, Calls, parseEndpoint(settings.Store.text("address")),
-           std::string(Cluster::RangePrefix)),
+      Operators(Loop, Calls, Health,
+                parseEndpoint(settings.Store.text("address")),
+                {std::string(platform::OperatorPrefix), OperatorGather}),
+      Entries(Loop, Calls, Health,
+              parseEndpoint(settings.Store.text("address")),
+              {std::string(platform::UpstreamPrefix), EntryGather}),
       Data(Loop, settings),
-      Peers(Loop, settings, Calls, Feed, Data.upstreams()),
+      Peers(Loop, settings, Calls, Health, Data.upstreams()),
       Ready(Loop, [this] { return readyPage(); }),
       Metrics(Loop, [this] { return metricsPage(); }),
       RemovalTimer(Loop, [this] { applyRemovals(); }),
@@ -57,11 +66,11 @@
   Data.OnKeyRequest = [this](const ServiceId &service, std::uint16_t key) {
     Peers.noteKey(service, key);
   };
-  Data.OnMisplaced = [this] { Feed.hurry(); };
+  Data.OnMisplaced = [this] { Peers.hurry(); };
   Peers.OnRanges = [this](const ServiceId &service, const RangeMap &map) {
     Data.setRanges(service, map);
   };
-  Peers.OnVms = [this](std::vector<VmId> vms) { Data.setVms(std::move(vms)); };
+  Peers.OnVms = [this](const std::vector<VmId> &vms) { Data.setVms(vms); };
   if (auto status = Data.listen(parseEndpoint(Settings.Listen.text("callers")));
       !status.ok())
     return status;
@@ -74,9 +83,17 @@
       return status;
   if (auto status = Peers.start(); !status.ok())
     return status;
-  Feed.start(
-      [this](const platform::StoreChange &change) { onStoreChange(change); },
-      [this] { onBatchEnd(); });
+  // After an outage a watch may be silent for good: both feeds load anew.
+  Health.OnChange = [this](bool isAnswered) {
+    if (isAnswered) {
+      Operators.reload();
+      Entries.reload();
+    }
+  };
+  for (StoreFeed *feed : {&Operators, &Entries})
+    feed->start(
+        [this](const platform::StoreChange &change) { onStoreChange(change); },
+        [this] { onBatchEnd(); });
   awaitSignal();
   flushLogLater();
   Loop.run();
@@ -100,8 +117,6 @@
   else if (change.Key.starts_with(platform::EvacuationPrefix))
     onEvacuationChange(change.Key.substr(platform::EvacuationPrefix.size()),
                        change.Value.has_value());
-  else if (change.Key.starts_with(Cluster::Prefix))
-    Peers.onStoreChange(change);
 }
 
 void NodeProcess::onUpstreamChange(const std::string &id,
@@ -110,16 +125,16 @@
   const UpstreamId upstream(id);
   if (!change.Value) {
     const bool isDoubtful =
-        Feed.isTroubled() || now < Feed.troubleEndedAt() + LapseDoubt;
-    if (isDoubtful && Feed.troubleEndedAt() != Time()) {
+        Health.isTroubled() || now < Health.troubleEndedAt() + LapseDoubt;
+    if (isDoubtful && Health.troubleEndedAt() != Time()) {
       DoubtfulRemovals[upstream] = change.Revision;
-      RemovalTimer.setBy(Feed.troubleEndedAt() + LapseReturn);
-      logLine(
-          LineWeight::State, now, "upstream_removal_doubtful",
-          "upstream={} revision={} store_back_ms={}", logSafe(id),
-          change.Revision,
-          std::chrono::duration_cast<milliseconds>(now - Feed.troubleEndedAt())
-              .count());
+      RemovalTimer.setBy(Health.troubleEndedAt() + LapseReturn);
+      logLine(LineWeight::State, now, "upstream_removal_doubtful",
+              "upstream={} revision={} store_back_ms={}", logSafe(id),
+              change.Revision,
+              std::chrono::duration_cast<milliseconds>(now -
+                                                       Health.troubleEndedAt())
+                  .count());
       return;
     }
     unlist(upstream, change.Revision);
@@ -154,9 +169,9 @@
 
 void NodeProcess::applyRemovals() {
   const Time now = bootNow();
-  if (Feed.isTroubled() || now < Feed.troubleEndedAt() + LapseReturn) {
-    RemovalTimer.setBy(
-        std::max(now + milliseconds(200), Feed.troubleEndedAt() + LapseReturn));
+  if (Health.isTroubled() || now < Health.troubleEndedAt() + LapseReturn) {
+    RemovalTimer.setBy(std::max(now + milliseconds(200),
+                                Health.troubleEndedAt() + LapseReturn));
     return;
   }
   for (const auto &[id, revision] : std::exchange(DoubtfulRemovals, {}))
@@ -215,7 +230,7 @@
 StatusPort::Page NodeProcess::metricsPage() const {
   MetricsPage page;
   const GatewayCounters &data = Data.counters();
-  const ClusterCounters &peers = Peers.counters();
+  const LeadershipCounters &peers = Peers.counters();
   page.addCounter("waxwing_requests_total", "Requests of callers.",
                   data.Requests);
   page.addCounter("waxwing_answers_total",
@@ -240,16 +255,17 @@
                     ? 0
                     : static_cast<double>(Data.config()->config().Version));
   page.addGauge("waxwing_store_revision", "Store revision applied.",
-                static_cast<double>(Feed.revision()));
+                static_cast<double>(Entries.revision()));
   page.addGauge(
       "waxwing_store_age_seconds", "Time since the store last answered.",
-      std::chrono::duration<double>(bootNow() - Feed.answeredAt()).count());
+      std::chrono::duration<double>(bootNow() - Health.answeredAt()).count());
   page.addGauge("waxwing_leading", "1 on the leader.",
                 Peers.isLeader() ? 1 : 0);
   page.addGauge("waxwing_vms", "VMs known.",
                 static_cast<double>(Peers.vmCount()));
   page.addCounter("waxwing_store_calls_total", "Calls to the store.",
-                  peers.StoreCalls + Feed.callCount());
+                  Peers.storeCalls() + Operators.callCount() +
+                      Entries.callCount());
   page.addCounter("waxwing_orders_total", "Grants and releases sent.",
                   peers.OrdersSent);
   page.addCounter("waxwing_range_maps_written_total",
--- a/src/node/node_process.h
+++ b/src/node/node_process.h
@@ -9,6 +9,7 @@
 #include "node/cluster.h"
 #include "node/gateway.h"
 #include "node/status_port.h"
+#include "node/store_feed.h"
 
 #include <boost/asio/signal_set.hpp>
 
@@ -46,7 +47,9 @@
   boost::asio::io_context Loop;
   boost::asio::signal_set Signals;
   CallClient Calls;
-  StoreFeed Feed;
+  StoreHealth Health;
+  StoreFeed Operators; ///< configuration and evacuations
+  StoreFeed Entries;   ///< the list of upstreams
   Gateway Data;
   Cluster Peers;
   StatusPort Ready;
--- a/src/node/store_feed.cpp
+++ b/src/node/store_feed.cpp
@@ -1,7 +1,7 @@
 /**
  * @file store_feed.cpp
- * One watch over all keys: calls are priced, so one that groups changes of
- * every kind is cheaper than one for each kind.
+ * A watch returns at the first change; the pause behind it lets later ones
+ * gather, since each call of each VM is a load on the store.
  */
 #include "node/store_feed.h"
 
@@ -12,15 +12,12 @@
 namespace waxwing {
 namespace {
 
-/// The store answers a watch without changes after this long.
-constexpr Duration WatchWait = seconds(4);
+/// The store answers a watch without changes after this long. A store that is
+/// lost is noticed by the probes of the cluster, not by the watch.
+constexpr Duration WatchWait = seconds(25);
 /// Answers may take this much longer when the store is slow.
-constexpr Duration AnswerSlack = milliseconds(1200);
+constexpr Duration AnswerSlack = milliseconds(1500);
 constexpr Duration LoadTimeout = milliseconds(2000);
-/// Pause before the next watch, in which changes gather.
-constexpr Duration GatherPause = milliseconds(120);
-/// Pause after changes by this system itself, which others act upon at once.
-constexpr Duration OwnGatherPause = milliseconds(5);
 /// Pause after a failed call, doubled up to the longest.
 constexpr Duration FirstRetry = milliseconds(100);
 constexpr int MaxRetryDoublings = 3;
@@ -28,9 +25,9 @@
 } // namespace
 
 StoreFeed::StoreFeed(boost::asio::io_context &loop, CallClient &calls,
-                     Endpoint store, std::string urgentPrefix)
-    : Calls(calls), Store(std::move(store)),
-      UrgentPrefix(std::move(urgentPrefix)), NextTimer(loop, [this] {
+                     StoreHealth &health, Endpoint store, FeedTerms terms)
+    : Calls(calls), Health(health), Store(std::move(store)),
+      Terms(std::move(terms)), NextTimer(loop, [this] {
         if (MustLoad)
           load("");
         else
@@ -44,38 +41,19 @@
   load("");
 }
 
-void StoreFeed::hurry() {
-  if (!IsCalling && !MustLoad)
-    NextTimer.setBy(bootNow());
-}
-
-void StoreFeed::noteContact(bool isAnswered) {
-  const Time now = bootNow();
-  if (isAnswered) {
-    AnsweredAt = now;
-    Failures = 0;
-    if (IsTroubled) {
-      IsTroubled = false;
-      TroubleEndedAt = now;
-      logLine(LineWeight::State, now, "store_regained", "revision={}",
-              Revision);
-    }
-    return;
-  }
-  if (!IsTroubled) {
-    IsTroubled = true;
-    logLine(LineWeight::State, now, "store_lost",
-            "revision={} last_answer_age_ms={}", Revision,
-            std::chrono::duration_cast<milliseconds>(now - AnsweredAt).count());
-  }
+void StoreFeed::reload() {
+  ++CallNumber;
+  IsCalling = false;
+  MustLoad = true;
+  NextTimer.setBy(bootNow());
 }
 
 void StoreFeed::retry(const std::string &why) {
   const Time now = bootNow();
   ++Failures;
-  noteContact(false);
-  logLine(LineWeight::Notable, now, "store_call_failed", "why={} failures={}",
-          logSafe(why), Failures);
+  Health.note(false, why, now);
+  logLine(LineWeight::Notable, now, "store_call_failed",
+          "prefix={} why={} failures={}", Terms.Prefix, logSafe(why), Failures);
   NextTimer.setBy(now +
                   FirstRetry * (1 << std::min(Failures, MaxRetryDoublings)));
 }
@@ -107,7 +85,8 @@
     retry(std::string(page.status().message()));
     return;
   }
-  noteContact(true);
+  Failures = 0;
+  Health.note(true, "", bootNow());
   if (LoadRevision == 0)
     LoadRevision = page->StoreRevision;
   for (const platform::StoreItem &item : page->Items) {
@@ -132,8 +111,9 @@
   Revision = LoadRevision;
   MustLoad = false;
   IsLoaded = true;
-  logLine(LineWeight::State, bootNow(), "store_loaded", "keys={} revision={}",
-          Known.size(), Revision);
+  logLine(LineWeight::State, bootNow(), "store_loaded",
+          "prefix={} keys={} revision={}", Terms.Prefix, Known.size(),
+          Revision);
   OnBatchEnd();
   watch();
 }
@@ -156,9 +136,11 @@
     return;
   IsCalling = true;
   ++CallCount;
-  Calls.call(Store, platform::watchCall("", Revision, WatchWait), "",
+  Calls.call(Store, platform::watchCall(Terms.Prefix, Revision, WatchWait), "",
              bootNow() + WatchWait + AnswerSlack,
-             [this](const CallResult &result) {
+             [this, number = ++CallNumber](const CallResult &result) {
+               if (number != CallNumber)
+                 return;
                IsCalling = false;
                onWatch(result);
              });
@@ -187,18 +169,15 @@
     retry(std::string(changes.status().message()));
     return;
   }
-  noteContact(true);
-  Duration pause = changes->Changes.empty() ? Duration() : GatherPause;
+  Failures = 0;
+  Health.note(true, "", bootNow());
   for (const platform::StoreChange &change : changes->Changes)
     applyChange(change);
-  if (std::ranges::any_of(changes->Changes, [&](const auto &change) {
-        return change.Key.starts_with(UrgentPrefix);
-      }))
-    pause = OwnGatherPause;
   Revision = std::max(Revision, changes->StoreRevision);
   if (!changes->Changes.empty())
     OnBatchEnd();
-  NextTimer.setBy(bootNow() + pause);
+  NextTimer.setBy(bootNow() +
+                  (changes->Changes.empty() ? Duration() : Terms.GatherPause));
 }
 
 } // namespace waxwing
--- a/src/node/store_feed.h
+++ b/src/node/store_feed.h
@@ -1,43 +1,41 @@
 /**
  * @file store_feed.h
- * A copy of the keys that this VM follows in the platform's store.
+ * A copy of the keys under one prefix in the platform's store.
  */
 #ifndef WAXWING_NODE_STORE_FEED_H
 #define WAXWING_NODE_STORE_FEED_H
 
 #include "node/call_client.h"
 #include "node/node_clock.h"
+#include "node/store_health.h"
 
 #include <map>
 
 namespace waxwing {
 
+/// What a feed follows.
+struct FeedTerms {
+  std::string Prefix;
+  Duration GatherPause{}; ///< after changes, so that the next ones gather
+};
+
 /// Loads all keys once, then follows their changes.
 class StoreFeed {
 public:
-  /// Receives each key's new value, or nullopt for its removal; removals are
-  /// sure only while the store has been reached without trouble.
+  /// Receives each key's new value, or nullopt for its removal.
   using ChangeHandler = std::function<void(const platform::StoreChange &)>;
 
-  /// @param urgentPrefix changes of keys that begin so are not gathered
-  StoreFeed(boost::asio::io_context &loop, CallClient &calls, Endpoint store,
-            std::string urgentPrefix);
+  StoreFeed(boost::asio::io_context &loop, CallClient &calls,
+            StoreHealth &health, Endpoint store, FeedTerms terms);
 
   void start(ChangeHandler onChange, std::function<void()> onBatchEnd);
-  /// Asks for changes now rather than after the pause that groups them.
-  void hurry();
+  /// Loads everything anew: a watch that is waiting may be silent for good.
+  void reload();
 
   /// @return true once every key was loaded
   bool isLoaded() const { return IsLoaded; }
-  /// When the store last answered a read of this feed.
-  Time answeredAt() const { return AnsweredAt; }
-  /// End of the last time in which the store did not answer this VM.
-  Time troubleEndedAt() const { return TroubleEndedAt; }
-  bool isTroubled() const { return IsTroubled; }
   std::uint64_t revision() const { return Revision; }
   std::uint64_t callCount() const { return CallCount; }
-  /// A call outside the feed failed or succeeded.
-  void noteContact(bool isAnswered);
 
 private:
   void load(const std::string &after);
@@ -49,8 +47,9 @@
   void applyChange(const platform::StoreChange &change);
 
   CallClient &Calls;
+  StoreHealth &Health;
   Endpoint Store;
-  std::string UrgentPrefix;
+  FeedTerms Terms;
   ChangeHandler OnChange;
   std::function<void()> OnBatchEnd;
   DueTimer NextTimer;
@@ -59,13 +58,11 @@
   std::uint64_t Revision = 0;     ///< changes up to it are applied
   std::uint64_t LoadRevision = 0; ///< of the load's first page
   std::uint64_t CallCount = 0;
+  std::uint64_t CallNumber = 0; ///< answers of earlier calls are not heard
   bool IsLoaded = false;
   bool MustLoad = true; ///< the history does not reach back far enough
   bool IsCalling = false;
-  bool IsTroubled = false;
   int Failures = 0; ///< in a row
-  Time AnsweredAt;
-  Time TroubleEndedAt;
 };
 
 } // namespace waxwing
--- /dev/null
+++ b/src/peers/peer_message.cpp
@@ -0,0 +1,125 @@
+/**
+ * @file peer_message.cpp
+ * CBOR form of the datagrams between VMs.
+ */
+#include "peers/peer_message_type.h"
+
+#include "core/hash_func.h"
+
+#include <absl/status/status.h>
+#include <nlohmann/json.hpp>
+
+namespace waxwing {
+namespace {
+
+using Json = nlohmann::json;
+
+constexpr int HelloTag = 1;
+constexpr int ReplyTag = 2;
+constexpr int RangesTag = 3;
+
+Json encodeRow(const RangeRow &row) {
+  return {row.Range.From, row.Range.To, row.Owner.Value, row.OwnerBorn,
+          row.Fence,      row.Handover, row.IsMoving};
+}
+
+RangeRow decodeRow(const Json &json) {
+  return {{json.at(0).get<std::uint16_t>(), json.at(1).get<std::uint16_t>()},
+          UpstreamId(json.at(2).get<std::string>()),
+          json.at(3).get<std::int64_t>(),
+          json.at(4).get<std::uint64_t>(),
+          json.at(5).get<std::string>(),
+          json.at(6).get<bool>()};
+}
+
+struct Encoder {
+  Json operator()(const PeerHello &hello) const {
+    Json revisions = Json::object();
+    for (const auto &[service, revision] : hello.MapRevisions)
+      revisions[service.Value] = revision;
+    Json keys = Json::object();
+    for (const auto &[service, list] : hello.Keys)
+      keys[service.Value] = list;
+    return {HelloTag, hello.Vm.Value, hello.VmsHash, revisions, keys};
+  }
+  Json operator()(const PeerReply &reply) const {
+    Json vms = Json::array();
+    for (const VmId &vm : reply.Vms)
+      vms.push_back(vm.Value);
+    return {ReplyTag, reply.Term, vms};
+  }
+  Json operator()(const PeerRanges &ranges) const {
+    Json rows = Json::array();
+    for (const RangeRow &row : ranges.Rows)
+      rows.push_back(encodeRow(row));
+    return {
+        RangesTag,        ranges.Service.Value, ranges.Revision, ranges.Base,
+        ranges.NextFence, ranges.Part,          ranges.Parts,    rows};
+  }
+};
+
+PeerHello decodeHello(const Json &json) {
+  PeerHello hello;
+  hello.Vm = VmId(json.at(1).get<std::string>());
+  hello.VmsHash = json.at(2).get<std::uint64_t>();
+  for (const auto &[service, revision] : json.at(3).items())
+    hello.MapRevisions[ServiceId(service)] = revision.get<std::uint64_t>();
+  for (const auto &[service, keys] : json.at(4).items())
+    hello.Keys[ServiceId(service)] = keys.get<std::vector<std::uint16_t>>();
+  return hello;
+}
+
+PeerReply decodeReply(const Json &json) {
+  PeerReply reply;
+  reply.Term = json.at(1).get<std::uint64_t>();
+  for (const Json &vm : json.at(2))
+    reply.Vms.emplace_back(vm.get<std::string>());
+  return reply;
+}
+
+PeerRanges decodeRanges(const Json &json) {
+  PeerRanges ranges;
+  ranges.Service = ServiceId(json.at(1).get<std::string>());
+  ranges.Revision = json.at(2).get<std::uint64_t>();
+  ranges.Base = json.at(3).get<std::uint64_t>();
+  ranges.NextFence = json.at(4).get<std::uint64_t>();
+  ranges.Part = json.at(5).get<std::uint32_t>();
+  ranges.Parts = json.at(6).get<std::uint32_t>();
+  for (const Json &row : json.at(7))
+    ranges.Rows.push_back(decodeRow(row));
+  return ranges;
+}
+
+} // namespace
+
+std::string encodePeerMessage(const PeerMessage &message) {
+  const auto bytes = Json::to_cbor(std::visit(Encoder{}, message));
+  return {bytes.begin(), bytes.end()};
+}
+
+absl::StatusOr<PeerMessage> decodePeerMessage(const std::string &bytes) {
+  try {
+    const Json json = Json::from_cbor(bytes);
+    switch (json.at(0).get<int>()) {
+    case HelloTag:
+      return decodeHello(json);
+    case ReplyTag:
+      return decodeReply(json);
+    case RangesTag:
+      return decodeRanges(json);
+    default:
+      return absl::InvalidArgumentError("datagram of an unknown kind");
+    }
+  } catch (const Json::exception &error) {
+    return absl::InvalidArgumentError(std::string("datagram: ") + error.what());
+  }
+}
+
+std::uint64_t hashVms(const std::vector<VmId> &vms) {
+  std::uint64_t hash = 1;
+  for (const VmId &vm : vms)
+    hash = hashText(vm.Value, hash);
+  return hash;
+}
+
+} // namespace waxwing
--- /dev/null
+++ b/src/peers/range_copy.cpp
@@ -0,0 +1,133 @@
+/**
+ * @file range_copy.cpp
+ * Applies changes of rows; a change that does not fit is left out, and the
+ * next hello asks for the whole map.
+ */
+#include "peers/range_copy_base.h"
+
+#include <algorithm>
+
+namespace waxwing {
+namespace {
+
+/// Rows of one datagram: it stays below 8 KB.
+constexpr std::size_t RowsPerPart = 100;
+
+/// @return rows of @p after that @p before does not have
+std::vector<RangeRow> changedRows(const RangeMap &before,
+                                  const RangeMap &after) {
+  std::vector<RangeRow> rows;
+  std::ranges::copy_if(after.Rows, std::back_inserter(rows),
+                       [&](const RangeRow &row) {
+                         const RangeRow *old = before.find(row.Range.From);
+                         return old == nullptr || !(*old == row);
+                       });
+  return rows;
+}
+
+bool coversAllKeys(const std::vector<RangeRow> &rows) {
+  int next = 0;
+  for (const RangeRow &row : rows) {
+    if (row.Range.From != next || row.Range.To < row.Range.From)
+      return false;
+    next = row.Range.To + 1;
+  }
+  return next == 65536;
+}
+
+/// @return @p rows with what @p changes say in place of what they overlap;
+///   changes replace whole rows of the sender's map, so cuts are exact
+std::vector<RangeRow> applyRows(const std::vector<RangeRow> &rows,
+                                const std::vector<RangeRow> &changes) {
+  std::vector<RangeRow> result = changes;
+  const auto isReplaced = [&](const RangeRow &row) {
+    return std::ranges::any_of(changes, [&](const RangeRow &change) {
+      return change.Range.From <= row.Range.To &&
+             row.Range.From <= change.Range.To;
+    });
+  };
+  std::ranges::remove_copy_if(rows, std::back_inserter(result), isReplaced);
+  std::ranges::sort(result, {}, &RangeRow::Range);
+  return result;
+}
+
+} // namespace
+
+bool RangeCopy::take(const ServiceId &service, const RangeMap &map) {
+  RangeMap &copy = Maps[service];
+  if (map.Revision <= copy.Revision)
+    return false;
+  copy = map;
+  return true;
+}
+
+bool RangeCopy::take(const PeerRanges &ranges) {
+  RangeMap &copy = Maps[ranges.Service];
+  if (ranges.Revision <= copy.Revision)
+    return false;
+  RangeMap next;
+  next.Revision = ranges.Revision;
+  next.NextFence = ranges.NextFence;
+  if (ranges.Base != 0) {
+    if (ranges.Base != copy.Revision)
+      return false;
+    next.Rows = applyRows(copy.Rows, ranges.Rows);
+  } else {
+    Assembly &assembly = Assemblies[ranges.Service];
+    if (assembly.Revision != ranges.Revision)
+      assembly = {ranges.Revision, {}};
+    assembly.Parts[ranges.Part] = ranges.Rows;
+    if (assembly.Parts.size() < ranges.Parts)
+      return false;
+    for (const auto &[part, rows] : assembly.Parts)
+      next.Rows.insert(next.Rows.end(), rows.begin(), rows.end());
+    Assemblies.erase(ranges.Service);
+  }
+  if (!coversAllKeys(next.Rows))
+    return false;
+  copy = std::move(next);
+  return true;
+}
+
+const RangeMap *RangeCopy::find(const ServiceId &service) const {
+  const auto it = Maps.find(service);
+  return it == Maps.end() || it->second.Revision == 0 ? nullptr : &it->second;
+}
+
+std::map<ServiceId, std::uint64_t> RangeCopy::revisions() const {
+  std::map<ServiceId, std::uint64_t> result;
+  for (const auto &[service, map] : Maps)
+    result[service] = map.Revision;
+  return result;
+}
+
+std::vector<PeerRanges> RangeCopy::describe(const ServiceId &service,
+                                            const RangeMap *before,
+                                            const RangeMap &after) {
+  PeerRanges head;
+  head.Service = service;
+  head.Revision = after.Revision;
+  head.NextFence = after.NextFence;
+  if (before != nullptr && before->Revision != 0) {
+    head.Rows = changedRows(*before, after);
+    if (head.Rows.size() <= RowsPerPart) {
+      head.Base = before->Revision;
+      return {head};
+    }
+    head.Rows.clear();
+  }
+  head.Parts = static_cast<std::uint32_t>(
+      (after.Rows.size() + RowsPerPart - 1) / RowsPerPart);
+  std::vector<PeerRanges> result;
+  for (std::size_t n = 0; n < after.Rows.size(); n += RowsPerPart) {
+    PeerRanges part = head;
+    part.Part = static_cast<std::uint32_t>(n / RowsPerPart);
+    const auto first = after.Rows.begin() + static_cast<std::ptrdiff_t>(n);
+    const auto count = std::min(RowsPerPart, after.Rows.size() - n);
+    part.Rows.assign(first, first + static_cast<std::ptrdiff_t>(count));
+    result.push_back(std::move(part));
+  }
+  return result;
+}
+
+} // namespace waxwing
