Add: [Ranges] More moves at a time; [Cluster] shorter lease and grants; [Routing] connected upstreams first

Cause: a hot stretch of keys of a large service was spread four moves at a time; keys of dark upstreams waited 5 s; half of the requests opened a connection. Change: moves grow with the upstreams; lease 2 s, grants 4 s, renewed for longer as soon as the store is in trouble; cost for a new connection and a bound on connections for each VM; large VMs lead first.

--- a/src/node/cluster.cpp
+++ b/src/node/cluster.cpp
@@ -32,11 +32,19 @@
 /// Maps are read from the store this often while the leader is silent.
 constexpr Duration FetchEvery = milliseconds(700);
 /// Candidates for leadership try one after the other in an order by hash.
-constexpr Duration CandidateGap = milliseconds(60);
+constexpr Duration CandidateGap = milliseconds(40);
 constexpr int MaxCandidateGaps = 25;
 constexpr Duration TickEvery = milliseconds(100);
 constexpr std::size_t MaxReportedKeys = 1000;
 
+/// VMs with little processor time let others lead.
+Duration candidateDelay(double processorShare) {
+  constexpr double DelayOfOneCoreUs = 50'000;
+  constexpr double LeastShare = 0.1;
+  return Duration(static_cast<Duration::rep>(
+      DelayOfOneCoreUs / std::max(processorShare, LeastShare)));
+}
+
 } // namespace
 
 /// Sends each kind of datagram to its handler.
@@ -59,8 +67,9 @@
     : Loop(loop), Calls(calls), Health(health),
       Store(parseEndpoint(settings.Store.text("address"))),
       Self(settings.Vm.text("name")),
-      PeerAddress(parseEndpoint(settings.Listen.text("peers"))), Udp(loop),
-      Random(drawNumber()), Tick(loop, [this] { tick(); }),
+      PeerAddress(parseEndpoint(settings.Listen.text("peers"))),
+      CandidateDelay(candidateDelay(settings.Vm.decimal("processor_share"))),
+      Udp(loop), Random(drawNumber()), Tick(loop, [this] { tick(); }),
       Lead(loop, settings, calls, health, upstreams), Vms{Self} {
   Lead.OnMap = [this](const ServiceId &service, const RangeMap &before,
                       const RangeMap &after) {
@@ -177,7 +186,7 @@
   const Duration spread =
       Vms.size() > 1 ? CandidateGap * before
                      : milliseconds(own % 300); // nothing is known at a start
-  if (now >= NoLeaderSince + spread)
+  if (now >= NoLeaderSince + CandidateDelay + spread)
     Lead.tryLead(Self, PeerAddress);
 }
 
--- a/src/node/cluster.h
+++ b/src/node/cluster.h
@@ -88,6 +88,7 @@
   Endpoint Store;
   VmId Self;
   Endpoint PeerAddress;
+  Duration CandidateDelay; ///< before this VM tries to lead
   boost::asio::ip::udp::socket Udp;
   std::array<char, 65536> UdpBuffer{};
   boost::asio::ip::udp::endpoint UdpSender;
--- a/src/node/connection_pool.cpp
+++ b/src/node/connection_pool.cpp
@@ -48,6 +48,11 @@
   return nullptr;
 }
 
+bool ConnectionPool::hasIdle(const Endpoint &peer) const {
+  const auto found = Idle.find(peer);
+  return found != Idle.end() && !found->second.empty();
+}
+
 std::shared_ptr<ClientConnection> ConnectionPool::open(const Endpoint &peer) {
   auto connection = std::make_shared<ClientConnection>(Loop, peer);
   connection->open();
--- a/src/node/connection_pool.h
+++ b/src/node/connection_pool.h
@@ -23,6 +23,8 @@
                                          Duration longestIdle);
   /// @return a connection that is being opened
   std::shared_ptr<ClientConnection> open(const Endpoint &peer);
+  /// @return true when take() would find a connection
+  bool hasIdle(const Endpoint &peer) const;
   /// Keeps @p connection for reuse if it can be reused.
   void give(std::shared_ptr<ClientConnection> connection);
   /// Closes what should not be reused any more.
--- a/src/node/gateway.cpp
+++ b/src/node/gateway.cpp
@@ -372,6 +372,9 @@
   ChoiceRequest request;
   request.Service = exchange->Service;
   request.Tried = exchange->Tried;
+  request.HasConnection = [this](const Endpoint &address) {
+    return Pool.hasIdle(address);
+  };
   request.PrefersOwnDomain = exchange->Matched->Kind == RequestKind::Download;
   const ServiceRules *rules = Config->rules(exchange->Service);
   if (rules != nullptr && rules->IsDividedByKey && exchange->Meta.Key) {
--- a/src/node/gateway_send.cpp
+++ b/src/node/gateway_send.cpp
@@ -14,7 +14,7 @@
 
 /// A connection idle for longer is not used for a request that must not run
 /// twice: its loss could not be told from a lost answer.
-constexpr Duration SafeIdle = milliseconds(2500);
+constexpr Duration SafeIdle = milliseconds(6000);
 /// Longest pause after an upstream did not hold the key, unless another entry
 /// of its range arrives: a grant that was lost is repeated by then.
 constexpr Duration OwnerPause = milliseconds(250);
--- a/src/node/leadership.cpp
+++ b/src/node/leadership.cpp
@@ -15,13 +15,15 @@
 
 /// Wanted length of the leader's lease: a lost leader is replaced after it,
 /// and grants last longer than it.
-constexpr Duration WantedLease = seconds(3);
+constexpr Duration WantedLease = seconds(2);
 /// Renewals of the lease, relative to its length.
 constexpr int KeepsPerLease = 4;
 /// A lease counts as ended this much before the store may end it: clocks of
 /// the store and of this VM may differ by 2 %.
 constexpr double LeaseSafety = 0.95;
-constexpr Duration CallTimeout = milliseconds(1500);
+/// A renewal without an answer for this long shows that the store is in
+/// trouble, early enough to renew grants while the lease still lasts.
+constexpr Duration KeepTimeout = milliseconds(700);
 constexpr Duration GrantTimeout = milliseconds(1000);
 /// A release is answered when the running work on its keys has ended.
 constexpr Duration ReleaseTimeout = milliseconds(3500);
@@ -38,6 +40,10 @@
 /// Lives that are remembered as ended.
 constexpr std::size_t MaxDeadLives = 4096;
 
+Duration safeLease(Duration term) {
+  return std::chrono::duration_cast<Duration>(LeaseSafety * term);
+}
+
 std::string mapKey(const ServiceId &service) {
   return std::string(RangePrefix) + service.Value;
 }
@@ -59,9 +65,9 @@
 }
 
 void Leadership::storeCall(const platform::Call &call,
-                           CallClient::Callback callback) {
+                           CallClient::Callback callback, Duration timeout) {
   ++StoreCalls;
-  Calls.call(Store, call, "", bootNow() + CallTimeout,
+  Calls.call(Store, call, "", bootNow() + timeout,
              [this, callback = std::move(callback)](const CallResult &result) {
                Health.note(result.Status != 0 && result.Status < 500 &&
                                result.Status != StatusTooManyRequests,
@@ -93,8 +99,7 @@
               }
               Lease = lease->Id;
               LeaseTerm = lease->Term;
-              LeaseValidUntil = askedAt + std::chrono::duration_cast<Duration>(
-                                              LeaseSafety * LeaseTerm);
+              LeaseValidUntil = askedAt + safeLease(LeaseTerm);
               writeLeaderKey(self, address);
             });
 }
@@ -138,18 +143,18 @@
     return;
   }
   KeepTimer.setBy(askedAt + LeaseTerm / KeepsPerLease);
-  storeCall(platform::renewCall(Lease),
-            [this, askedAt, term = Term](const CallResult &result) {
-              if (Term != term)
-                return;
-              if (result.Status == platform::StatusOk)
-                LeaseValidUntil =
-                    std::max(LeaseValidUntil,
-                             askedAt + std::chrono::duration_cast<Duration>(
-                                           LeaseSafety * LeaseTerm));
-              else if (result.Status == platform::StatusNotFound)
-                end("lease_lost");
-            });
+  const auto onAnswer = [this, askedAt, term = Term](const CallResult &result) {
+    if (Term != term)
+      return;
+    if (result.Status == platform::StatusOk)
+      LeaseValidUntil =
+          std::max(LeaseValidUntil, askedAt + safeLease(LeaseTerm));
+    else if (result.Status == platform::StatusNotFound)
+      end("lease_lost");
+    else
+      lead(); // grants are renewed for longer while the lease lasts
+  };
+  storeCall(platform::renewCall(Lease), onAnswer, KeepTimeout);
 }
 
 void Leadership::end(std::string_view why) {
@@ -276,7 +281,7 @@
 
 void Leadership::runService(const ServiceId &service, RangeLeader &ranges,
                             Time now) {
-  ranges.setStoreTrouble(Health.isTroubled());
+  ranges.setStoreTrouble(Health.isTroubled(), now);
   ranges.setUpstreams(rangeUpstreams(service, ranges.map(), now), now);
   for (const auto &[id, born] : DeadLives)
     ranges.noteDead(id, born);
--- a/src/node/node_process.cpp
+++ b/src/node/node_process.cpp
@@ -24,7 +24,10 @@
 /// within two seconds; upstreams come and go in numbers, and leave two seconds
 /// after they said so.
 constexpr Duration OperatorGather = milliseconds(150);
-constexpr Duration EntryGather = milliseconds(600);
+constexpr Duration EntryGather = milliseconds(500);
+/// Each VM more makes the list's changes dearer: their pause grows with it.
+constexpr Duration GatherMorePerVm = milliseconds(6);
+constexpr Duration MaxGatherMore = milliseconds(450);
 /// Upstreams are kept this long after their removal, to take keys back.
 constexpr Duration KeepUnlisted = seconds(15);
 /// The balancer asks once per second and turns away after two misses.
@@ -70,7 +73,12 @@
   Peers.OnRanges = [this](const ServiceId &service, const RangeMap &map) {
     Data.setRanges(service, map);
   };
-  Peers.OnVms = [this](const std::vector<VmId> &vms) { Data.setVms(vms); };
+  Peers.OnVms = [this](const std::vector<VmId> &vms) {
+    Data.setVms(vms);
+    Entries.setGatherPause(
+        EntryGather + std::min(MaxGatherMore,
+                               GatherMorePerVm * static_cast<int>(vms.size())));
+  };
   if (auto status = Data.listen(parseEndpoint(Settings.Listen.text("callers")));
       !status.ok())
     return status;
--- a/src/node/store_feed.h
+++ b/src/node/store_feed.h
@@ -29,6 +29,8 @@
             StoreHealth &health, Endpoint store, FeedTerms terms);
 
   void start(ChangeHandler onChange, std::function<void()> onBatchEnd);
+  /// Changes the pause behind changes.
+  void setGatherPause(Duration pause) { Terms.GatherPause = pause; }
   /// Loads everything anew: a watch that is waiting may be silent for good.
   void reload();
 
--- a/src/ranges/range_leader.cpp
+++ b/src/ranges/range_leader.cpp
@@ -13,9 +13,11 @@
 constexpr Duration OrderTravel = milliseconds(300);
 /// Pause after an order that was not carried out.
 constexpr Duration OrderRetry = milliseconds(300);
-/// Moves for balance that may run at a time; each keeps its keys unserved
-/// for some milliseconds.
-constexpr int MaxMoves = 4;
+/// Moves for balance that may run at a time, for a service of any size, and
+/// relative to its upstreams: a hot stretch of keys of a large service must be
+/// spread over many of them at once.
+constexpr int LeastMoves = 4;
+constexpr double MovesPerUpstream = 0.25;
 
 } // namespace
 
@@ -56,6 +58,15 @@
   }
 }
 
+void RangeLeader::setStoreTrouble(bool isTroubled, Time now) {
+  if (isTroubled && !IsStoreTroubled)
+    // The lease may end before the next renewals: they are brought forward.
+    for (RowState &state : States)
+      if (state.Step == Phase::Serving)
+        state.NextOrderAt = std::min(state.NextOrderAt, now);
+  IsStoreTroubled = isTroubled;
+}
+
 void RangeLeader::noteDead(const UpstreamId &id, std::int64_t born) {
   Dead.insert({id, born});
 }
@@ -215,8 +226,12 @@
   for (std::size_t n = 0; n < future.size(); ++n)
     if (States[n].MoveTo)
       future[n].Owner = *States[n].MoveTo;
-  const auto moves =
-      planMoves(future, Upstreams, Load, MaxMoves - static_cast<int>(moving));
+  const int most =
+      std::max(LeastMoves,
+               static_cast<int>(MovesPerUpstream *
+                                static_cast<double>(Upstreams.size()))) -
+      static_cast<int>(moving);
+  const auto moves = planMoves(future, Upstreams, Load, most);
   RangeMap map = Stored;
   std::vector<RowState> states = States;
   for (const RangeMove &move : moves) {
--- a/src/ranges/range_leader_base.h
+++ b/src/ranges/range_leader_base.h
@@ -22,9 +22,9 @@
 
 /// Times of the leader's grants.
 struct RangeTerms {
-  Duration Hold = seconds(5);               ///< ordinary length of a grant
+  Duration Hold = seconds(4);               ///< ordinary length of a grant
   Duration LongestHold = seconds(10);       ///< most that upstreams take
-  Duration RenewAfter = milliseconds(1500); ///< between renewals of a row
+  Duration RenewAfter = milliseconds(1200); ///< between renewals of a row
   Duration Settle = milliseconds(1000);     ///< before keys are first divided
   Duration MoveGap = milliseconds(250);     ///< between moves for balance
   std::int64_t DriftPpm = 20'000; ///< an upstream's clock may be this slow
@@ -47,7 +47,7 @@
   /// The upstream's process of that life is proven to have ended.
   void noteDead(const UpstreamId &id, std::int64_t born);
   /// While the store does not answer, grants are given for the longest time.
-  void setStoreTrouble(bool isTroubled) { IsStoreTroubled = isTroubled; }
+  void setStoreTrouble(bool isTroubled, Time now);
   /// One request for @p key arrived somewhere.
   void noteRequest(std::uint16_t key) { Load.add(key); }
 
--- a/src/routing/upstream_table.cpp
+++ b/src/routing/upstream_table.cpp
@@ -16,6 +16,13 @@
 /// Cost that an answer from another domain adds, in units of usual work.
 constexpr double LargeAnswerCost = 0.8;
 constexpr double SmallAnswerCost = 0.05;
+/// Cost of opening a connection, in units of usual work: VMs keep to upstreams
+/// that they are connected to while those are about as good as the others.
+constexpr double ConnectionCost = 0.2;
+/// Part of an upstream's connections that all VMs together may use; the rest
+/// is for connections that are just closing.
+constexpr double ConnectionShare = 0.8;
+constexpr int LeastConnections = 2;
 /// Costs this close to the least are equally good; VMs with the same view
 /// spread over them.
 constexpr double CostTolerance = 0.12;
@@ -93,6 +100,13 @@
                             const ServiceRules &rules, Time now) const {
   if (!upstream.Load.isTrusted(now))
     return false;
+  const int connections = std::max(
+      LeastConnections,
+      static_cast<int>(
+          ConnectionShare * rules.MaxConnections /
+          static_cast<double>(std::max<std::size_t>(context.Vms.size(), 1))));
+  if (rules.MaxConnections > 0 && upstream.Load.outstanding() >= connections)
+    return false;
   if (now < upstream.ColdUntil && rules.WarmUpRequestsPerS > 0) {
     const int allowed =
         coldRequestsPerSecond(upstream.Entry.Id, rules.WarmUpRequestsPerS,
@@ -127,6 +141,8 @@
     double cost = upstream.Load.cost(upstream.Entry.Slots, now);
     if (upstream.Entry.Domain != context.OwnDomain)
       cost += request.PrefersOwnDomain ? LargeAnswerCost : SmallAnswerCost;
+    if (request.HasConnection && !request.HasConnection(upstream.Entry.Address))
+      cost += ConnectionCost;
     if (request.Tried.contains(id) && !request.Only)
       continue;
     candidates.push_back({&upstream, cost});
--- a/src/routing/upstream_table.h
+++ b/src/routing/upstream_table.h
@@ -8,6 +8,7 @@
 #include "routing/cold_share.h"
 #include "routing/upstream_load_base.h"
 
+#include <functional>
 #include <map>
 #include <set>
 #include <vector>
@@ -40,6 +41,8 @@
   std::optional<UpstreamId> Only; ///< the owner of its key
   std::set<UpstreamId> Tried;     ///< only taken when nothing else is left
   bool PrefersOwnDomain = false;  ///< its answer is large
+  /// Tells whether a connection to the address is open and idle.
+  std::function<bool(const Endpoint &)> HasConnection;
 };
 
 /// Outcome of a choice.
--- a/src/table/node_settings.h
+++ b/src/table/node_settings.h
@@ -17,6 +17,8 @@
      "failure domain that this VM stands in"},
     {"vm", "region", SettingType::Text, "", "main", 1, 200,
      "region that this VM stands in"},
+    {"vm", "processor_share", SettingType::Decimal, "cores", "1", 0, 1024,
+     "processor time of this VM; VMs with more of it lead first"},
     {"listen", "callers", SettingType::Address, "", "", 1, 64,
      "callers' HTTP requests arrive here"},
     {"listen", "ready", SettingType::Address, "", "", 1, 64,
