Fix: [Routing] Choices and queues cost less; moves no larger than the taker bears; Add: [Tests] routing, balance, adapter

A hot stretch went to one taker, which was overloaded then (range_balance_test, HotStretchIsSpreadOverMoreUpstreams).

--- a/src/node/exchange.h
+++ b/src/node/exchange.h
@@ -45,6 +45,7 @@
   int RunSends = 0;       ///< of these, without proof that it has not run
   bool IsWaiting = false; ///< stands in a queue
   Time WaitingSince;
+  Time NextCheckAt; ///< of a request behind others that wait
   /// Fence of the key's range when an upstream did not hold it, and until
   /// when another entry of the range is awaited.
   std::uint64_t MisplacedFence = 0;
--- a/src/node/gateway.cpp
+++ b/src/node/gateway.cpp
@@ -23,6 +23,8 @@
 
 /// Requests that wait are looked at again this often, besides at each event.
 constexpr Duration QueueCheck = milliseconds(15);
+/// Sums over all upstreams of a service are made anew after this long.
+constexpr Duration SummaryAge = milliseconds(100);
 /// Idle connections and silent callers are looked for this often.
 constexpr Duration SweepEvery = milliseconds(500);
 /// A caller that this VM refuses at shutdown may return at once: its next
@@ -144,6 +146,7 @@
   if (std::ranges::find(vms, Context.Self) == vms.end())
     vms.push_back(Context.Self);
   Context.Vms = std::move(vms);
+  ++Context.VmsVersion;
 }
 
 void Gateway::onUpstreamsChanged() { drainQueues(); }
@@ -348,24 +351,40 @@
         queue->second, [&](const std::shared_ptr<Exchange> &other) {
           return other->Matched->Priority <= exchange.Matched->Priority;
         }));
-  double slots = 0;
-  double work = 0;
-  int known = 0;
-  for (const auto &[id, upstream] : Upstreams.all())
-    if (upstream.Entry.Service == exchange.Service &&
-        Upstreams.isUsable(upstream)) {
-      slots += upstream.Entry.Slots;
-      if (upstream.Load.workUs() > 0) {
-        work += upstream.Load.workUs();
-        ++known;
-      }
-    }
-  input.SlotsShare = slots / static_cast<double>(Context.Vms.size());
-  if (known > 0)
-    input.UsualWork = Duration(static_cast<Duration::rep>(work / known));
+  const ServiceSummary &service = summary(exchange.Service, now);
+  input.SlotsShare = service.Slots / static_cast<double>(Context.Vms.size());
+  input.UsualWork = service.UsualWork;
+  const RangeRow *row = findRow(exchange);
+  const Upstream *owner = row == nullptr ? nullptr : Upstreams.find(row->Owner);
+  if (owner != nullptr) {
+    // Only the owner of the key counts, and those who wait for it.
+    input.SlotsShare = owner->Entry.Slots;
+    input.Ahead = static_cast<int>(std::ranges::count_if(
+        queue == Queues.end() ? Waiting{} : queue->second,
+        [&](const std::shared_ptr<Exchange> &other) {
+          return other->Meta.Key && row->Range.contains(*other->Meta.Key);
+        }));
+  }
   return admit(input, draw());
 }
 
+/// @return the row of the request's key, or nullptr when it has none
+const RangeRow *Gateway::findRow(const Exchange &exchange) const {
+  const auto map = Ranges.find(exchange.Service);
+  return map == Ranges.end() || !exchange.Meta.Key
+             ? nullptr
+             : map->second.find(*exchange.Meta.Key);
+}
+
+const ServiceSummary &Gateway::summary(const ServiceId &service, Time now) {
+  auto &[summary, madeAt] = Summaries[service];
+  if (now > madeAt + SummaryAge) {
+    summary = Upstreams.summarize(service);
+    madeAt = now;
+  }
+  return summary;
+}
+
 bool Gateway::trySend(const std::shared_ptr<Exchange> &exchange, Time now,
                       bool &isServable) {
   isServable = true;
@@ -378,8 +397,7 @@
   request.PrefersOwnDomain = exchange->Matched->Kind == RequestKind::Download;
   const ServiceRules *rules = Config->rules(exchange->Service);
   if (rules != nullptr && rules->IsDividedByKey && exchange->Meta.Key) {
-    const RangeMap &map = Ranges[exchange->Service];
-    const RangeRow *row = map.find(*exchange->Meta.Key);
+    const RangeRow *row = findRow(*exchange);
     if (row == nullptr || row->Owner.Value.empty()) {
       exchange->LastReason = Reason::NoOwner;
       isServable = false;
@@ -458,14 +476,21 @@
   const Time now = bootNow();
   const std::vector<std::shared_ptr<Exchange>> waiting(found->second.begin(),
                                                        found->second.end());
+  const ServiceRules *rules = Config ? Config->rules(service) : nullptr;
+  const bool isDivided = rules != nullptr && rules->IsDividedByKey;
+  bool isFull = false; // nothing has room for those behind either
   for (const auto &exchange : waiting) {
     if (!exchange->IsWaiting)
       continue;
     bool isServable = true;
+    if (isFull && now < exchange->NextCheckAt)
+      continue;
+    exchange->NextCheckAt = now + QueueCheck;
     if (trySend(exchange, now, isServable)) {
       leaveQueue(exchange);
       continue;
     }
+    isFull |= !isDivided && exchange->Tried.empty();
     exchange->IsWaiting = false;
     found->second.remove(exchange);
     const Admission decision = admission(*exchange, now, isServable);
--- a/src/node/gateway.h
+++ b/src/node/gateway.h
@@ -106,6 +106,8 @@
   /// Gives the caller an answer of this program's own.
   void refuse(const std::shared_ptr<Exchange> &exchange, Reason reason,
               Duration returnAfter);
+  const RangeRow *findRow(const Exchange &exchange) const;
+  const ServiceSummary &summary(const ServiceId &service, Time now);
   Admission admission(const Exchange &exchange, Time now, bool isServable);
   void retryOrFinish(const std::shared_ptr<Exchange> &exchange,
                      const AttemptResult &result, Time now);
@@ -124,6 +126,7 @@
   UpstreamTable Upstreams;
   ConnectionPool Pool;
   std::map<ServiceId, RetryAllowance> Allowances;
+  std::map<ServiceId, std::pair<ServiceSummary, Time>> Summaries;
   std::map<ServiceId, Waiting> Queues; ///< by priority, then arrival
   std::unordered_map<const void *, std::shared_ptr<CallerConnection>> Callers;
   std::multimap<Time, std::weak_ptr<Exchange>> Timeouts; ///< by TimeoutAt
--- a/src/node/gateway_send.cpp
+++ b/src/node/gateway_send.cpp
@@ -141,9 +141,7 @@
     return;
   }
   if (result.End == AttemptEnd::Misplaced) {
-    const RangeRow *row =
-        exchange->Meta.Key ? Ranges[exchange->Service].find(*exchange->Meta.Key)
-                           : nullptr;
+    const RangeRow *row = findRow(*exchange);
     exchange->MisplacedFence = row == nullptr ? 0 : row->Fence;
     exchange->AwaitOwnerUntil = now + OwnerPause;
     exchange->Tried.clear();
--- a/src/node/node_process.cpp
+++ b/src/node/node_process.cpp
@@ -94,8 +94,8 @@
   // After an outage a watch may be silent for good: both feeds load anew.
   Health.OnChange = [this](bool isAnswered) {
     if (isAnswered) {
-      Operators.reload();
-      Entries.reload();
+      Operators.reloadIfWatching();
+      Entries.reloadIfWatching();
     }
   };
   for (StoreFeed *feed : {&Operators, &Entries})
--- a/src/node/store_feed.cpp
+++ b/src/node/store_feed.cpp
@@ -41,7 +41,9 @@
   load("");
 }
 
-void StoreFeed::reload() {
+void StoreFeed::reloadIfWatching() {
+  if (!IsCalling || MustLoad)
+    return;
   ++CallNumber;
   IsCalling = false;
   MustLoad = true;
--- a/src/node/store_feed.h
+++ b/src/node/store_feed.h
@@ -31,8 +31,8 @@
   void start(ChangeHandler onChange, std::function<void()> onBatchEnd);
   /// Changes the pause behind changes.
   void setGatherPause(Duration pause) { Terms.GatherPause = pause; }
-  /// Loads everything anew: a watch that is waiting may be silent for good.
-  void reload();
+  /// Loads everything anew if a watch is waiting, which may be silent for good.
+  void reloadIfWatching();
 
   /// @return true once every key was loaded
   bool isLoaded() const { return IsLoaded; }
--- a/src/ranges/range_balance.cpp
+++ b/src/ranges/range_balance.cpp
@@ -8,6 +8,7 @@
 #include <algorithm>
 #include <array>
 #include <cmath>
+#include <functional>
 #include <map>
 #include <optional>
 
@@ -22,6 +23,12 @@
 constexpr double IdleKeyRate = 1e-5;
 /// Utilization from which the queueing formula goes on as a straight line.
 constexpr double SteepUtilization = 0.9;
+/// Utilization up to which an upstream takes on keys without regard to the
+/// others: requests seldom wait below it.
+constexpr double LightUtilization = 0.6;
+/// Most loaded upstreams that are looked at for a move; the first ones may
+/// have only keys that move already.
+constexpr std::size_t MaxGivers = 4;
 /// Parts of the giver's rate that are tried as the amount to move.
 constexpr std::array<double, 6> MoveShares{0.75, 0.5, 0.35, 0.2, 0.1, 0.05};
 constexpr int KeyCount = 65536;
@@ -72,12 +79,26 @@
   double Gain = 0;
 };
 
+double capacity(const RangeUpstream &upstream) {
+  return upstream.Slots / std::max(upstream.WorkSeconds, 1e-4);
+}
+
+/// @return requests/s that @p taker should take on at most: what keeps it
+///   lightly loaded, or its share of the whole load when that is more
+double roomOf(const LoadView &taker, double meanUtilization) {
+  const double bearable = std::max(LightUtilization, 1.2 * meanUtilization);
+  return bearable * capacity(*taker.Upstream) - taker.Rate;
+}
+
 /// The best move of keys in @p row to @p taker.
+/// @param room requests/s that the taker should take on at most
 std::optional<Candidate> bestPart(const RangeRow &row, const LoadView &giver,
-                                  const LoadView &taker, const KeyLoad &load) {
+                                  const LoadView &taker, double room,
+                                  const KeyLoad &load) {
   std::optional<Candidate> best;
   for (const double share : MoveShares) {
-    const KeyRange part = load.narrowest(row.Range, share * giver.Rate);
+    const double wanted = std::min(share * giver.Rate, room);
+    const KeyRange part = load.narrowest(row.Range, wanted);
     const double moved = rateOf(part, load);
     const double before =
         cost(*giver.Upstream, giver.Rate) + cost(*taker.Upstream, taker.Rate);
@@ -131,26 +152,35 @@
     return std::nullopt;
   if (auto move = shareWithNewcomer(rows, views, load))
     return move;
-  const auto marginal = [](const auto &entry) {
-    return entry.second.marginal();
-  };
-  const auto most = std::ranges::max_element(views, {}, [&](const auto &entry) {
-    return entry.second.Rate < 1 ? -1 : marginal(entry);
-  });
-  const auto least = std::ranges::min_element(views, {}, marginal);
-  if (most == least)
-    return std::nullopt;
-  std::optional<Candidate> best;
-  for (const RangeRow &row : rows) {
-    if (row.Owner != most->first || row.IsMoving)
-      continue;
-    const auto candidate = bestPart(row, most->second, least->second, load);
-    if (candidate && (!best || candidate->Gain > best->Gain))
-      best = candidate;
+  double total = 0;
+  double bearable = 0;
+  std::vector<const LoadView *> givers;
+  for (const auto &[id, view] : views) {
+    total += view.Rate;
+    bearable += capacity(*view.Upstream);
+    if (view.Rate >= 1)
+      givers.push_back(&view);
   }
-  if (!best)
-    return std::nullopt;
-  return best->Move;
+  std::ranges::sort(givers, std::ranges::greater{}, &LoadView::marginal);
+  if (givers.size() > MaxGivers)
+    givers.resize(MaxGivers);
+  const auto least = std::ranges::min_element(
+      views, {}, [](const auto &entry) { return entry.second.marginal(); });
+  const LoadView &taker = least->second;
+  const double room = roomOf(taker, total / bearable);
+  for (const LoadView *giver : givers) {
+    std::optional<Candidate> best;
+    for (const RangeRow &row : rows) {
+      if (row.Owner != giver->Upstream->Id || row.IsMoving || giver == &taker)
+        continue;
+      const auto candidate = bestPart(row, *giver, taker, room, load);
+      if (candidate && (!best || candidate->Gain > best->Gain))
+        best = candidate;
+    }
+    if (best)
+      return best->Move;
+  }
+  return std::nullopt;
 }
 
 /// Applies a planned move to @p rows.
--- a/src/routing/upstream_table.cpp
+++ b/src/routing/upstream_table.cpp
@@ -108,10 +108,13 @@
   if (rules.MaxConnections > 0 && upstream.Load.outstanding() >= connections)
     return false;
   if (now < upstream.ColdUntil && rules.WarmUpRequestsPerS > 0) {
-    const int allowed =
-        coldRequestsPerSecond(upstream.Entry.Id, rules.WarmUpRequestsPerS,
-                              context.Cold, context.Self, context.Vms);
-    if (upstream.ColdSends.count(now) >= allowed)
+    if (upstream.ColdShareVersion != context.VmsVersion) {
+      upstream.ColdShareVersion = context.VmsVersion;
+      upstream.ColdShare =
+          coldRequestsPerSecond(upstream.Entry.Id, rules.WarmUpRequestsPerS,
+                                context.Cold, context.Self, context.Vms);
+    }
+    if (upstream.ColdSends.count(now) >= upstream.ColdShare)
       return false;
   }
   return upstream.Load.busy(now) + 1 <= MaxBusyPerSlot * upstream.Entry.Slots;
@@ -131,21 +134,27 @@
     double Cost;
   };
   std::vector<Candidate> candidates;
-  for (const UpstreamId &id : members->second) {
-    Upstream &upstream = Upstreams[id];
-    if ((request.Only && id != *request.Only) || !isUsable(upstream))
-      continue;
+  const auto consider = [&](Upstream &upstream) {
+    if (!isUsable(upstream))
+      return;
     result.IsAnyUsable = true;
     if (!hasRoom(upstream, context, rule->second, now))
-      continue;
+      return;
     double cost = upstream.Load.cost(upstream.Entry.Slots, now);
     if (upstream.Entry.Domain != context.OwnDomain)
       cost += request.PrefersOwnDomain ? LargeAnswerCost : SmallAnswerCost;
     if (request.HasConnection && !request.HasConnection(upstream.Entry.Address))
       cost += ConnectionCost;
-    if (request.Tried.contains(id) && !request.Only)
-      continue;
     candidates.push_back({&upstream, cost});
+  };
+  if (request.Only) {
+    if (Upstream *only = find(*request.Only);
+        only != nullptr && only->Entry.Service == request.Service)
+      consider(*only);
+  } else {
+    for (const UpstreamId &id : members->second)
+      if (!request.Tried.contains(id))
+        consider(*find(id));
   }
   if (candidates.empty())
     return result;
@@ -157,6 +166,28 @@
   return result;
 }
 
+ServiceSummary UpstreamTable::summarize(const ServiceId &service) {
+  ServiceSummary summary;
+  double work = 0;
+  int known = 0;
+  const auto members = ByService.find(service);
+  if (members == ByService.end())
+    return summary;
+  for (const UpstreamId &id : members->second) {
+    const Upstream &upstream = *find(id);
+    if (!isUsable(upstream))
+      continue;
+    summary.Slots += upstream.Entry.Slots;
+    if (upstream.Load.workUs() > 0) {
+      work += upstream.Load.workUs();
+      ++known;
+    }
+  }
+  if (known > 0)
+    summary.UsualWork = Duration(static_cast<Duration::rep>(work / known));
+  return summary;
+}
+
 void UpstreamTable::noteSent(Upstream &upstream, Time now) {
   upstream.Load.onSent();
   upstream.ColdSends.add(now);
--- a/src/routing/upstream_table.h
+++ b/src/routing/upstream_table.h
@@ -25,6 +25,8 @@
   Time ListedAt;                   ///< first seen in this life
   Time ColdUntil;                  ///< few requests until then
   SlidingCount ColdSends{seconds(1)};
+  int ColdShare = 0; ///< this VM's requests in a second while it is cold
+  std::uint64_t ColdShareVersion = 0; ///< VmsVersion that it is valid for
 };
 
 /// Inputs of a choice that change slowly.
@@ -32,6 +34,7 @@
   DomainId OwnDomain;
   VmId Self;
   std::vector<VmId> Vms;
+  std::uint64_t VmsVersion = 1; ///< changes with Vms
   ColdTerms Cold;
 };
 
@@ -51,6 +54,12 @@
   bool IsAnyUsable = false;   ///< some upstream could take it later
 };
 
+/// The usable upstreams of one service together.
+struct ServiceSummary {
+  int Slots = 0;
+  Duration UsualWork{}; ///< at usual speed; 0 while unknown
+};
+
 class UpstreamTable {
 public:
   /// Applies an entry of the list. @return the upstream
@@ -74,6 +83,7 @@
   Choice choose(const ChoiceRequest &request, const ChoiceContext &context,
                 const std::map<ServiceId, ServiceRules> &rules, Time now,
                 std::uint64_t draw);
+  ServiceSummary summarize(const ServiceId &service);
   /// Counts a request that is being sent to @p upstream.
   void noteSent(Upstream &upstream, Time now);
 
--- /dev/null
+++ b/tests/platform_test.cpp
@@ -0,0 +1,222 @@
+/**
+ * @file platform_test.cpp
+ * What the adapter reads and writes, and that unreadable or foreign input
+ * names nobody and stops nothing.
+ */
+#include "documents.h"
+#include "headers.h"
+#include "http/parser.h"
+#include "key_orders.h"
+#include "settings/node_settings_base.h"
+#include "store_protocol.h"
+
+#include <gtest/gtest.h>
+
+namespace waxwing {
+namespace {
+
+constexpr const char *GoodEntry =
+    R"({"address":"10.1.2.3:8080","born":1700000000000,
+        "info":{"service":"s","config_version":"v1","zone":"a","slots":4},
+        "status":{"state":"ready","sequence":4,"warmup_left_s":1.5}})";
+
+std::string replaced(std::string text, const std::string &from,
+                     const std::string &to) {
+  const auto at = text.find(from);
+  EXPECT_NE(at, std::string::npos);
+  return text.replace(at, from.size(), to);
+}
+
+TEST(UpstreamEntry, IsDecoded) {
+  const auto entry = platform::decodeUpstream("i-1", GoodEntry);
+  ASSERT_TRUE(entry.ok()) << entry.status();
+  EXPECT_EQ(entry->Id, UpstreamId("i-1"));
+  EXPECT_EQ(entry->Service, ServiceId("s"));
+  EXPECT_EQ(entry->Address, (Endpoint{"10.1.2.3", 8080}));
+  EXPECT_EQ(entry->Domain, DomainId("a"));
+  EXPECT_EQ(entry->Born, 1700000000000);
+  EXPECT_EQ(entry->Slots, 4);
+  EXPECT_FALSE(entry->IsDraining);
+  EXPECT_EQ(entry->WarmUpLeft, milliseconds(1500));
+}
+
+TEST(UpstreamEntry, OfAnotherWriterNamesNobody) {
+  const std::vector<std::string> bad{
+      "",
+      "not json",
+      "[]",
+      "\xff\xfe",
+      "{}",
+      replaced(GoodEntry, "\"ready\"", "\"sleeping\""),
+      replaced(GoodEntry, "\"slots\":4", "\"slots\":\"4\""),
+      replaced(GoodEntry, "\"slots\":4", "\"slots\":0"),
+      replaced(GoodEntry, "\"slots\":4", "\"slots\":-1"),
+      replaced(GoodEntry, "1700000000000", "1.5"),
+      replaced(GoodEntry, "\"10.1.2.3:8080\"", "\"nowhere\""),
+      replaced(GoodEntry, "\"info\"", "\"other\""),
+      replaced(GoodEntry, "\"zone\":\"a\"", "\"zone\":7"),
+      replaced(GoodEntry, "1.5", "-1"),
+  };
+  for (const std::string &text : bad)
+    EXPECT_FALSE(platform::decodeUpstream("i-1", text).ok()) << text;
+}
+
+constexpr const char *GoodConfig =
+    R"({"config_version":"0000000c","base_version":"00000005",
+        "routes":{"r1":{"hostname":"H.Example","prefix":"/p/",
+            "kind":"idempotent","timeout_s":1.5,"target_latency_s":0.6,
+            "priority":2,"max_attempts":2,
+            "traffic_split":[{"service":"s","weight":90},
+                             {"service":"t","weight":10}]},
+          "r2":{"hostname":"g","prefix":"/","kind":"non_idempotent",
+            "timeout_s":1,"target_latency_s":0.8,"priority":1,
+            "service":"t","max_attempts":1}},
+        "services":{"s":{"health_path":"/healthz","max_connections":110,
+            "protocol":"h1","tls":false,"warmup_s":3,"warmup_per_s":5.7,
+            "sharded":true,"warm_s":2,"grants":"call"},
+          "t":{"health_path":"/healthz","max_connections":9}},
+        "limits":{"max_header_bytes":16384,"max_body_bytes":67108864,
+            "header_timeout_s":3,"idle_timeout_s":15}})";
+
+TEST(Configuration, IsDecoded) {
+  const auto config = platform::decodeConfig(GoodConfig);
+  ASSERT_TRUE(config.ok()) << config.status();
+  EXPECT_EQ(config->Version, 12U);
+  ASSERT_EQ(config->Routes.size(), 2U);
+  const Route &first = config->Routes[0];
+  EXPECT_EQ(first.Host, "h.example");
+  EXPECT_EQ(first.Kind, RequestKind::Idempotent);
+  EXPECT_EQ(first.Timeout, milliseconds(1500));
+  EXPECT_EQ(first.Parts.size(), 2U);
+  EXPECT_EQ(config->Routes[1].Parts[0].Service, ServiceId("t"));
+  EXPECT_TRUE(config->Services.at(ServiceId("s")).IsDividedByKey);
+  EXPECT_FALSE(config->Services.at(ServiceId("t")).IsDividedByKey);
+  EXPECT_EQ(config->Limits.IdleTimeout, seconds(15));
+}
+
+TEST(Configuration, ErrorsNameTheField) {
+  const std::string text = replaced(GoodConfig, "\"idempotent\"", "\"maybe\"");
+  const auto config = platform::decodeConfig(text);
+  ASSERT_FALSE(config.ok());
+  const std::string message(config.status().message());
+  EXPECT_NE(message.find("'maybe'"), std::string::npos) << message;
+  EXPECT_NE(message.find("non_idempotent"), std::string::npos) << message;
+  EXPECT_FALSE(platform::decodeConfig("{").ok());
+  EXPECT_FALSE(
+      platform::decodeConfig(replaced(GoodConfig, "0000000c", "xyz")).ok());
+}
+
+TEST(Store, TransactionsAndAnswers) {
+  platform::StoreTransaction transaction;
+  transaction.Conditions = {{"a/b", 7}};
+  transaction.Writes = {{"a/b", "node-1", 5}};
+  const platform::Call call = platform::transactionCall(transaction);
+  EXPECT_EQ(call.Target, "/v1/kv-txn");
+  EXPECT_NE(call.Body.find(R"("value":"bm9kZS0x")"), std::string::npos);
+  EXPECT_NE(call.Body.find(R"("lease":5)"), std::string::npos);
+  const auto changes = platform::decodeChanges(
+      R"({"events":[{"key":"k","value":"bm9kZS0x","revision":4,
+          "create_revision":4,"lease":0},
+          {"key":"o","revision":5,"removed":true}],"store_revision":9})");
+  ASSERT_TRUE(changes.ok());
+  EXPECT_EQ(changes->Changes[0].Value, "node-1");
+  EXPECT_EQ(changes->Changes[1].Value, std::nullopt);
+  EXPECT_EQ(changes->StoreRevision, 9U);
+  EXPECT_FALSE(platform::decodeChanges("{}").ok());
+  EXPECT_FALSE(platform::decodePage(
+                   R"({"items":["x"],"has_more":false,"store_revision":1})")
+                   .ok());
+  EXPECT_EQ(platform::decodeLease(R"({"lease":3,"ttl_s_time":1.5})")->Term,
+            milliseconds(1500));
+}
+
+TEST(Headers, LoadAndPromisesAreRead) {
+  const auto meta =
+      platform::readAnswerMeta(503, {{"request-id", "q1"},
+                                     {"Not-Executed", "1"},
+                                     {"Backend-Load", "3,1,4,210"},
+                                     {"Keep-Alive", "timeout=9, max=5"}});
+  EXPECT_TRUE(meta.IsNotRun);
+  EXPECT_FALSE(meta.IsSigned);
+  EXPECT_EQ(meta.RequestId, "q1");
+  ASSERT_TRUE(meta.Load.has_value());
+  EXPECT_EQ(meta.Load->SlownessPercent, 210);
+  EXPECT_EQ(meta.KeepAliveS, 9);
+  EXPECT_TRUE(platform::readAnswerMeta(421, {}).IsNotRun);
+  EXPECT_FALSE(platform::readAnswerMeta(503, {}).IsNotRun);
+  EXPECT_FALSE(platform::readAnswerMeta(200, {{"Backend-Load", "3,x,4"}}).Load);
+  const auto request = platform::readRequestMeta(
+      {{"Request-Id", "r"}, {"Deadline-Ms", "1500"}, {"Shard-Key", "70000"}});
+  EXPECT_EQ(request.RemainingMs, 1500);
+  EXPECT_FALSE(request.Key.has_value());
+}
+
+TEST(KeyOrders, CarryFenceAndHandover) {
+  const auto grant = platform::grantCall({1, 9}, 12, seconds(4), "h");
+  EXPECT_EQ(grant.Target, "/v1/grant");
+  EXPECT_NE(grant.Body.find(R"("fence":12)"), std::string::npos);
+  EXPECT_NE(grant.Body.find(R"("handover":"h")"), std::string::npos);
+  EXPECT_EQ(
+      platform::grantCall({1, 9}, 12, seconds(4), "").Body.find("handover"),
+      std::string::npos);
+  EXPECT_EQ(platform::handoverOf({{"handover", "x"}}), "x");
+}
+
+TEST(HttpParser, CutChunkedAndPipelinedMessages) {
+  http::RequestParser requests({});
+  const std::string two =
+      "GET /a HTTP/1.1\r\nHost: h\r\n\r\nGET /b HTTP/1.1\r\n";
+  std::size_t consumed = 0;
+  EXPECT_EQ(requests.put(two, consumed), http::ParseState::Done);
+  EXPECT_EQ(two.substr(consumed), "GET /b HTTP/1.1\r\n");
+  http::AnswerParser cut({}, false);
+  const std::string half = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nab";
+  EXPECT_EQ(cut.put(half, consumed), http::ParseState::NeedMore);
+  EXPECT_EQ(cut.putEnd(), http::ParseState::Malformed);
+  http::AnswerParser open({}, false);
+  EXPECT_EQ(open.put("HTTP/1.1 200 OK\r\n\r\nab", consumed),
+            http::ParseState::NeedMore);
+  EXPECT_EQ(open.putEnd(), http::ParseState::Done);
+  EXPECT_EQ(open.takeBody(), "ab");
+  http::AnswerParser chunked({}, false);
+  EXPECT_EQ(chunked.put("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+                        "2\r\nab\r\n0\r\n\r\n",
+                        consumed),
+            http::ParseState::Done);
+  EXPECT_EQ(chunked.takeBody(), "ab");
+}
+
+TEST(HttpParser, SmuggledAndOversizedRequestsAreRefused) {
+  std::size_t consumed = 0;
+  http::RequestParser both({});
+  EXPECT_EQ(both.put("POST / HTTP/1.1\r\nContent-Length: 3\r\n"
+                     "Transfer-Encoding: chunked\r\n\r\n",
+                     consumed),
+            http::ParseState::Malformed);
+  http::ParseLimits small;
+  small.HeaderBytes = 64;
+  small.BodyBytes = 4;
+  http::RequestParser wide(small);
+  EXPECT_EQ(wide.put("GET / HTTP/1.1\r\nX: " + std::string(100, 'x'), consumed),
+            http::ParseState::HeaderTooLarge);
+  http::RequestParser fat(small);
+  EXPECT_EQ(fat.put("POST / HTTP/1.1\r\nContent-Length: 9\r\n\r\n", consumed),
+            http::ParseState::BodyTooLarge);
+}
+
+TEST(NodeSettings, ErrorsNamePlaceAndAllowedValues) {
+  const std::string good = "[vm]\nname = a\ndomain = d\n[listen]\ncallers = "
+                           "1.2.3.4:1\nready = 1.2.3.4:2\npeers = "
+                           "1.2.3.4:3\n[store]\naddress = 1.2.3.4:4\n";
+  const auto settings = parseNodeSettings(good, "f");
+  ASSERT_TRUE(settings.ok()) << settings.status();
+  EXPECT_EQ(settings->Bounds.seconds("grace"), seconds(6));
+  const auto bad = parseNodeSettings(good + "[bounds]\ngrace = soon\n", "f");
+  ASSERT_FALSE(bad.ok());
+  EXPECT_NE(std::string(bad.status().message()).find("f:11: [bounds] grace"),
+            std::string::npos)
+      << bad.status();
+}
+
+} // namespace
+} // namespace waxwing
--- /dev/null
+++ b/tests/range_balance_test.cpp
@@ -0,0 +1,195 @@
+/**
+ * @file range_balance_test.cpp
+ * Which keys move, under the load patterns of hot keys, slow upstreams and
+ * newcomers; and copies of range maps under lost datagrams.
+ */
+#include "peers/range_copy_base.h"
+#include "ranges/range_balance_func.h"
+
+#include <algorithm>
+#include <gtest/gtest.h>
+
+namespace waxwing {
+namespace {
+
+std::vector<RangeUpstream> upstreams(int count) {
+  std::vector<RangeUpstream> result;
+  for (int n = 0; n < count; ++n) {
+    RangeUpstream upstream;
+    upstream.Id = UpstreamId("u" + std::to_string(n));
+    upstream.Born = 1;
+    upstream.Slots = 4;
+    upstream.WorkSeconds = 0.2;
+    upstream.IsEligible = true;
+    result.push_back(upstream);
+  }
+  return result;
+}
+
+/// Adds @p perSecond requests/s for each key of the range.
+void load(KeyLoad &keys, int from, int to, double perSecond) {
+  for (int key = from; key <= to; ++key)
+    for (int n = 0; n < perSecond * 1.5; ++n)
+      keys.add(static_cast<std::uint16_t>(key));
+}
+
+TEST(KeyLoad, NarrowestPartCarriesTheWantedRate) {
+  KeyLoad keys;
+  load(keys, 1000, 1009, 10);
+  const KeyRange part = keys.narrowest({0, 65535}, 50);
+  EXPECT_GE(part.From, 1000);
+  EXPECT_LE(part.To, 1009);
+  EXPECT_NEAR(keys.rate(part), 50, 11);
+}
+
+TEST(RangeBalance, HotStretchIsSpreadOverMoreUpstreams) {
+  KeyLoad keys;
+  load(keys, 5000, 5039, 1); // 40 requests/s, one upstream bears 20
+  const auto pool = upstreams(8);
+  const auto moves = planMoves(divideKeys(pool), pool, keys, 4);
+  ASSERT_FALSE(moves.empty());
+  int keysMoved = 0;
+  for (const RangeMove &move : moves)
+    keysMoved += move.Range.size();
+  EXPECT_LE(keysMoved, 400); // few keys, those that are asked for
+  EXPECT_GE(moves.size(), 2U);
+}
+
+TEST(RangeBalance, SingleHotKeyDoesNotWander) {
+  KeyLoad keys;
+  load(keys, 5000, 5000, 30); // more than any upstream bears
+  const auto pool = upstreams(4);
+  auto rows = divideKeys(pool);
+  RangeRow alone = rows[0];
+  alone.Range = {5000, 5000};
+  RangeRow rest = rows[0];
+  rest.Owner = UpstreamId("u1");
+  std::vector<RangeRow> split;
+  rest.Range = {0, 4999};
+  split.push_back(rest);
+  split.push_back(alone);
+  rest.Range = {5001, rows[0].Range.To};
+  split.push_back(rest);
+  split.insert(split.end(), rows.begin() + 1, rows.end());
+  EXPECT_TRUE(planMoves(split, pool, keys, 4).empty());
+}
+
+TEST(RangeBalance, EvenLoadMovesNothing) {
+  KeyLoad keys;
+  for (int key = 0; key < 65536; key += 1000)
+    load(keys, key, key, 1);
+  const auto pool = upstreams(8);
+  EXPECT_TRUE(planMoves(divideKeys(pool), pool, keys, 4).empty());
+}
+
+TEST(RangeBalance, SlowUpstreamOwnsFewKeys) {
+  auto pool = upstreams(4);
+  pool[2].WorkSeconds = 0.5;
+  const auto rows = divideKeys(pool);
+  const auto keysOf = [&](const std::string &id) {
+    int sum = 0;
+    for (const RangeRow &row : rows)
+      if (row.Owner.Value == id)
+        sum += row.Range.size();
+    return sum;
+  };
+  EXPECT_LT(4 * keysOf("u2"), keysOf("u1"));
+  EXPECT_GT(keysOf("u2"), 0);
+}
+
+TEST(RangeBalance, NewcomerGetsKeys) {
+  KeyLoad keys;
+  const auto pool = upstreams(4);
+  std::vector<RangeUpstream> first(pool.begin(), pool.end() - 1);
+  const auto moves = planMoves(divideKeys(first), pool, keys, 1);
+  ASSERT_EQ(moves.size(), 1U);
+  EXPECT_EQ(moves[0].To, UpstreamId("u3"));
+}
+
+TEST(RangeBalance, LatencyGrowsWithLoadAndBeyondCapacity) {
+  const RangeUpstream upstream = upstreams(1)[0];
+  EXPECT_NEAR(expectedLatency(upstream, 0.1), 0.2, 0.01);
+  EXPECT_GT(expectedLatency(upstream, 18), expectedLatency(upstream, 10));
+  EXPECT_GT(expectedLatency(upstream, 60), expectedLatency(upstream, 30));
+}
+
+RangeMap mapOf(const std::vector<RangeRow> &rows, std::uint64_t revision) {
+  RangeMap map;
+  map.Rows = rows;
+  map.NextFence = 9;
+  map.Revision = revision;
+  return map;
+}
+
+TEST(RangeCopy, ChangeAppliesOnlyToItsBase) {
+  const ServiceId service("s");
+  const RangeMap first = mapOf(divideKeys(upstreams(3)), 5);
+  RangeMap second = first;
+  second.Revision = 6;
+  second.Rows[1].Owner = UpstreamId("u9");
+  RangeMap third = second;
+  third.Revision = 7;
+  third.Rows[2].IsMoving = true;
+  RangeCopy copy;
+  ASSERT_TRUE(copy.take(service, first));
+  const auto later = RangeCopy::describe(service, &second, third);
+  EXPECT_FALSE(copy.take(later.at(0))); // the change before was lost
+  EXPECT_TRUE(copy.take(RangeCopy::describe(service, &first, second).at(0)));
+  EXPECT_TRUE(copy.take(later.at(0)));
+  EXPECT_EQ(copy.find(service)->Rows, third.Rows);
+  EXPECT_EQ(copy.revisions()[service], 7U);
+}
+
+TEST(RangeCopy, WholeMapNeedsAllItsParts) {
+  const ServiceId service("s");
+  const RangeMap map = mapOf(divideKeys(upstreams(250)), 5);
+  const auto parts = RangeCopy::describe(service, nullptr, map);
+  ASSERT_GT(parts.size(), 1U);
+  RangeCopy copy;
+  for (std::size_t n = 1; n < parts.size(); ++n)
+    EXPECT_FALSE(copy.take(parts[n]));
+  EXPECT_EQ(copy.find(service), nullptr);
+  EXPECT_TRUE(copy.take(parts[0]));
+  EXPECT_EQ(copy.find(service)->Rows, map.Rows);
+  EXPECT_FALSE(copy.take(parts[0])); // a late duplicate
+}
+
+TEST(RangeCopy, SplitRowsReplaceTheirParent) {
+  const ServiceId service("s");
+  const RangeMap before = mapOf(divideKeys(upstreams(2)), 5);
+  RangeMap after = before;
+  after.Revision = 6;
+  RangeRow upper = after.Rows[0];
+  const std::uint16_t middle = after.Rows[0].Range.To / 2;
+  upper.Range.From = middle + 1;
+  after.Rows[0].Range.To = middle;
+  upper.IsMoving = true;
+  after.Rows.insert(after.Rows.begin() + 1, upper);
+  RangeCopy copy;
+  copy.take(service, before);
+  EXPECT_TRUE(copy.take(RangeCopy::describe(service, &before, after).at(0)));
+  EXPECT_EQ(copy.find(service)->Rows, after.Rows);
+}
+
+TEST(PeerMessage, SurvivesTheWireAndRefusesNoise) {
+  PeerHello hello;
+  hello.Vm = VmId("vm1");
+  hello.Keys[ServiceId("s")] = {1, 2, 2};
+  hello.MapRevisions[ServiceId("s")] = 4;
+  const auto decoded = decodePeerMessage(encodePeerMessage(hello));
+  ASSERT_TRUE(decoded.ok());
+  EXPECT_EQ(std::get<PeerHello>(*decoded).Keys, hello.Keys);
+  for (const std::string noise : {"", "x", "\x81\x09", "\xff\xff\xff"})
+    EXPECT_FALSE(decodePeerMessage(noise).ok());
+}
+
+TEST(RangeCodec, RefusesMapsThatDoNotCoverAllKeys) {
+  RangeMap map = mapOf(divideKeys(upstreams(3)), 5);
+  ASSERT_TRUE(decodeRangeMap(encodeRangeMap(map), 5).ok());
+  map.Rows.erase(map.Rows.begin() + 1);
+  EXPECT_FALSE(decodeRangeMap(encodeRangeMap(map), 5).ok());
+  EXPECT_FALSE(decodeRangeMap("noise", 5).ok());
+}
+
+} // namespace
+} // namespace waxwing
--- /dev/null
+++ b/tests/routing_test.cpp
@@ -0,0 +1,270 @@
+/**
+ * @file routing_test.cpp
+ * Routes, choices of upstreams, waiting and refusing, and bounds that hold in
+ * sum over all VMs, each named for the load pattern it answers.
+ */
+#include "routing/admission.h"
+#include "routing/cold_share.h"
+#include "routing/retry_allowance.h"
+#include "routing/route_table.h"
+#include "routing/upstream_table.h"
+
+#include <gtest/gtest.h>
+
+namespace waxwing {
+namespace {
+
+constexpr Time Start{seconds(100)};
+
+Route route(const std::string &host, const std::string &prefix) {
+  Route result;
+  result.Name = host + prefix;
+  result.Host = host;
+  result.Prefix = prefix;
+  result.Parts = {{ServiceId("s"), 1}};
+  return result;
+}
+
+UpstreamEntry entry(const std::string &id, const std::string &domain = "a") {
+  UpstreamEntry result;
+  result.Id = UpstreamId(id);
+  result.Service = ServiceId("s");
+  result.Address = {"10.0.0." + id.substr(1), 80};
+  result.Domain = DomainId(domain);
+  result.Born = 1;
+  result.Slots = 4;
+  return result;
+}
+
+/// A table of upstreams and the inputs of a choice.
+class ChoiceTest : public testing::Test {
+protected:
+  ChoiceTest() {
+    Context.OwnDomain = DomainId("a");
+    Context.Self = VmId("vm1");
+    Context.Vms = {VmId("vm1"), VmId("vm2")};
+    Rules[ServiceId("s")] = {};
+    Request.Service = ServiceId("s");
+  }
+
+  UpstreamId choose(std::uint64_t draw = 0) {
+    const Choice choice = Table.choose(Request, Context, Rules, Now, draw);
+    return choice.Chosen == nullptr ? UpstreamId() : choice.Chosen->Entry.Id;
+  }
+  Upstream &add(const std::string &id, const std::string &domain = "a") {
+    return Table.apply(entry(id, domain), 1, Now);
+  }
+
+  UpstreamTable Table;
+  ChoiceContext Context;
+  ChoiceRequest Request;
+  std::map<ServiceId, ServiceRules> Rules;
+  Time Now = Start;
+};
+
+TEST(RouteTable, LongestPrefixOfTheHostWins) {
+  TrafficConfig config;
+  config.Routes = {route("h", "/a/"), route("h", "/a/b/"), route("g", "/a/")};
+  const RouteTable table(config);
+  EXPECT_EQ(table.find("h", "/a/b/c")->Name, "h/a/b/");
+  EXPECT_EQ(table.find("H:8080", "/a/x?q=/a/b/")->Name, "h/a/");
+  EXPECT_EQ(table.find("g", "/a/b/")->Name, "g/a/");
+  EXPECT_EQ(table.find("h", "/b/"), nullptr);
+  EXPECT_EQ(table.find("other", "/a/"), nullptr);
+}
+
+TEST(RouteTable, PartsAreChosenByWeight) {
+  Route split = route("h", "/");
+  split.Parts = {{ServiceId("x"), 90}, {ServiceId("y"), 10}};
+  EXPECT_EQ(choosePart(split, 0.0).Service, ServiceId("x"));
+  EXPECT_EQ(choosePart(split, 0.89).Service, ServiceId("x"));
+  EXPECT_EQ(choosePart(split, 0.91).Service, ServiceId("y"));
+  EXPECT_EQ(choosePart(split, 0.9999).Service, ServiceId("y"));
+}
+
+TEST_F(ChoiceTest, StragglerGetsNothingWhileOthersAreFree) {
+  add("u1").Load.onReport({0, 0, 4, 100}, Now);
+  add("u2").Load.onReport({0, 0, 4, 300}, Now);
+  for (std::uint64_t draw = 0; draw < 8; ++draw)
+    EXPECT_EQ(choose(draw), UpstreamId("u1"));
+}
+
+TEST_F(ChoiceTest, MomentaryDisturbanceIsForgotten) {
+  Upstream &disturbed = add("u1");
+  disturbed.Load.onReport({0, 0, 4, 100}, Now);
+  disturbed.Load.onReport({0, 0, 4, 300}, Now);
+  EXPECT_GT(disturbed.Load.slowness(Now), 2.5);
+  EXPECT_LT(disturbed.Load.slowness(Now + seconds(2)), 1.5);
+}
+
+TEST_F(ChoiceTest, FullUpstreamsMakeRequestsWait) {
+  add("u1").Load.onReport({4, 8, 4, 100}, Now);
+  const Choice choice = Table.choose(Request, Context, Rules, Now, 0);
+  EXPECT_EQ(choice.Chosen, nullptr);
+  EXPECT_TRUE(choice.IsAnyUsable);
+}
+
+TEST_F(ChoiceTest, BrokenUpstreamIsAvoidedAndTriedAgain) {
+  Upstream &broken = add("u1");
+  Table.noteSent(broken, Now);
+  broken.Load.onEnd(AttemptEnd::Broken, milliseconds(5), Now);
+  EXPECT_EQ(choose(), UpstreamId());
+  Now += seconds(1);
+  EXPECT_EQ(choose(), UpstreamId("u1"));
+}
+
+TEST_F(ChoiceTest, FailingUpstreamIsLeftForSoundOnes) {
+  Upstream &grey = add("u1");
+  add("u2");
+  for (int n = 0; n < 6; ++n) {
+    Table.noteSent(grey, Now);
+    grey.Load.onEnd(AttemptEnd::Failed, milliseconds(1), Now);
+  }
+  EXPECT_EQ(choose(0), UpstreamId("u2"));
+  EXPECT_EQ(choose(1), UpstreamId("u2"));
+}
+
+TEST_F(ChoiceTest, LargeAnswersComeFromTheOwnDomain) {
+  add("u1", "b");
+  add("u2", "a");
+  Request.PrefersOwnDomain = true;
+  EXPECT_EQ(choose(0), UpstreamId("u2"));
+  EXPECT_EQ(choose(1), UpstreamId("u2"));
+}
+
+TEST_F(ChoiceTest, OpenConnectionsAreReused) {
+  add("u1");
+  Upstream &connected = add("u2");
+  Request.HasConnection = [&](const Endpoint &address) {
+    return address == connected.Entry.Address;
+  };
+  EXPECT_EQ(choose(0), UpstreamId("u2"));
+  EXPECT_EQ(choose(1), UpstreamId("u2"));
+}
+
+TEST_F(ChoiceTest, EvacuatedDrainingAndGoneUpstreamsGetNothing) {
+  add("u1", "b");
+  UpstreamEntry draining = entry("u2");
+  draining.IsDraining = true;
+  Table.apply(draining, 1, Now);
+  add("u3");
+  Table.unlist(UpstreamId("u3"), Now);
+  Table.setEvacuated({DomainId("b")});
+  const Choice choice = Table.choose(Request, Context, Rules, Now, 0);
+  EXPECT_EQ(choice.Chosen, nullptr);
+  EXPECT_FALSE(choice.IsAnyUsable);
+}
+
+TEST_F(ChoiceTest, NewLifeOfAnUpstreamStartsWithoutHistory) {
+  Upstream &upstream = add("u1");
+  upstream.Load.onReport({4, 16, 4, 900}, Now);
+  UpstreamEntry reborn = entry("u1");
+  reborn.Born = 2;
+  Table.apply(reborn, 2, Now);
+  EXPECT_EQ(choose(), UpstreamId("u1"));
+  EXPECT_DOUBLE_EQ(upstream.Load.slowness(Now), 1);
+}
+
+TEST_F(ChoiceTest, ColdUpstreamGetsFewRequestsOverAllVms) {
+  constexpr double PerSecond = 5;
+  Rules[ServiceId("s")].WarmUpRequestsPerS = PerSecond;
+  std::vector<VmId> vms;
+  for (int n = 0; n < 77; ++n)
+    vms.emplace_back("vm" + std::to_string(n));
+  int sent = 0;
+  for (const VmId &vm : vms) {
+    UpstreamTable table;
+    UpstreamEntry cold = entry("u1");
+    cold.WarmUpLeft = seconds(3);
+    table.apply(cold, 1, Now);
+    Context.Self = vm;
+    Context.Vms = vms;
+    for (int n = 0; n < 5; ++n) {
+      const Choice choice = table.choose(Request, Context, Rules, Now, 0);
+      if (choice.Chosen == nullptr)
+        continue;
+      table.noteSent(*choice.Chosen, Now);
+      ++sent;
+    }
+  }
+  EXPECT_GT(sent, 0);
+  EXPECT_LE(sent, PerSecond * Context.Cold.Overage + Context.Cold.Slack);
+}
+
+TEST(ColdShare, SumOfAllVmsStaysWithinTheBound) {
+  for (const int count : {1, 3, 8, 77, 730}) {
+    std::vector<VmId> vms;
+    for (int n = 0; n < count; ++n)
+      vms.emplace_back("vm" + std::to_string(n));
+    for (int u = 0; u < 20; ++u) {
+      const UpstreamId upstream("u" + std::to_string(u));
+      int sum = 0;
+      for (const VmId &vm : vms)
+        sum += coldRequestsPerSecond(upstream, 5.7, {}, vm, vms);
+      EXPECT_GT(sum, 0);
+      EXPECT_LE(sum, 5.7 * 1.5 + 5);
+    }
+  }
+}
+
+TEST(RetryAllowance, RepeatsOfAllVmsStayWithinTheBudget) {
+  constexpr int VmCount = 8;
+  const RetryTerms terms;
+  int repeats = 0;
+  for (int vm = 0; vm < VmCount; ++vm) {
+    RetryAllowance allowance(terms);
+    for (int n = 0; n < 100; ++n) {
+      allowance.addRequest(Start);
+      repeats += allowance.take(Start, VmCount) ? 1 : 0;
+    }
+  }
+  EXPECT_LE(repeats, terms.Ratio * 100 * VmCount + terms.Slack);
+  EXPECT_GT(repeats, 0.5 * terms.Ratio * 100 * VmCount);
+}
+
+TEST(RetryAllowance, BudgetReturnsWithTime) {
+  RetryAllowance allowance({});
+  while (allowance.take(Start, 1)) {
+  }
+  EXPECT_FALSE(allowance.take(Start + seconds(5), 1));
+  EXPECT_TRUE(allowance.take(Start + seconds(11), 1));
+}
+
+AdmissionInput input() {
+  AdmissionInput result;
+  result.TimeLeft = seconds(1);
+  result.UsualWork = milliseconds(200);
+  result.SlotsShare = 4;
+  return result;
+}
+
+TEST(Admission, ShortQueueWaits) { EXPECT_TRUE(admit(input(), 0.5).IsWaiting); }
+
+TEST(Admission, QueueLongerThanTheTimeLeftIsRefusedAtOnce) {
+  AdmissionInput busy = input();
+  busy.Ahead = 40;
+  const Admission decision = admit(busy, 0.5);
+  EXPECT_FALSE(decision.IsWaiting);
+  EXPECT_GT(decision.ReturnAfter, Duration());
+  EXPECT_LE(decision.ReturnAfter, busy.TimeLeft / 3);
+}
+
+TEST(Admission, NothingWaitsThatCannotBeServed) {
+  AdmissionInput hopeless = input();
+  hopeless.IsServable = false;
+  EXPECT_FALSE(admit(hopeless, 0.5).IsWaiting);
+  AdmissionInput late = input();
+  late.TimeLeft = milliseconds(150);
+  EXPECT_FALSE(admit(late, 0.5).IsWaiting);
+}
+
+TEST(Admission, ReturningCallersAreSpread) {
+  AdmissionInput busy = input();
+  busy.Ahead = 40;
+  busy.SlotsShare = 40;
+  busy.IsServable = false;
+  EXPECT_LT(admit(busy, 0.0).ReturnAfter, admit(busy, 0.9).ReturnAfter);
+}
+
+} // namespace
+} // namespace waxwing
