--- a/src/node/call_client.cpp
+++ b/src/node/call_client.cpp
@@ -43,11 +43,11 @@
     Result.Status = 0;
     Result.Error = why;
     Result.IsDelivered = isSent;
-    static const std::string Refused =
+    static const std::string refused =
         "connect: " +
         boost::system::error_code(boost::asio::error::connection_refused)
             .message();
-    Result.IsRefused = why == Refused;
+    Result.IsRefused = why == refused;
     finish();
   }
 
--- a/src/node/client_connection.cpp
+++ b/src/node/client_connection.cpp
@@ -66,8 +66,8 @@
   flush();
 }
 
-void ClientConnection::begin(ExchangeObserver *observer, std::string head,
-                             bool isHeadMethod) {
+void ClientConnection::begin(ExchangeObserver *observer,
+                             const std::string &head, bool isHeadMethod) {
   Observer = observer;
   IsHeadMethod = isHeadMethod;
   IsHeadGiven = false;
@@ -81,7 +81,7 @@
              [self = shared_from_this()] { self->flush(); });
 }
 
-void ClientConnection::send(std::string bytes) {
+void ClientConnection::send(const std::string &bytes) {
   OutBuf += bytes;
   flush();
 }
--- a/src/node/client_connection.h
+++ b/src/node/client_connection.h
@@ -40,9 +40,10 @@
   /// Opens the connection; requests may be given before it stands.
   void open();
   /// Begins an exchange. @param observer outlives it or calls close()
-  void begin(ExchangeObserver *observer, std::string head, bool isHeadMethod);
+  void begin(ExchangeObserver *observer, const std::string &head,
+             bool isHeadMethod);
   /// Sends more of the request's body.
-  void send(std::string bytes);
+  void send(const std::string &bytes);
   /// @param isWhole false while bytes of the request's body are still due
   void setRequestWhole(bool isWhole) { IsRequestWhole = isWhole; }
   /// Stops or resumes reading the answer.
--- a/src/node/cluster.cpp
+++ b/src/node/cluster.cpp
@@ -37,10 +37,13 @@
 constexpr Duration TickEvery = milliseconds(100);
 constexpr std::size_t MaxReportedKeys = 1000;
 
+/// Delay of a VM with one core before it tries to lead, us; less processor
+/// time means a longer delay, down to the least share.
+constexpr double DelayOfOneCoreUs = 50'000;
+constexpr double LeastShare = 0.1;
+
 /// VMs with little processor time let others lead.
 Duration candidateDelay(double processorShare) {
-  constexpr double DelayOfOneCoreUs = 50'000;
-  constexpr double LeastShare = 0.1;
   return Duration(static_cast<Duration::rep>(
       DelayOfOneCoreUs / std::max(processorShare, LeastShare)));
 }
--- a/src/node/gateway.cpp
+++ b/src/node/gateway.cpp
@@ -128,8 +128,8 @@
 }
 
 const CallerLimits &Gateway::callerLimits() const {
-  static const CallerLimits Defaults;
-  return Config ? Config->config().Limits : Defaults;
+  static const CallerLimits defaults;
+  return Config ? Config->config().Limits : defaults;
 }
 
 void Gateway::setConfig(std::shared_ptr<const RouteTable> config) {
@@ -343,7 +343,8 @@
                              bool isServable) {
   AdmissionInput input;
   input.TimeLeft = exchange.TimeoutAt - now;
-  input.TargetLeft = exchange.ArrivedAt + exchange.Matched->TargetLatency - now;
+  input.TargetLatency = exchange.Matched->TargetLatency;
+  input.Waited = now - exchange.ArrivedAt;
   input.IsServable = isServable;
   const auto queue = Queues.find(exchange.Service);
   if (queue != Queues.end())
@@ -524,6 +525,7 @@
   const Time now = bootNow();
   Pool.sweep(now);
   std::vector<std::shared_ptr<CallerConnection>> callers;
+  callers.reserve(Callers.size());
   for (const auto &[key, connection] : Callers)
     callers.push_back(connection);
   for (const auto &connection : callers)
--- a/src/node/leadership.cpp
+++ b/src/node/leadership.cpp
@@ -30,6 +30,7 @@
 constexpr Duration ReadRetry = milliseconds(200);
 /// Connections refused for this long prove that the process has ended.
 constexpr Duration RefusedForDead = milliseconds(250);
+constexpr double MicrosPerSecond = 1e6;
 /// Work time that is assumed before any was seen, s.
 constexpr double DefaultWorkSeconds = 0.15;
 /// Answers of a process that is not the one the order names: its address was
@@ -235,7 +236,6 @@
       work += upstream.Load.workUs();
       ++known;
     }
-  constexpr double MicrosPerSecond = 1e6;
   const double usualWork =
       known > 0 ? work / known / MicrosPerSecond : DefaultWorkSeconds;
   std::vector<RangeUpstream> result;
@@ -400,9 +400,7 @@
     outcome = OrderOutcome::Accepted;
   else if (result.Status == platform::StatusHigherFence)
     outcome = OrderOutcome::HigherFence;
-  else if (result.Status == 0 && result.IsDelivered)
-    outcome = OrderOutcome::Unanswered;
-  else if (result.Status >= 500)
+  else if ((result.Status == 0 && result.IsDelivered) || result.Status >= 500)
     outcome = OrderOutcome::Unanswered;
   ++Counters.Outcomes[static_cast<std::size_t>(outcome)];
   const bool isElsewhere =
--- a/src/ranges/range_balance.cpp
+++ b/src/ranges/range_balance.cpp
@@ -188,7 +188,7 @@
   const auto it = std::ranges::find_if(rows, [&](const RangeRow &row) {
     return row.Range.contains(move.Range.From);
   });
-  const RangeRow row = *it;
+  const RangeRow row = std::move(*it);
   std::vector<RangeRow> parts;
   const auto add = [&](int from, int to, bool isMoved) {
     if (from > to)
--- a/src/routing/admission.cpp
+++ b/src/routing/admission.cpp
@@ -13,6 +13,10 @@
 constexpr Duration DefaultWork = milliseconds(150);
 /// Part of the usual work that must fit behind the wait.
 constexpr double NeededWork = 0.9;
+/// Part of the target latency that a request may wait: a caller who is told
+/// then still has time to come back, and most others are served in time.
+constexpr double LongestWait = 0.5;
+constexpr Duration LeastWait = milliseconds(150);
 /// Callers return within this part of their time, and not sooner than this.
 constexpr double LatestReturn = 0.3;
 constexpr Duration SoonestReturn = milliseconds(60);
@@ -31,8 +35,11 @@
       scale(work, (input.Ahead + 1) / std::max(input.SlotsShare, 0.1));
   const Duration spare = input.TimeLeft - scale(work, NeededWork);
   Admission result;
-  result.WaitLimit = std::max(spare, Duration());
-  result.IsWaiting = input.IsServable && turn <= spare;
+  const Duration patience =
+      std::max(scale(input.TargetLatency, LongestWait), LeastWait) -
+      input.Waited;
+  result.WaitLimit = std::max(std::min(spare, patience), Duration());
+  result.IsWaiting = input.IsServable && turn <= spare && patience > Duration();
   const Duration latest = scale(input.TimeLeft, LatestReturn);
   const Duration wanted = std::max(SoonestReturn, scale(turn, 0.5 + draw)) +
                           scale(SoonestReturn, draw);
--- a/src/routing/admission.h
+++ b/src/routing/admission.h
@@ -12,12 +12,13 @@
 
 /// What decides about one request.
 struct AdmissionInput {
-  Duration TimeLeft{};    ///< until the caller leaves or the route times out
-  Duration TargetLeft{};  ///< until its answer earns less; may be negative
-  Duration UsualWork{};   ///< work time of the service; 0: unknown
-  int Ahead = 0;          ///< requests that wait before it on this VM
-  double SlotsShare = 1;  ///< slots that this VM may count as its own
-  bool IsServable = true; ///< some upstream could take it later
+  Duration TimeLeft{};      ///< until the caller leaves or the route times out
+  Duration TargetLatency{}; ///< within it an answer earns most
+  Duration Waited{};        ///< time that it has waited already
+  Duration UsualWork{};     ///< work time of the service; 0: unknown
+  int Ahead = 0;            ///< requests that wait before it on this VM
+  double SlotsShare = 1;    ///< slots that this VM may count as its own
+  bool IsServable = true;   ///< some upstream could take it later
 };
 
 struct Admission {
--- a/src/settings/section_set.h
+++ b/src/settings/section_set.h
@@ -36,6 +36,7 @@
   if (!document.ok())
     return document.status();
   std::vector<std::string> names;
+  names.reserve(targets.size());
   for (const auto &target : targets)
     names.push_back(target.Name);
   for (const IniSection &section : document->Sections)
--- a/src/settings/setting.cpp
+++ b/src/settings/setting.cpp
@@ -23,6 +23,8 @@
   return n;
 }
 
+constexpr double MicrosPerSecond = 1e6;
+
 std::optional<double> parseDecimal(std::string_view text) {
   double n = 0;
   const auto [end, ec] =
@@ -100,7 +102,6 @@
 }
 
 Duration SettingSection::seconds(std::string_view key) const {
-  constexpr double MicrosPerSecond = 1e6;
   return Duration(static_cast<Duration::rep>(decimal(key) * MicrosPerSecond));
 }
 
--- a/tests/range_world.h
+++ b/tests/range_world.h
@@ -101,6 +101,7 @@
 
   static std::vector<std::uint16_t> sampleKeys() {
     std::vector<std::uint16_t> keys;
+    keys.reserve(SampleCount);
     for (int n = 0; n < SampleCount; ++n)
       keys.push_back(static_cast<std::uint16_t>(n * 1031 % 65536));
     return keys;
--- a/tests/routing_test.cpp
+++ b/tests/routing_test.cpp
@@ -166,9 +166,10 @@
 }
 
 TEST_F(ChoiceTest, ColdUpstreamGetsFewRequestsOverAllVms) {
-  constexpr double PerSecond = 5;
-  Rules[ServiceId("s")].WarmUpRequestsPerS = PerSecond;
+  constexpr double perSecond = 5;
+  Rules[ServiceId("s")].WarmUpRequestsPerS = perSecond;
   std::vector<VmId> vms;
+  vms.reserve(77);
   for (int n = 0; n < 77; ++n)
     vms.emplace_back("vm" + std::to_string(n));
   int sent = 0;
@@ -188,12 +189,13 @@
     }
   }
   EXPECT_GT(sent, 0);
-  EXPECT_LE(sent, PerSecond * Context.Cold.Overage + Context.Cold.Slack);
+  EXPECT_LE(sent, perSecond * Context.Cold.Overage + Context.Cold.Slack);
 }
 
 TEST(ColdShare, SumOfAllVmsStaysWithinTheBound) {
   for (const int count : {1, 3, 8, 77, 730}) {
     std::vector<VmId> vms;
+    vms.reserve(static_cast<std::size_t>(count));
     for (int n = 0; n < count; ++n)
       vms.emplace_back("vm" + std::to_string(n));
     for (int u = 0; u < 20; ++u) {
@@ -208,18 +210,18 @@
 }
 
 TEST(RetryAllowance, RepeatsOfAllVmsStayWithinTheBudget) {
-  constexpr int VmCount = 8;
+  constexpr int vmCount = 8;
   const RetryTerms terms;
   int repeats = 0;
-  for (int vm = 0; vm < VmCount; ++vm) {
+  for (int vm = 0; vm < vmCount; ++vm) {
     RetryAllowance allowance(terms);
     for (int n = 0; n < 100; ++n) {
       allowance.addRequest(Start);
-      repeats += allowance.take(Start, VmCount) ? 1 : 0;
+      repeats += allowance.take(Start, vmCount) ? 1 : 0;
     }
   }
-  EXPECT_LE(repeats, terms.Ratio * 100 * VmCount + terms.Slack);
-  EXPECT_GT(repeats, 0.5 * terms.Ratio * 100 * VmCount);
+  EXPECT_LE(repeats, terms.Ratio * 100 * vmCount + terms.Slack);
+  EXPECT_GT(repeats, 0.5 * terms.Ratio * 100 * vmCount);
 }
 
 TEST(RetryAllowance, BudgetReturnsWithTime) {
@@ -233,6 +235,7 @@
 AdmissionInput input() {
   AdmissionInput result;
   result.TimeLeft = seconds(1);
+  result.TargetLatency = milliseconds(600);
   result.UsualWork = milliseconds(200);
   result.SlotsShare = 4;
   return result;
@@ -258,6 +261,15 @@
   EXPECT_FALSE(admit(late, 0.5).IsWaiting);
 }
 
+TEST(Admission, WaitEndsWhileTheCallerCanStillComeBack) {
+  AdmissionInput patient = input();
+  patient.TimeLeft = seconds(4);
+  patient.Waited = milliseconds(290);
+  EXPECT_TRUE(admit(patient, 0.5).IsWaiting);
+  patient.Waited = milliseconds(310);
+  EXPECT_FALSE(admit(patient, 0.5).IsWaiting);
+}
+
 TEST(Admission, ReturningCallersAreSpread) {
   AdmissionInput busy = input();
   busy.Ahead = 40;
