--- a/src/node/store_feed.cpp
+++ b/src/node/store_feed.cpp
@@ -69,8 +69,11 @@
     Loading.clear();
     LoadRevision = 0;
   }
-  Calls.call(Store, platform::rangeCall("", after), "", bootNow() + LoadTimeout,
-             [this](const CallResult &result) {
+  Calls.call(Store, platform::rangeCall(Terms.Prefix, after), "",
+             bootNow() + LoadTimeout,
+             [this, number = ++CallNumber](const CallResult &result) {
+               if (number != CallNumber)
+                 return;
                IsCalling = false;
                onPage(result);
              });
@@ -87,6 +90,14 @@
     retry(std::string(page.status().message()));
     return;
   }
+  const bool isForeign = std::ranges::any_of(
+      page->Items, [&](const platform::StoreItem &item) {
+        return !item.Key.starts_with(Terms.Prefix);
+      });
+  if (isForeign) {
+    retry("load: keys of another prefix");
+    return;
+  }
   Failures = 0;
   Health.note(true, "", bootNow());
   if (LoadRevision == 0)
