--- /dev/null
+++ b/src/standin/platform_server.cpp
@@ -0,0 +1,210 @@
+/**
+ * @file platform_server.cpp
+ * HTTP of the stand-in platform, and its upstreams.
+ */
+#include "standin/platform_base.h"
+
+#include <boost/asio/write.hpp>
+#include <fmt/format.h>
+
+namespace waxwing {
+namespace {
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+using boost::system::error_code;
+
+class Connection : public std::enable_shared_from_this<Connection> {
+public:
+  Connection(tcp::socket socket, const StandinServer::Handler &handle)
+      : Socket(std::move(socket)), Handle(handle) {}
+
+  void read() {
+    Socket.async_read_some(
+        asio::buffer(Buffer),
+        [self = shared_from_this()](const error_code &ec, std::size_t n) {
+          if (ec)
+            return;
+          self->InBuf.append(self->Buffer.data(), n);
+          self->parse();
+        });
+  }
+
+private:
+  void parse() {
+    std::size_t consumed = 0;
+    const auto state = Parser.put(InBuf, consumed);
+    InBuf.erase(0, consumed);
+    if (state == http::ParseState::NeedMore) {
+      read();
+      return;
+    }
+    if (state != http::ParseState::Done)
+      return;
+    const StandinRequest request{Parser.head(), Parser.takeBody()};
+    Parser = http::RequestParser({});
+    Handle(request, [self = shared_from_this()](const std::string &answer) {
+      self->respond(answer);
+    });
+  }
+
+  void respond(const std::string &answer) {
+    if (answer.empty()) {
+      error_code ec;
+      Socket.set_option(asio::socket_base::linger(true, 0), ec);
+      Socket.close(ec); // the descriptor is released in any case
+      return;
+    }
+    OutBuf = answer;
+    asio::async_write(
+        Socket, asio::buffer(OutBuf),
+        [self = shared_from_this()](const error_code &ec, std::size_t) {
+          if (!ec)
+            self->InBuf.empty() ? self->read() : self->parse();
+        });
+  }
+
+  tcp::socket Socket;
+  const StandinServer::Handler &Handle;
+  http::RequestParser Parser{http::ParseLimits{}};
+  std::array<char, 16384> Buffer{};
+  std::string InBuf;
+  std::string OutBuf;
+};
+
+std::string textAnswer(int status, const std::string &headers,
+                       const std::string &body) {
+  return fmt::format("HTTP/1.1 {} X\r\n{}Content-Length: {}\r\n\r\n{}", status,
+                     headers, body.size(), body);
+}
+
+} // namespace
+
+StandinServer::StandinServer(asio::io_context &loop, const Endpoint &address,
+                             Handler handler)
+    : Acceptor(loop, tcp::endpoint(asio::ip::make_address(address.Address),
+                                   address.Port)),
+      Handle(std::move(handler)) {
+  accept();
+}
+
+void StandinServer::accept() {
+  Acceptor.async_accept([this](const error_code &ec, tcp::socket socket) {
+    if (ec)
+      return;
+    std::make_shared<Connection>(std::move(socket), Handle)->read();
+    accept();
+  });
+}
+
+std::string standinAnswer(int status, const nlohmann::json &body) {
+  return textAnswer(status, "Content-Type: application/json\r\n", body.dump());
+}
+
+StandinUpstreamHost::StandinUpstreamHost(
+    asio::io_context &loop, const StandinPlatformUpstream &settings)
+    : Loop(loop), Settings(settings),
+      Born(bootNow().time_since_epoch().count() / 1000),
+      Server(
+          loop, settings.Address,
+          [this](const StandinRequest &request, const StandinRespond &respond) {
+            handle(request, respond);
+          }) {}
+
+std::string StandinUpstreamHost::entry(bool isDraining) const {
+  return nlohmann::json{{"address", formatEndpoint(Settings.Address)},
+                        {"born", Born},
+                        {"info",
+                         {{"service", Settings.Service},
+                          {"config_version", "v1"},
+                          {"zone", Settings.Domain},
+                          {"slots", Settings.Slots}}},
+                        {"status",
+                         {{"state", isDraining ? "draining" : "ready"},
+                          {"sequence", 1},
+                          {"warmup_left_s", 0}}}}
+      .dump();
+}
+
+bool StandinUpstreamHost::holds(std::uint16_t key) const {
+  const Time now = bootNow();
+  return std::ranges::any_of(Holds, [&](const Hold &hold) {
+    return hold.Range.contains(key) && now < hold.Until;
+  });
+}
+
+void StandinUpstreamHost::order(const StandinRequest &request,
+                                const StandinRespond &respond) {
+  const auto json = nlohmann::json::parse(request.Body);
+  const KeyRange range{json["from"].get<std::uint16_t>(),
+                       json["to"].get<std::uint16_t>()};
+  const auto fence = json["fence"].get<std::uint64_t>();
+  const auto overlaps = [&](const Hold &hold) {
+    return hold.Range.From <= range.To && range.From <= hold.Range.To;
+  };
+  std::vector<Hold> rest;
+  for (const Hold &hold : Holds) {
+    if (!overlaps(hold)) {
+      rest.push_back(hold);
+      continue;
+    }
+    if (request.Head.Target == "/v1/grant" && hold.Fence > fence) {
+      respond(textAnswer(409, "", ""));
+      return;
+    }
+    if (hold.Range.From < range.From)
+      rest.push_back(
+          {{hold.Range.From, static_cast<std::uint16_t>(range.From - 1)},
+           hold.Fence,
+           hold.Until});
+    if (hold.Range.To > range.To)
+      rest.push_back({{static_cast<std::uint16_t>(range.To + 1), hold.Range.To},
+                      hold.Fence,
+                      hold.Until});
+  }
+  Holds = std::move(rest);
+  if (request.Head.Target == "/v1/grant")
+    Holds.push_back({range, fence,
+                     bootNow() + Duration(static_cast<std::int64_t>(
+                                     json["hold_s"].get<double>() * 1e6))});
+  respond(textAnswer(200, "Handover: h1\r\n", ""));
+}
+
+void StandinUpstreamHost::handle(const StandinRequest &request,
+                                 const StandinRespond &respond) {
+  const http::Fields &fields = request.Head.Headers;
+  const std::string *target = http::findField(fields, "Target-Instance");
+  const bool isOrder = request.Head.Target == "/v1/grant" ||
+                       request.Head.Target == "/v1/release";
+  if (target != nullptr && *target != Settings.Id) {
+    respond(textAnswer(421, "Instance-Id: " + Settings.Id + "\r\n", ""));
+    return;
+  }
+  if (isOrder) {
+    order(request, respond);
+    return;
+  }
+  const std::string *id = http::findField(fields, "Request-Id");
+  const std::string *key = http::findField(fields, "Shard-Key");
+  if (Settings.IsDividedByKey &&
+      (key == nullptr || !holds(static_cast<std::uint16_t>(std::stoi(*key))))) {
+    ++Misplaced;
+    respond(textAnswer(421, "Not-Executed: 1\r\n", ""));
+    return;
+  }
+  const std::string name = id == nullptr ? "" : *id;
+  ++Runs[name];
+  ++Running;
+  const auto timer = std::make_shared<asio::steady_timer>(Loop, Settings.Work);
+  timer->async_wait([this, timer, respond, name](const error_code &) {
+    --Running;
+    respond(textAnswer(
+        200,
+        fmt::format("Request-Id: {}\r\nBackend-Signature: {}\r\n"
+                    "Backend-Load: {},0,{},100\r\nKeep-Alive: timeout=10\r\n",
+                    name, Settings.Id, Running, Settings.Slots),
+        "from " + Settings.Id));
+  });
+}
+
+} // namespace waxwing
--- /dev/null
+++ b/src/standin/platform_store.cpp
@@ -0,0 +1,188 @@
+/**
+ * @file platform_store.cpp
+ * The store of the stand-in platform.
+ */
+#include "standin/platform_base.h"
+
+#include <absl/strings/escaping.h>
+#include <absl/strings/str_split.h>
+#include <algorithm>
+
+namespace waxwing {
+namespace {
+
+using Json = nlohmann::json;
+
+constexpr Duration TickEvery = milliseconds(20);
+
+/// @return the parameters of a query; values are used as they are, since the
+///   keys of this system need no escapes
+std::map<std::string, std::string> parseQuery(const std::string &target) {
+  std::map<std::string, std::string> result;
+  const auto at = target.find('?');
+  if (at == std::string::npos)
+    return result;
+  for (const absl::string_view part :
+       absl::StrSplit(target.substr(at + 1), '&')) {
+    const std::pair<std::string, std::string> pair =
+        absl::StrSplit(part, absl::MaxSplits('=', 1));
+    result.insert(pair);
+  }
+  return result;
+}
+
+} // namespace
+
+StandinPlatformStore::StandinPlatformStore(boost::asio::io_context &loop,
+                                           const Endpoint &address)
+    : Server(
+          loop, address,
+          [this](const StandinRequest &request, const StandinRespond &respond) {
+            handle(request, respond);
+          }),
+      Tick(loop, [this] { tick(); }) {
+  Tick.setBy(bootNow() + TickEvery);
+}
+
+Json StandinPlatformStore::describe(const std::string &key, const Item &item) {
+  return {{"key", key},
+          {"value", absl::Base64Escape(item.Value)},
+          {"revision", item.Revision},
+          {"create_revision", item.Created},
+          {"lease", item.Lease}};
+}
+
+void StandinPlatformStore::put(const std::string &key, const std::string &value,
+                               std::uint64_t lease) {
+  Item &item = Items[key];
+  item.Value = value;
+  item.Revision = ++Revision;
+  item.Created = item.Created == 0 ? Revision : item.Created;
+  item.Lease = lease;
+  History.push_back({Revision, key, describe(key, item)});
+}
+
+void StandinPlatformStore::remove(const std::string &key) {
+  if (Items.erase(key) == 0)
+    return;
+  ++Revision;
+  History.push_back(
+      {Revision,
+       key,
+       {{"key", key}, {"revision", Revision}, {"removed", true}}});
+}
+
+bool StandinPlatformStore::answerWatch(const Watch &watch, bool isLate) const {
+  Json events = Json::array();
+  for (const Event &event : History)
+    if (event.Revision > watch.After && event.Key.starts_with(watch.Prefix))
+      events.push_back(event.Json);
+  if (events.empty() && !isLate)
+    return false;
+  watch.Respond(
+      standinAnswer(200, {{"events", events}, {"store_revision", Revision}}));
+  return true;
+}
+
+void StandinPlatformStore::tick() {
+  const Time now = bootNow();
+  if (IsDown) {
+    for (const Watch &watch : Watches)
+      watch.Respond("");
+    Watches.clear();
+    for (auto &[id, lease] : Leases)
+      lease.second = now + lease.first;
+  }
+  std::vector<std::string> lapsed;
+  for (const auto &[key, item] : Items)
+    if (const auto lease = Leases.find(item.Lease);
+        item.Lease != 0 &&
+        (lease == Leases.end() || now > lease->second.second))
+      lapsed.push_back(key);
+  for (const std::string &key : lapsed)
+    remove(key);
+  std::erase_if(Leases,
+                [&](const auto &entry) { return now > entry.second.second; });
+  std::erase_if(Watches, [&](const Watch &watch) {
+    return answerWatch(watch, now > watch.Until);
+  });
+  Tick.setBy(now + TickEvery);
+}
+
+void StandinPlatformStore::range(
+    const std::map<std::string, std::string> &query,
+    const StandinRespond &respond) const {
+  const auto prefix = query.find("prefix");
+  Json items = Json::array();
+  for (const auto &[key, item] : Items)
+    if (prefix != query.end() && key.starts_with(prefix->second))
+      items.push_back(describe(key, item));
+  respond(standinAnswer(
+      200,
+      {{"items", items}, {"has_more", false}, {"store_revision", Revision}}));
+}
+
+void StandinPlatformStore::transact(const Json &body,
+                                    const StandinRespond &respond) {
+  const bool isMet = std::ranges::all_of(
+      body["expected_revision"], [&](const Json &condition) {
+        const auto item = Items.find(condition["key"].get<std::string>());
+        return (item == Items.end() ? 0 : item->second.Revision) ==
+               condition["revision"].get<std::uint64_t>();
+      });
+  if (!isMet) {
+    respond(standinAnswer(412, {{"items", Json::array()}}));
+    return;
+  }
+  for (const Json &write : body["puts"]) {
+    std::string value;
+    absl::Base64Unescape(write["value"].get<std::string>(), &value);
+    put(write["key"].get<std::string>(), value,
+        write.value("lease", std::uint64_t{0}));
+  }
+  for (const Json &key : body["remove"])
+    remove(key.get<std::string>());
+  respond(standinAnswer(200, {{"revision", Revision}}));
+}
+
+void StandinPlatformStore::handle(const StandinRequest &request,
+                                  const StandinRespond &respond) {
+  const Time now = bootNow();
+  const std::string &target = request.Head.Target;
+  const auto query = parseQuery(target);
+  const auto idOf = [&](std::size_t prefix) {
+    return std::stoull(target.substr(prefix));
+  };
+  constexpr std::string_view keep = "/v1/kv-keep/";
+  constexpr std::string_view end = "/v1/kv-lease-end/";
+  if (IsDown) {
+    respond(standinAnswer(503, Json::object()));
+  } else if (target.starts_with("/v1/kv-range")) {
+    range(query, respond);
+  } else if (target.starts_with("/v1/kv-watch")) {
+    Watches.push_back({query.at("prefix"), std::stoull(query.at("after")),
+                       now + milliseconds(std::stoll(query.at("wait_ms"))),
+                       respond});
+  } else if (target == "/v1/kv-txn") {
+    transact(Json::parse(request.Body), respond);
+  } else if (target == "/v1/kv-lease") {
+    const Duration term(static_cast<std::int64_t>(
+        Json::parse(request.Body)["ttl_s_time"].get<double>() * 1e6));
+    Leases[NextLease] = {term, now + term};
+    respond(standinAnswer(
+        200, {{"lease", NextLease++},
+              {"ttl_s_time", std::chrono::duration<double>(term).count()}}));
+  } else if (target.starts_with(keep)) {
+    const auto lease = Leases.find(idOf(keep.size()));
+    if (lease != Leases.end())
+      lease->second.second = now + lease->second.first;
+    respond(standinAnswer(lease == Leases.end() ? 404 : 200, Json::object()));
+  } else if (target.starts_with(end)) {
+    Leases.erase(idOf(end.size()));
+    respond(standinAnswer(200, Json::object()));
+  } else {
+    respond(standinAnswer(404, Json::object()));
+  }
+}
+
+} // namespace waxwing
