Fix: [Ranges] Orders that were never delivered give no right; short grants before a release

Change: rights grow by delivered orders only; a grant before a release lasts 0.5 s; orders under an old fence are counted when the fence changes.

--- a/src/node/call_client.cpp
+++ b/src/node/call_client.cpp
@@ -53,6 +53,8 @@
 
 private:
   void onDeadline() {
+    // Without a connection nothing of the call can arrive any more.
+    Result.IsDelivered = Connection->isSent();
     Connection->close();
     Result.Status = 0;
     Result.Error = "no answer before the deadline";
--- a/src/node/client_connection.h
+++ b/src/node/client_connection.h
@@ -56,6 +56,8 @@
     return IsOpen && Observer == nullptr && !IsSpent && !IsClosed;
   }
   bool isClosed() const { return IsClosed; }
+  /// @return true when a byte of the current request was written
+  bool isSent() const { return IsSent; }
   const Endpoint &peer() const { return Peer; }
   /// When the last exchange ended; valid between exchanges.
   Time IdleSince;
--- a/src/node/leadership.cpp
+++ b/src/node/leadership.cpp
@@ -24,7 +24,6 @@
 /// A renewal without an answer for this long shows that the store is in
 /// trouble, early enough to renew grants while the lease still lasts.
 constexpr Duration KeepTimeout = milliseconds(700);
-constexpr Duration GrantTimeout = milliseconds(1000);
 /// A release is answered when the running work on its keys has ended.
 constexpr Duration ReleaseTimeout = milliseconds(3500);
 constexpr Duration ReadRetry = milliseconds(200);
@@ -358,7 +357,7 @@
                                     order.Handover)
               : platform::releaseCall(order.Range, order.Fence);
   Calls.call(order.Address, call, order.Upstream.Value,
-             bootNow() + (isGrant ? GrantTimeout : ReleaseTimeout),
+             bootNow() + (isGrant ? Terms.OrderDeadline : ReleaseTimeout),
              [this, service, order, term = Term](const CallResult &result) {
                if (Term == term)
                  onOrder(service, order, result);
--- a/src/node/store_feed.cpp
+++ b/src/node/store_feed.cpp
@@ -90,8 +90,8 @@
     retry(std::string(page.status().message()));
     return;
   }
-  const bool isForeign = std::ranges::any_of(
-      page->Items, [&](const platform::StoreItem &item) {
+  const bool isForeign =
+      std::ranges::any_of(page->Items, [&](const platform::StoreItem &item) {
         return !item.Key.starts_with(Terms.Prefix);
       });
   if (isForeign) {
--- a/src/ranges/range_leader.cpp
+++ b/src/ranges/range_leader.cpp
@@ -104,6 +104,12 @@
          !state.HasStrayOrders;
 }
 
+/// A silent owner is asked less and less often.
+Duration RangeLeader::retryPause(const RowState &state) {
+  constexpr int maxDoublings = 4;
+  return OrderRetry * (1 << std::min(state.Refences, maxDoublings));
+}
+
 void RangeLeader::onOrder(std::uint64_t id, OrderOutcome outcome,
                           const std::string &handover, Time now) {
   const auto found = Orders.find(id);
@@ -139,16 +145,14 @@
       state.NextOrderAt = now + OrderRetry;
       break;
     case OrderOutcome::NotDelivered:
-      state.NextOrderAt = std::min(state.NextOrderAt, now + OrderRetry);
+      state.NextOrderAt = now + retryPause(state);
+      ++state.Refences;
       break;
     case OrderOutcome::Unanswered:
       state.HasStrayOrders = true;
       state.HeldUntil =
           std::max(state.HeldUntil, now + longestRight(order.Hold));
-      // A silent owner is asked less and less often under new fences.
-      state.NextOrderAt =
-          std::min(state.NextOrderAt,
-                   now + OrderRetry * (1 << std::min(state.Refences, 5)));
+      state.NextOrderAt = now + retryPause(state);
       break;
     }
   };
@@ -301,6 +305,12 @@
       state.HasStrayOrders = false;
       state.NeedsFence = false;
       state.NeedsGrant = true;
+      // Orders under the old fence may still arrive and count until then.
+      for (const std::uint64_t id : state.Open)
+        if (const auto open = Orders.find(id); open != Orders.end())
+          state.HeldUntil =
+              std::max(state.HeldUntil, now + Terms.OrderDeadline +
+                                            longestRight(open->second.Hold));
       state.Open.clear();
       state.Step = Phase::Serving;
       ++state.Refences;
@@ -328,10 +338,12 @@
   RangeOrder order{NextOrder++, kind,      row.Owner, address,
                    row.Range,   row.Fence, {},        ""};
   if (kind == OrderKind::Grant) {
-    order.Hold = IsStoreTroubled ? Terms.LongestHold : Terms.Hold;
+    // A fence that only serves to take the range away needs no long right.
+    order.Hold = mustLeave(row, state) ? Terms.FenceHold
+                 : IsStoreTroubled     ? Terms.LongestHold
+                                       : Terms.Hold;
     order.Handover = row.Handover;
     state.Open.insert(order.Id);
-    state.HeldUntil = std::max(state.HeldUntil, now + longestRight(order.Hold));
     state.NextOrderAt = now + Terms.RenewAfter;
   } else {
     state.Step = Phase::Releasing;
--- a/src/ranges/range_leader_base.h
+++ b/src/ranges/range_leader_base.h
@@ -22,8 +22,12 @@
 
 /// Times of the leader's grants.
 struct RangeTerms {
-  Duration Hold = seconds(4);               ///< ordinary length of a grant
-  Duration LongestHold = seconds(10);       ///< most that upstreams take
+  Duration Hold = seconds(4);             ///< ordinary length of a grant
+  Duration LongestHold = seconds(10);     ///< most that upstreams take
+  Duration FenceHold = milliseconds(500); ///< of a grant before a release
+  /// The host reports an order as unanswered by then and resets its
+  /// connection, so that it cannot arrive later.
+  Duration OrderDeadline = seconds(1);
   Duration RenewAfter = milliseconds(1200); ///< between renewals of a row
   Duration Settle = milliseconds(1000);     ///< before keys are first divided
   Duration MoveGap = milliseconds(250);     ///< between moves for balance
@@ -98,6 +102,7 @@
   bool mustLeave(const RangeRow &row, const RowState &state) const;
   Duration longestRight(Duration hold) const;
 
+  static Duration retryPause(const RowState &state);
   void startMoves(Time now);
   void splitRow(std::size_t index, const KeyRange &part, RangeMap &map,
                 std::vector<RowState> &states) const;
