--- a/src/node/attempt.cpp
+++ b/src/node/attempt.cpp
@@ -92,7 +92,7 @@
   }
   Connection->setRequestWhole(exchange->IsBodyWhole);
   if (!bytes.empty())
-    Connection->send(std::move(bytes));
+    Connection->send(bytes);
   if (exchange->OnBodyTaken)
     exchange->OnBodyTaken();
 }
--- a/src/node/call_client.cpp
+++ b/src/node/call_client.cpp
@@ -23,10 +23,10 @@
       : Pool(pool), Connection(std::move(connection)),
         Callback(std::move(callback)), Timer(loop, [this] { onDeadline(); }) {}
 
-  void start(std::string request, Time deadline) {
+  void start(const std::string &request, Time deadline) {
     Self = shared_from_this();
     Timer.setBy(deadline);
-    Connection->begin(this, std::move(request), false);
+    Connection->begin(this, request, false);
   }
 
   bool onAnswerHead(http::AnswerHead &head) override {
@@ -95,7 +95,7 @@
     connection = Pool.open(peer);
   std::make_shared<PendingCall>(Loop, Pool, std::move(connection),
                                 std::move(callback))
-      ->start(std::move(request), deadline);
+      ->start(request, deadline);
 }
 
 } // namespace waxwing
