--- a/src/core/time_type.h
+++ b/src/core/time_type.h
@@ -47,6 +47,11 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
+/// @return whole milliseconds of @p duration, for logs and wire formats
+constexpr std::int64_t wholeMs(Duration duration) {
+  return std::chrono::duration_cast<milliseconds>(duration).count();
+}
+
 /// Longest wait by another clock that covers @p span here.
 /// @param driftPpm bound on the relative rate of any two clocks, 1e-6
 /// @return span lengthened by the drift bound, rounded up
--- a/src/node/gateway.cpp
+++ b/src/node/gateway.cpp
@@ -32,10 +32,6 @@
 constexpr Duration ReturnElsewhere = milliseconds(20);
 constexpr int ListenBacklog = 1024;
 
-std::int64_t toMs(Duration duration) {
-  return std::chrono::duration_cast<milliseconds>(duration).count();
-}
-
 std::string ownAnswer(const Exchange &exchange, int status,
                       std::string_view phrase, Duration returnAfter,
                       std::string_view reason) {
@@ -45,7 +41,7 @@
   if (!exchange.Meta.Id.empty())
     platform::appendRequestId(out, exchange.Meta.Id);
   if (returnAfter > Duration())
-    platform::appendRetryAfter(out, toMs(returnAfter));
+    platform::appendRetryAfter(out, wholeMs(returnAfter));
   fmt::format_to(std::back_inserter(out),
                  "Content-Type: text/plain\r\nContent-Length: {}\r\n{}\r\n{}",
                  body.size(),
@@ -89,19 +85,9 @@
 }
 
 absl::Status Gateway::listen(const Endpoint &address) {
-  error_code ec;
-  const auto ip = asio::ip::make_address(address.Address, ec);
-  if (!ec)
-    Acceptor.open(tcp::v4(), ec);
-  if (!ec)
-    Acceptor.set_option(tcp::acceptor::reuse_address(true), ec);
-  if (!ec)
-    Acceptor.bind({ip, address.Port}, ec);
-  if (!ec)
-    Acceptor.listen(ListenBacklog, ec);
-  if (ec)
-    return absl::UnavailableError(fmt::format(
-        "cannot listen on {}: {}", formatEndpoint(address), ec.message()));
+  if (absl::Status status = listenOn(Acceptor, address, ListenBacklog);
+      !status.ok())
+    return status;
   accept();
   SweepTimer.setBy(bootNow() + SweepEvery);
   return absl::OkStatus();
@@ -286,7 +272,7 @@
     exchange->IsFinished = true;
     logLine(LineWeight::Notable, now, "caller_left",
             "request={} waited_ms={} sends={}", logSafe(exchange->Meta.Id),
-            toMs(now - exchange->ArrivedAt), exchange->Sends);
+            wholeMs(now - exchange->ArrivedAt), exchange->Sends);
     noteFinished(exchange);
   }
 }
@@ -324,9 +310,9 @@
           exchange->Matched ? exchange->Matched->Name : "-",
           exchange->Service.Value,
           exchange->Config ? exchange->Config->config().Version : 0,
-          toMs(now - exchange->ArrivedAt),
-          toMs(exchange->CallerDeadlineAt - now), exchange->Sends,
-          exchange->RunSends, toMs(returnAfter));
+          wholeMs(now - exchange->ArrivedAt),
+          wholeMs(exchange->CallerDeadlineAt - now), exchange->Sends,
+          exchange->RunSends, wholeMs(returnAfter));
   noteFinished(exchange);
   if (exchange->OnAnswer)
     exchange->OnAnswer();
@@ -466,7 +452,7 @@
           "request={} service={} reason={} ahead={} wait_limit_ms={}",
           logSafe(exchange->Meta.Id), exchange->Service.Value,
           reasonInfo(exchange->LastReason).Name, queue.size() - 1,
-          toMs(decision.WaitLimit));
+          wholeMs(decision.WaitLimit));
   QueueTimer.setBy(now + QueueCheck);
 }
 
--- a/src/node/gateway_send.cpp
+++ b/src/node/gateway_send.cpp
@@ -23,10 +23,6 @@
 /// A repeat needs at least this part of the usual work as time.
 constexpr Duration LeastTimeToRepeat = milliseconds(30);
 
-std::int64_t toMs(Duration duration) {
-  return std::chrono::duration_cast<milliseconds>(duration).count();
-}
-
 } // namespace
 
 void Gateway::send(const std::shared_ptr<Exchange> &exchange,
@@ -55,7 +51,7 @@
       upstream.Entry.Id.Value, upstream.EntryRevision,
       exchange->Config->config().Version, upstream.Load.busy(now),
       upstream.Load.cost(upstream.Entry.Slots, now), exchange->Sends + 1, isNew,
-      toMs(now - exchange->ArrivedAt), toMs(exchange->TimeoutAt - now));
+      wholeMs(now - exchange->ArrivedAt), wholeMs(exchange->TimeoutAt - now));
   exchange->Current->start(now);
 }
 
@@ -108,7 +104,7 @@
             "total_ms={} running={} waiting={} slowness={} detail={}",
             logSafe(exchange->Meta.Id), attempt.upstream().Id.Value,
             attempt.answerStatus(), reasonInfo(result.Cause).Name,
-            toMs(latency), toMs(now - exchange->ArrivedAt), load.Running,
+            wholeMs(latency), wholeMs(now - exchange->ArrivedAt), load.Running,
             load.Waiting, load.SlownessPercent, logSafe(result.Detail));
     noteFinished(exchange);
     return;
@@ -117,7 +113,7 @@
           "request={} upstream={} cause={} not_run={} latency_ms={} "
           "new_connection={} detail={}",
           logSafe(exchange->Meta.Id), attempt.upstream().Id.Value,
-          reasonInfo(result.Cause).Name, result.IsNotRun, toMs(latency),
+          reasonInfo(result.Cause).Name, result.IsNotRun, wholeMs(latency),
           attempt.isNewConnection(), logSafe(result.Detail));
   retryOrFinish(exchange, result, now);
 }
--- a/src/node/socket_options.cpp
+++ b/src/node/socket_options.cpp
@@ -4,6 +4,7 @@
  */
 #include "node/socket_options.h"
 
+#include <fmt/format.h>
 #include <netinet/tcp.h>
 #include <spdlog/spdlog.h>
 #include <sys/socket.h>
@@ -42,4 +43,23 @@
   setOption(fd, IPPROTO_TCP, TCP_KEEPCNT, ProbeCount);
 }
 
+absl::Status listenOn(boost::asio::ip::tcp::acceptor &acceptor,
+                      const Endpoint &address, int backlog) {
+  using boost::asio::ip::tcp;
+  boost::system::error_code ec;
+  const auto ip = boost::asio::ip::make_address(address.Address, ec);
+  if (!ec)
+    acceptor.open(tcp::v4(), ec);
+  if (!ec)
+    acceptor.set_option(tcp::acceptor::reuse_address(true), ec);
+  if (!ec)
+    acceptor.bind({ip, address.Port}, ec);
+  if (!ec)
+    acceptor.listen(backlog, ec);
+  if (ec)
+    return absl::UnavailableError(fmt::format(
+        "cannot listen on {}: {}", formatEndpoint(address), ec.message()));
+  return absl::OkStatus();
+}
+
 } // namespace waxwing
--- a/src/node/socket_options.h
+++ b/src/node/socket_options.h
@@ -5,6 +5,9 @@
 #ifndef WAXWING_NODE_SOCKET_OPTIONS_H
 #define WAXWING_NODE_SOCKET_OPTIONS_H
 
+#include "core/endpoint_type.h"
+
+#include <absl/status/status.h>
 #include <boost/asio/ip/tcp.hpp>
 
 namespace waxwing {
@@ -13,6 +16,12 @@
 /// without a reset.
 void setStreamOptions(boost::asio::ip::tcp::socket &socket);
 
+/// Opens @p acceptor on @p address.
+/// @param backlog connections that wait to be accepted
+/// @return Unavailable when the address cannot be listened on
+absl::Status listenOn(boost::asio::ip::tcp::acceptor &acceptor,
+                      const Endpoint &address, int backlog);
+
 } // namespace waxwing
 
 #endif
--- a/src/node/status_port.cpp
+++ b/src/node/status_port.cpp
@@ -75,19 +75,8 @@
 } // namespace
 
 absl::Status StatusPort::listen(const Endpoint &address) {
-  error_code ec;
-  const auto ip = asio::ip::make_address(address.Address, ec);
-  if (!ec)
-    Acceptor.open(tcp::v4(), ec);
-  if (!ec)
-    Acceptor.set_option(tcp::acceptor::reuse_address(true), ec);
-  if (!ec)
-    Acceptor.bind({ip, address.Port}, ec);
-  if (!ec)
-    Acceptor.listen(Backlog, ec);
-  if (ec)
-    return absl::UnavailableError(fmt::format(
-        "cannot listen on {}: {}", formatEndpoint(address), ec.message()));
+  if (absl::Status status = listenOn(Acceptor, address, Backlog); !status.ok())
+    return status;
   accept();
   return absl::OkStatus();
 }
--- a/src/peers/peer_message.cpp
+++ b/src/peers/peer_message.cpp
@@ -5,6 +5,7 @@
 #include "peers/peer_message_type.h"
 
 #include "core/hash_func.h"
+#include "ranges/range_codec_func.h"
 
 #include <absl/status/status.h>
 #include <nlohmann/json.hpp>
@@ -18,20 +19,6 @@
 constexpr int ReplyTag = 2;
 constexpr int RangesTag = 3;
 
-Json encodeRow(const RangeRow &row) {
-  return {row.Range.From, row.Range.To, row.Owner.Value, row.OwnerBorn,
-          row.Fence,      row.Handover, row.IsMoving};
-}
-
-RangeRow decodeRow(const Json &json) {
-  return {{json.at(0).get<std::uint16_t>(), json.at(1).get<std::uint16_t>()},
-          UpstreamId(json.at(2).get<std::string>()),
-          json.at(3).get<std::int64_t>(),
-          json.at(4).get<std::uint64_t>(),
-          json.at(5).get<std::string>(),
-          json.at(6).get<bool>()};
-}
-
 struct Encoder {
   Json operator()(const PeerHello &hello) const {
     Json revisions = Json::object();
@@ -51,7 +38,7 @@
   Json operator()(const PeerRanges &ranges) const {
     Json rows = Json::array();
     for (const RangeRow &row : ranges.Rows)
-      rows.push_back(encodeRow(row));
+      rows.push_back(encodeRangeRow(row));
     return {
         RangesTag,        ranges.Service.Value, ranges.Revision, ranges.Base,
         ranges.NextFence, ranges.Part,          ranges.Parts,    rows};
@@ -86,7 +73,7 @@
   ranges.Part = json.at(5).get<std::uint32_t>();
   ranges.Parts = json.at(6).get<std::uint32_t>();
   for (const Json &row : json.at(7))
-    ranges.Rows.push_back(decodeRow(row));
+    ranges.Rows.push_back(decodeRangeRow(row));
   return ranges;
 }
 
--- a/src/peers/range_copy.cpp
+++ b/src/peers/range_copy.cpp
@@ -5,6 +5,8 @@
  */
 #include "peers/range_copy_base.h"
 
+#include "ranges/range_codec_func.h"
+
 #include <algorithm>
 
 namespace waxwing {
@@ -25,16 +27,6 @@
   return rows;
 }
 
-bool coversAllKeys(const std::vector<RangeRow> &rows) {
-  int next = 0;
-  for (const RangeRow &row : rows) {
-    if (row.Range.From != next || row.Range.To < row.Range.From)
-      return false;
-    next = row.Range.To + 1;
-  }
-  return next == 65536;
-}
-
 /// @return @p rows with what @p changes say in place of what they overlap;
 ///   changes replace whole rows of the sender's map, so cuts are exact
 std::vector<RangeRow> applyRows(const std::vector<RangeRow> &rows,
@@ -83,7 +75,7 @@
       next.Rows.insert(next.Rows.end(), rows.begin(), rows.end());
     Assemblies.erase(ranges.Service);
   }
-  if (!coversAllKeys(next.Rows))
+  if (!coverAllKeys(next.Rows))
     return false;
   copy = std::move(next);
   return true;
--- a/src/ranges/range_codec.cpp
+++ b/src/ranges/range_codec.cpp
@@ -2,28 +2,20 @@
  * @file range_codec.cpp
  * CBOR form of a range map, and its invariants.
  */
-#include "ranges/range_type.h"
+#include "ranges/range_codec_func.h"
 
 #include <absl/status/status.h>
 #include <algorithm>
 #include <nlohmann/json.hpp>
 
 namespace waxwing {
-namespace {
 
-constexpr int LastKey = 65535;
-
-bool coversAllKeys(const std::vector<RangeRow> &rows) {
-  int next = 0;
-  const bool isSorted = std::ranges::all_of(rows, [&](const RangeRow &row) {
-    const bool fits = row.Range.From == next && row.Range.To >= row.Range.From;
-    next = row.Range.To + 1;
-    return fits;
-  });
-  return rows.empty() || (isSorted && next == LastKey + 1);
+nlohmann::json encodeRangeRow(const RangeRow &row) {
+  return {row.Range.From, row.Range.To, row.Owner.Value, row.OwnerBorn,
+          row.Fence,      row.Handover, row.IsMoving};
 }
 
-RangeRow decodeRow(const nlohmann::json &json) {
+RangeRow decodeRangeRow(const nlohmann::json &json) {
   return {{json.at(0).get<std::uint16_t>(), json.at(1).get<std::uint16_t>()},
           UpstreamId(json.at(2).get<std::string>()),
           json.at(3).get<std::int64_t>(),
@@ -32,8 +24,16 @@
           json.at(6).get<bool>()};
 }
 
-} // namespace
-
+bool coverAllKeys(const std::vector<RangeRow> &rows) {
+  constexpr int lastKey = 65535;
+  int next = 0;
+  const bool isSorted = std::ranges::all_of(rows, [&](const RangeRow &row) {
+    const bool fits = row.Range.From == next && row.Range.To >= row.Range.From;
+    next = row.Range.To + 1;
+    return fits;
+  });
+  return isSorted && next == lastKey + 1;
+}
 const RangeRow *RangeMap::find(std::uint16_t key) const {
   const auto it = std::ranges::lower_bound(
       Rows, key, {}, [](const RangeRow &row) { return row.Range.To; });
@@ -43,8 +43,7 @@
 std::string encodeRangeMap(const RangeMap &map) {
   nlohmann::json rows = nlohmann::json::array();
   for (const RangeRow &row : map.Rows)
-    rows.push_back({row.Range.From, row.Range.To, row.Owner.Value,
-                    row.OwnerBorn, row.Fence, row.Handover, row.IsMoving});
+    rows.push_back(encodeRangeRow(row));
   const auto bytes =
       nlohmann::json::to_cbor({{"next", map.NextFence}, {"rows", rows}});
   return {bytes.begin(), bytes.end()};
@@ -58,12 +57,12 @@
     const auto json = nlohmann::json::from_cbor(bytes);
     map.NextFence = json.at("next").get<std::uint64_t>();
     for (const auto &row : json.at("rows"))
-      map.Rows.push_back(decodeRow(row));
+      map.Rows.push_back(decodeRangeRow(row));
   } catch (const nlohmann::json::exception &error) {
     return absl::InvalidArgumentError(std::string("range map: ") +
                                       error.what());
   }
-  if (!coversAllKeys(map.Rows))
+  if (!map.Rows.empty() && !coverAllKeys(map.Rows))
     return absl::InvalidArgumentError(
         "range map: rows do not cover every key exactly once");
   return map;
