--- a/src/node/client_connection.cpp
+++ b/src/node/client_connection.cpp
@@ -19,6 +19,9 @@
 using boost::system::error_code;
 
 constexpr std::size_t ReadBytes = 65536;
+/// An opening packet that was lost is repeated after a second: another try is
+/// sooner, and by then the choice of the upstream may be out of date.
+constexpr Duration ConnectTimeout = milliseconds(400);
 /// Upstreams' answers are as long as they like.
 constexpr std::uint64_t MaxAnswerBytes = 1ULL << 40;
 constexpr std::uint32_t MaxAnswerHeaderBytes = 65536;
@@ -31,7 +34,7 @@
 } // namespace
 
 ClientConnection::ClientConnection(asio::io_context &loop, Endpoint peer)
-    : Socket(loop), Peer(std::move(peer)) {}
+    : Socket(loop), ConnectTimer(loop), Peer(std::move(peer)) {}
 
 ClientConnection::~ClientConnection() { close(); }
 
@@ -46,6 +49,12 @@
     return;
   }
   setOptions();
+  ConnectTimer.expires_after(ConnectTimeout);
+  ConnectTimer.async_wait([weak = weak_from_this()](const error_code &result) {
+    const auto self = weak.lock();
+    if (!result && self && !self->IsOpen && !self->IsClosed)
+      self->lose("connect: no answer in time");
+  });
   Socket.async_connect(tcp::endpoint(address, Peer.Port),
                        [self = shared_from_this()](const error_code &result) {
                          self->onConnected(result);
@@ -62,6 +71,7 @@
     return;
   }
   IsOpen = true;
+  ConnectTimer.cancel();
   awaitRead();
   flush();
 }
--- a/src/node/client_connection.h
+++ b/src/node/client_connection.h
@@ -12,6 +12,7 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <memory>
 #include <string>
 
@@ -76,6 +77,7 @@
   void lose(const std::string &why);
 
   boost::asio::ip::tcp::socket Socket;
+  boost::asio::steady_timer ConnectTimer;
   Endpoint Peer;
   ExchangeObserver *Observer = nullptr; ///< nullptr between exchanges
   std::unique_ptr<http::AnswerParser> Parser;
