--- a/src/node/attempt.cpp
+++ b/src/node/attempt.cpp
@@ -201,7 +201,6 @@
 
 void Attempt::onAnswerBody(std::string bytes) {
   const auto self = shared_from_this(); // delivering may end the exchange
-  BodyBytes += bytes.size();
   AnswerBody += bytes;
   const auto exchange = Owner.lock();
   if (!exchange)
--- a/src/node/attempt.h
+++ b/src/node/attempt.h
@@ -59,8 +59,6 @@
   }
   Time startedAt() const { return StartedAt; }
   bool isNewConnection() const { return IsNewConnection; }
-  /// @return true when the answer goes to the caller
-  bool isDelivering() const { return IsDelivering; }
   int answerStatus() const { return AnswerStatus; }
   /// @return what the answer told of the upstream's load, if anything
   const std::optional<platform::LoadReport> &load() const {
@@ -90,7 +88,6 @@
   http::AnswerHead AnswerHead;
   platform::AnswerMeta AnswerMeta;
   std::string AnswerBody; ///< received and not yet delivered
-  std::uint64_t BodyBytes = 0;
   int AnswerStatus = 0;
   bool HasHead = false;
   bool IsDelivering = false; ///< the head was given to the caller
--- a/src/node/cluster.cpp
+++ b/src/node/cluster.cpp
@@ -5,7 +5,6 @@
 #include "node/cluster.h"
 
 #include "core/hash_func.h"
-#include "core/random_func.h"
 #include "node/node_log.h"
 #include "node/store_keys.h"
 
@@ -67,12 +66,12 @@
 Cluster::Cluster(asio::io_context &loop, const NodeSettings &settings,
                  CallClient &calls, StoreHealth &health,
                  UpstreamTable &upstreams)
-    : Loop(loop), Calls(calls), Health(health),
+    : Calls(calls), Health(health),
       Store(parseEndpoint(settings.Store.text("address"))),
       Self(settings.Vm.text("name")),
       PeerAddress(parseEndpoint(settings.Listen.text("peers"))),
       CandidateDelay(candidateDelay(settings.Vm.decimal("processor_share"))),
-      Udp(loop), Random(drawNumber()), Tick(loop, [this] { tick(); }),
+      Udp(loop), Tick(loop, [this] { tick(); }),
       Lead(loop, settings, calls, health, upstreams), Vms{Self} {
   Lead.OnMap = [this](const ServiceId &service, const RangeMap &before,
                       const RangeMap &after) {
--- a/src/node/cluster.h
+++ b/src/node/cluster.h
@@ -18,7 +18,6 @@
 #include <absl/status/status.h>
 #include <array>
 #include <boost/asio/ip/udp.hpp>
-#include <random>
 
 namespace waxwing {
 
@@ -82,7 +81,6 @@
               const PeerMessage &message);
   void send(const PeerMessage &message);
 
-  boost::asio::io_context &Loop;
   CallClient &Calls;
   StoreHealth &Health;
   Endpoint Store;
@@ -92,7 +90,6 @@
   boost::asio::ip::udp::socket Udp;
   std::array<char, 65536> UdpBuffer{};
   boost::asio::ip::udp::endpoint UdpSender;
-  std::mt19937_64 Random;
   DueTimer Tick;
   Leadership Lead;
   RangeCopy Copy;
--- a/src/node/node_process.cpp
+++ b/src/node/node_process.cpp
@@ -201,7 +201,6 @@
                         : logSafe(std::string(config.status().message())));
     return;
   }
-  ConfigRevision = change.Revision;
   logLine(LineWeight::State, now, "config",
           "version={:08x} revision={} routes={} services={}", config->Version,
           change.Revision, config->Routes.size(), config->Services.size());
--- a/src/node/node_process.h
+++ b/src/node/node_process.h
@@ -59,7 +59,6 @@
   DueTimer LogTimer;
   std::map<UpstreamId, std::uint64_t> DoubtfulRemovals; ///< by revision
   std::set<DomainId> Evacuated;
-  std::uint64_t ConfigRevision = 0;
   Time StoppedAt; ///< SIGTERM arrived; Time() while it has not
   Time MustEndBy;
 };
--- a/src/routing/upstream_load_base.h
+++ b/src/routing/upstream_load_base.h
@@ -49,8 +49,6 @@
   /// @return false while it should only be tried again with little
   bool isTrusted(Time now) const { return now >= AvoidUntil; }
   int outstanding() const { return Outstanding; }
-  /// @return when it may next be tried
-  Time avoidUntil() const { return AvoidUntil; }
   /// @return expected work time of a request that is sent now, relative to
   ///   an upstream of usual speed
   double slowness(Time now) const;
@@ -59,7 +57,6 @@
   /// @return work time of one request at usual speed, as observed without
   ///   waiting, us; 0 while unknown
   double workUs() const { return WorkUs; }
-  double failureRate() const { return FailureRate; }
 
 private:
   int Outstanding = 0;        ///< sent by this VM, without an end
--- a/src/routing/upstream_table.cpp
+++ b/src/routing/upstream_table.cpp
@@ -39,7 +39,6 @@
     upstream.Load = {};
     for (int n = 0; n < outstanding; ++n)
       upstream.Load.onSent();
-    upstream.ListedAt = now;
     upstream.ColdUntil = now + entry.WarmUpLeft;
   } else if (entry.WarmUpLeft != upstream.Entry.WarmUpLeft ||
              entry.WarmUpLeft > Duration()) {
--- a/src/routing/upstream_table.h
+++ b/src/routing/upstream_table.h
@@ -22,7 +22,6 @@
   std::uint64_t EntryRevision = 0; ///< store revision of Entry
   bool IsListed = true;            ///< the platform's list names it
   Time UnlistedAt;                 ///< valid while !IsListed
-  Time ListedAt;                   ///< first seen in this life
   Time ColdUntil;                  ///< few requests until then
   SlidingCount ColdSends{seconds(1)};
   int ColdShare = 0; ///< this VM's requests in a second while it is cold
