Fix: [Peers] Strong VMs lead first; callers that have left are noticed before sending

Every outcome of an order ran a whole step over all rows, each with linear searches: the loop of that VM fell 1.7 s behind, its lease ended, and cheap reads that were 6 s old named it as the leader for 8 s more. While it was behind, its loop sent requests whose callers had closed already (GONE). VMs counted their pause before the first configuration, so the order by processor time had no effect at a start. Change: the leader names its successors by processor time and domain, who try one after the other; a term known to have ended is not taken from a cheap read again; a leader says farewell and gives way to a VM with twice its processor time; outcomes of orders gather 4 ms; upstreams are searched by halves. Before the first byte of a request the caller's connection is looked at.

--- a/src/node/attempt.cpp
+++ b/src/node/attempt.cpp
@@ -104,6 +104,14 @@
   Connection->close();
 }
 
+bool Attempt::isStillWanted() {
+  const auto self = shared_from_this(); // a caller that has left cancels it
+  const auto exchange = Owner.lock();
+  if (exchange && exchange->CheckCaller)
+    exchange->CheckCaller();
+  return exchange && !exchange->IsCallerGone && !IsEnded;
+}
+
 bool Attempt::onAnswerHead(http::AnswerHead &head) {
   const auto exchange = Owner.lock();
   platform::AnswerMeta meta =
--- a/src/node/attempt.h
+++ b/src/node/attempt.h
@@ -68,6 +68,7 @@
   bool onAnswerHead(http::AnswerHead &head) override;
   void onAnswerBody(std::string bytes) override;
   void onAnswerEnd() override;
+  bool isStillWanted() override;
   void onConnectionLost(const std::string &why, bool isSent) override;
 
 private:
--- a/src/node/caller_connection.cpp
+++ b/src/node/caller_connection.cpp
@@ -12,6 +12,8 @@
 #include <array>
 #include <boost/asio/error.hpp>
 #include <boost/asio/write.hpp>
+#include <cerrno>
+#include <sys/socket.h>
 
 namespace waxwing {
 namespace {
@@ -148,6 +150,10 @@
     if (const auto self = weak.lock())
       self->awaitRead();
   };
+  Incoming->CheckCaller = [weak] {
+    if (const auto self = weak.lock())
+      self->closeIfLeft();
+  };
   Exchanges.push_back(Incoming);
   IsIncomingBegun = false;
   if (http::fieldHasToken(Incoming->Head.Headers, "Expect", "100-continue") &&
@@ -155,6 +161,18 @@
     OutBuf += "HTTP/1.1 100 Continue\r\n\r\n";
 }
 
+void CallerConnection::closeIfLeft() {
+  if (IsClosed || ClosingUntil != Time())
+    return;
+  char next = 0;
+  const auto n =
+      recv(Socket.native_handle(), &next, 1, MSG_PEEK | MSG_DONTWAIT);
+  const bool hasLeft =
+      n == 0 || (n < 0 && errno != EAGAIN && errno != EWOULDBLOCK);
+  if (hasLeft)
+    close();
+}
+
 /// Bytes that are no proper request get an answer behind the earlier ones.
 void CallerConnection::refuseBytes(http::ParseState state) {
   IsLast = true;
--- a/src/node/caller_connection.h
+++ b/src/node/caller_connection.h
@@ -49,6 +49,8 @@
   /// @return false when the connection cannot take more requests
   bool parseOne();
   void takeHead();
+  /// Closes when the caller has closed its side and nothing else is unread.
+  void closeIfLeft();
   void refuseBytes(http::ParseState state);
   void flush();
   void finishFront();
--- a/src/node/client_connection.cpp
+++ b/src/node/client_connection.cpp
@@ -99,6 +99,8 @@
 void ClientConnection::flush() {
   if (!IsOpen || IsWriting || IsClosed || OutBuf.empty())
     return;
+  if (!IsSent && Observer != nullptr && !Observer->isStillWanted())
+    return;
   error_code ec;
   const std::size_t n = Socket.write_some(asio::buffer(OutBuf), ec);
   if (n > 0)
--- a/src/node/client_connection.h
+++ b/src/node/client_connection.h
@@ -22,6 +22,9 @@
 class ExchangeObserver {
 public:
   virtual ~ExchangeObserver() = default;
+  /// Asked before the first byte of the request is written.
+  /// @return false when the exchange has been cancelled meanwhile
+  virtual bool isStillWanted() { return true; }
   /// @return false when the answer is not this exchange's: it is skipped and
   ///   the next one is awaited
   virtual bool onAnswerHead(http::AnswerHead &head) = 0;
--- a/src/node/cluster.cpp
+++ b/src/node/cluster.cpp
@@ -26,27 +26,17 @@
 constexpr Duration HelloEvery = milliseconds(400);
 /// The leader is taken as silent after this long without a datagram.
 constexpr Duration SilentLeader = milliseconds(1300);
+/// The leader is taken as lost after this long without a datagram.
+constexpr Duration LostLeader = milliseconds(2300);
 /// A VM that said no hello for this long is not counted.
 constexpr Duration SilentPeer = seconds(3);
 /// Maps are read from the store this often while the leader is silent.
 constexpr Duration FetchEvery = milliseconds(700);
-/// Candidates for leadership try one after the other in an order by hash.
-constexpr Duration CandidateGap = milliseconds(40);
-constexpr int MaxCandidateGaps = 25;
+/// A leader looks this often whether a far stronger VM should lead.
+constexpr Duration HandOverEvery = seconds(5);
 constexpr Duration TickEvery = milliseconds(100);
 constexpr std::size_t MaxReportedKeys = 1000;
 
-/// Delay of a VM with one core before it tries to lead, us; less processor
-/// time means a longer delay, down to the least share.
-constexpr double DelayOfOneCoreUs = 50'000;
-constexpr double LeastShare = 0.1;
-
-/// VMs with little processor time let others lead.
-Duration candidateDelay(double processorShare) {
-  return Duration(static_cast<Duration::rep>(
-      DelayOfOneCoreUs / std::max(processorShare, LeastShare)));
-}
-
 } // namespace
 
 /// Sends each kind of datagram to its handler.
@@ -68,22 +58,26 @@
                  UpstreamTable &upstreams)
     : Calls(calls), Health(health),
       Store(parseEndpoint(settings.Store.text("address"))),
-      Self(settings.Vm.text("name")),
-      PeerAddress(parseEndpoint(settings.Listen.text("peers"))),
-      CandidateDelay(candidateDelay(settings.Vm.decimal("processor_share"))),
-      Udp(loop), Tick(loop, [this] { tick(); }),
-      Lead(loop, settings, calls, health, upstreams), Vms{Self} {
+      Self{VmId(settings.Vm.text("name")), DomainId(settings.Vm.text("domain")),
+           settings.Vm.decimal("processor_share")},
+      PeerAddress(parseEndpoint(settings.Listen.text("peers"))), Udp(loop),
+      Tick(loop, [this] { tick(); }),
+      Lead(loop, settings, calls, health, upstreams), List{{Self.Vm}, {}} {
   Lead.OnMap = [this](const ServiceId &service, const RangeMap &before,
                       const RangeMap &after) {
     onOwnMap(service, before, after);
   };
   Lead.OnLeading = [this](std::uint64_t term) {
-    setLeader({Self, PeerAddress, term});
+    setLeader({Self.Vm, PeerAddress, term});
+    ConsiderHandOverAt = bootNow() + HandOverEvery;
   };
   Lead.OnEnded = [this] {
-    if (Leader.Name == Self)
-      setLeader({});
+    const PeerReply farewell{Leader.Term, {}, true};
+    for (const auto &[vm, peer] : Peers)
+      sendTo(peer.Address, farewell);
     Peers.clear();
+    if (Leader.Name == Self.Vm)
+      noteVacancy(Leader.Term);
   };
 }
 
@@ -118,8 +112,10 @@
       !IsFetching)
     fetchRanges();
   considerLeading(now);
-  if (isLeader())
+  if (isLeader()) {
     refreshPeers(now);
+    considerHandOver(now);
+  }
   Tick.setBy(now + TickEvery);
 }
 
@@ -130,8 +126,15 @@
   const bool isUrgent =
       !isLeader() && (Leader.Term == 0 || now > LeaderHeardAt + SilentLeader);
   NextProbeAt = now + (isUrgent ? ProbeWithoutLeader : ProbeEvery);
-  Calls.call(Store, platform::staleRangeCall(std::string(LeaderKey)), "",
-             now + ProbeTimeout, [this](const CallResult &result) {
+  // The few that would lead next must see at once that a leader is gone; the
+  // others take a read that costs a tenth and may be seconds old.
+  const std::string key(LeaderKey);
+  const bool mustBeFresh =
+      isUrgent && (isSuccessor() || now > LeaderHeardAt + LostLeader);
+  const platform::Call call = mustBeFresh ? platform::rangeCall(key, "")
+                                          : platform::staleRangeCall(key);
+  Calls.call(Store, call, "", now + ProbeTimeout,
+             [this](const CallResult &result) {
                IsProbing = false;
                onProbe(result);
              });
@@ -147,14 +150,12 @@
   const auto item =
       std::ranges::find(page->Items, LeaderKey, &platform::StoreItem::Key);
   if (item == page->Items.end()) {
-    if (NoLeaderSince == Time())
-      NoLeaderSince = now;
-    if (Leader.Term != 0)
-      setLeader({});
+    // A cheap read may be older than the leader that is known.
+    if (Leader.Term == 0 || page->StoreRevision >= Leader.Term)
+      noteVacancy(Leader.Term);
     return;
   }
-  NoLeaderSince = Time();
-  if (item->Revision <= Leader.Term)
+  if (item->Revision <= std::max(Leader.Term, EndedTerm))
     return; // known, or an older answer
   const auto end = item->Value.find('\n');
   setLeader({VmId(item->Value.substr(0, end)),
@@ -163,8 +164,24 @@
              item->Revision});
 }
 
+void Cluster::noteVacancy(std::uint64_t term) {
+  EndedTerm = std::max(EndedTerm, term);
+  if (Leader.Term > EndedTerm)
+    return;
+  if (VacantSince == Time())
+    VacantSince = bootNow();
+  if (Leader.Term != 0)
+    setLeader({});
+}
+
+bool Cluster::isSuccessor() const {
+  return std::ranges::find(List.Successors, Self.Vm) != List.Successors.end();
+}
+
 void Cluster::setLeader(const LeaderInfo &leader) {
   Leader = leader;
+  if (Leader.Term != 0)
+    VacantSince = Time();
   LeaderHeardAt = bootNow();
   NextHelloAt = bootNow();
   logLine(LineWeight::State, bootNow(), "leader", "name={} term={}",
@@ -172,24 +189,31 @@
           Leader.Term);
 }
 
-/// VMs try in an order that differs with each vacancy, so that the first one
-/// usually succeeds before the others have asked.
 void Cluster::considerLeading(Time now) {
-  if (isLeader() || Lead.isElecting() || IsResigned ||
-      NoLeaderSince == Time() || Health.isTroubled() || !Lead.isWanted())
+  if (!Lead.isWanted()) {
+    // Before the first configuration nobody leads: candidates count their
+    // pauses from its arrival.
+    if (VacantSince != Time())
+      VacantSince = now;
+    return;
+  }
+  if (isLeader() || Lead.isElecting() || IsResigned || VacantSince == Time() ||
+      Health.isTroubled())
+    return;
+  if (now >= VacantSince + candidacyDelay(Self, List.Successors, EndedTerm))
+    Lead.tryLead(Self.Vm, PeerAddress);
+}
+
+/// A VM with little processor time leads only while no other one can.
+void Cluster::considerHandOver(Time now) {
+  if (now < ConsiderHandOverAt || Health.isTroubled())
     return;
-  const std::uint64_t own = hashText(Self.Value, Leader.Term);
-  const auto before = std::min<std::ptrdiff_t>(
-      std::ranges::count_if(Vms,
-                            [&](const VmId &vm) {
-                              return hashText(vm.Value, Leader.Term) < own;
-                            }),
-      MaxCandidateGaps);
-  const Duration spread =
-      Vms.size() > 1 ? CandidateGap * before
-                     : milliseconds(own % 300); // nothing is known at a start
-  if (now >= NoLeaderSince + CandidateDelay + spread)
-    Lead.tryLead(Self, PeerAddress);
+  ConsiderHandOverAt = now + HandOverEvery;
+  std::vector<Candidate> others;
+  for (const auto &[vm, peer] : Peers)
+    others.push_back(peer.Standing);
+  if (shouldHandOver(Self, others))
+    Lead.resign("stronger_vm");
 }
 
 void Cluster::fetchRanges() {
@@ -216,8 +240,8 @@
   if (isLeader() || Leader.Address.Port == 0)
     return;
   PeerHello hello;
-  hello.Vm = Self;
-  hello.VmsHash = hashVms(Vms);
+  hello.Sender = Self;
+  hello.ListHash = hashList(List);
   hello.MapRevisions = Copy.revisions();
   hello.Keys = std::exchange(Keys, {});
   send(hello);
@@ -276,13 +300,13 @@
   if (!isLeader())
     return;
   const Time now = bootNow();
-  Peers[hello.Vm] = {sender, now};
+  Peers[hello.Sender.Vm] = {sender, now, hello.Sender};
   for (const auto &[service, keys] : hello.Keys)
     for (const std::uint16_t key : keys)
       Lead.noteRequest(service, key);
-  PeerReply reply{Leader.Term, {}};
-  if (hello.VmsHash != hashVms(Vms))
-    reply.Vms = Vms;
+  PeerReply reply{Leader.Term, {}, false};
+  if (hello.ListHash != hashList(List))
+    reply.List = List;
   sendTo(sender, reply);
   for (const auto &[service, revision] : Copy.revisions()) {
     const auto known = hello.MapRevisions.find(service);
@@ -298,8 +322,10 @@
   if (isLeader() || reply.Term < Leader.Term)
     return;
   LeaderHeardAt = bootNow();
-  if (!reply.Vms.empty())
-    setVms(reply.Vms);
+  if (reply.List)
+    setList(*reply.List);
+  if (reply.IsLeaving)
+    noteVacancy(reply.Term);
 }
 
 void Cluster::onRangesMessage(const PeerRanges &ranges) {
@@ -332,19 +358,28 @@
   std::erase_if(Peers, [&](const auto &entry) {
     return now > entry.second.HeardAt + SilentPeer;
   });
-  std::vector<VmId> vms{Self};
-  for (const auto &[vm, peer] : Peers)
-    vms.push_back(vm);
-  std::ranges::sort(vms);
-  if (vms != Vms)
-    setVms(std::move(vms));
+  VmList list{{Self.Vm}, {}};
+  std::vector<Candidate> candidates;
+  for (const auto &[vm, peer] : Peers) {
+    list.Vms.push_back(vm);
+    candidates.push_back(peer.Standing);
+  }
+  std::ranges::sort(list.Vms);
+  list.Successors =
+      chooseSuccessors(std::move(candidates), Self.Vm, Leader.Term);
+  if (list != List)
+    setList(std::move(list));
 }
 
-void Cluster::setVms(std::vector<VmId> vms) {
-  Vms = std::move(vms);
-  logLine(LineWeight::State, bootNow(), "vms", "count={} term={}", Vms.size(),
-          Leader.Term);
-  OnVms(Vms);
+void Cluster::setList(VmList list) {
+  const bool isSameVms = list.Vms == List.Vms;
+  List = std::move(list);
+  logLine(LineWeight::State, bootNow(), "vms",
+          "count={} term={} next_leader={}", List.Vms.size(), Leader.Term,
+          List.Successors.empty() ? "-"
+                                  : logSafe(List.Successors.front().Value));
+  if (!isSameVms)
+    OnVms(List.Vms);
 }
 
 void Cluster::onBeliefsChanged(const RouteTable &config) {
@@ -353,7 +388,7 @@
 
 void Cluster::resign() {
   IsResigned = true;
-  Lead.resign();
+  Lead.resign("shutdown");
   Tick.cancel();
 }
 
--- a/src/node/cluster.h
+++ b/src/node/cluster.h
@@ -41,14 +41,14 @@
   void noteKey(const ServiceId &service, std::uint16_t key);
   /// Asks the leader at once whether the map has changed.
   void hurry();
-  /// Gives leadership back.
+  /// Gives leadership back and takes no more part.
   void resign();
 
   bool isLeader() const { return Lead.isLeading(); }
   const LeaderInfo &leader() const { return Leader; }
   const LeadershipCounters &counters() const { return Lead.counters(); }
   std::uint64_t storeCalls() const { return StoreCalls + Lead.storeCalls(); }
-  std::size_t vmCount() const { return Vms.size(); }
+  std::size_t vmCount() const { return List.Vms.size(); }
 
   std::function<void(const ServiceId &, const RangeMap &)> OnRanges;
   std::function<void(const std::vector<VmId> &)> OnVms;
@@ -58,6 +58,7 @@
   struct Peer {
     boost::asio::ip::udp::endpoint Address;
     Time HeardAt;
+    Candidate Standing;
   };
   struct MessageHandler;
 
@@ -76,7 +77,10 @@
   void onOwnMap(const ServiceId &service, const RangeMap &before,
                 const RangeMap &after);
   void refreshPeers(Time now);
-  void setVms(std::vector<VmId> vms);
+  void considerHandOver(Time now);
+  void setList(VmList list);
+  void noteVacancy(std::uint64_t term);
+  bool isSuccessor() const;
   void sendTo(const boost::asio::ip::udp::endpoint &address,
               const PeerMessage &message);
   void send(const PeerMessage &message);
@@ -84,9 +88,8 @@
   CallClient &Calls;
   StoreHealth &Health;
   Endpoint Store;
-  VmId Self;
+  Candidate Self;
   Endpoint PeerAddress;
-  Duration CandidateDelay; ///< before this VM tries to lead
   boost::asio::ip::udp::socket Udp;
   std::array<char, 65536> UdpBuffer{};
   boost::asio::ip::udp::endpoint UdpSender;
@@ -96,14 +99,18 @@
 
   LeaderInfo Leader;
   Time LeaderHeardAt; ///< last datagram of the leader
-  Time NoLeaderSince; ///< first probe without a leader; Time() with one
+  Time VacantSince;   ///< leadership is open since then; Time() with a leader
+  /// Leaders' keys up to this revision are known to be gone: cheap reads of
+  /// the store may still show them.
+  std::uint64_t EndedTerm = 0;
+  Time ConsiderHandOverAt; ///< on the leader
   Time NextProbeAt;
   Time NextHelloAt;
   Time NextFetchAt;
   bool IsProbing = false;
   bool IsFetching = false;
   bool IsResigned = false;
-  std::vector<VmId> Vms;      ///< sorted; as the leader told last
+  VmList List;                ///< as the leader told last
   std::map<VmId, Peer> Peers; ///< on the leader: VMs that said hello
   std::map<ServiceId, std::vector<std::uint16_t>> Keys; ///< for the next hello
   std::uint64_t StoreCalls = 0;
--- a/src/node/exchange.h
+++ b/src/node/exchange.h
@@ -58,6 +58,9 @@
   std::shared_ptr<Attempt> Current;  ///< attempt in progress
   std::function<void()> OnAnswer;    ///< Answer has changed
   std::function<void()> OnBodyTaken; ///< Body has room again
+  /// Notices at once when the caller has closed its connection, also when the
+  /// event loop is late and has not read that far.
+  std::function<void()> CheckCaller;
 
   bool mayRepeat() const {
     return Matched != nullptr && Matched->Kind != RequestKind::NonIdempotent;
--- a/src/node/gateway.h
+++ b/src/node/gateway.h
@@ -29,11 +29,12 @@
 /// Counters of the data path.
 struct GatewayCounters {
   std::uint64_t Requests = 0;
-  std::uint64_t Answered = 0;    ///< with an upstream's answer
-  std::uint64_t Sent = 0;        ///< attempts
-  std::uint64_t Repeated = 0;    ///< attempts beyond a request's first
-  std::uint64_t Connections = 0; ///< opened to upstreams
-  std::uint64_t Waited = 0;      ///< requests that stood in a queue
+  std::uint64_t Answered = 0;          ///< with an upstream's answer
+  std::uint64_t Sent = 0;              ///< attempts
+  std::uint64_t Repeated = 0;          ///< attempts beyond a request's first
+  std::uint64_t Connections = 0;       ///< opened to upstreams
+  std::uint64_t FailedConnections = 0; ///< of these, did not open
+  std::uint64_t Waited = 0;            ///< requests that stood in a queue
   std::uint64_t CallersLeft = 0;
   ReasonCounters Refusals; ///< by reason
 };
--- a/src/node/gateway_send.cpp
+++ b/src/node/gateway_send.cpp
@@ -85,6 +85,8 @@
     if (!result.IsNotRun)
       ++exchange->RunSends;
   }
+  if (result.End == AttemptEnd::Refused && attempt.isNewConnection())
+    ++Counters.FailedConnections;
   if (result.Cause != Reason::None)
     exchange->LastReason = result.Cause;
   if (result.End == AttemptEnd::Misplaced && OnMisplaced)
--- a/src/node/leadership.cpp
+++ b/src/node/leadership.cpp
@@ -27,6 +27,8 @@
 /// A release is answered when the running work on its keys has ended.
 constexpr Duration ReleaseTimeout = milliseconds(3500);
 constexpr Duration ReadRetry = milliseconds(200);
+/// Outcomes of orders gather this long before the next step.
+constexpr Duration OrdersGather = milliseconds(4);
 /// Connections refused for this long prove that the process has ended.
 constexpr Duration RefusedForDead = milliseconds(250);
 constexpr double MicrosPerSecond = 1e6;
@@ -169,11 +171,11 @@
   OnEnded();
 }
 
-void Leadership::resign() {
+void Leadership::resign(std::string_view why) {
   if (!isLeading())
     return;
   const std::uint64_t lease = Lease;
-  end("shutdown");
+  end(why);
   storeCall(platform::endLeaseCall(lease), [](const CallResult &) {});
 }
 
@@ -422,8 +424,9 @@
           logSafe(result.Error), it->second.map().Revision);
   it->second.onOrder(order.Id, outcome, platform::handoverOf(result.Headers),
                      now);
+  // Many orders end together: one step serves them all.
   if (!isRoutine)
-    runService(service, it->second, now);
+    LeadTimer.setBy(now + OrdersGather);
 }
 
 } // namespace waxwing
--- a/src/node/leadership.h
+++ b/src/node/leadership.h
@@ -41,7 +41,7 @@
   /// A request for @p key arrived at some VM.
   void noteRequest(const ServiceId &service, std::uint16_t key);
   /// Stops at once and ends the lease, so that another VM can lead.
-  void resign();
+  void resign(std::string_view why);
 
   const LeadershipCounters &counters() const { return Counters; }
   std::uint64_t storeCalls() const { return StoreCalls; }
--- a/src/node/node_process.cpp
+++ b/src/node/node_process.cpp
@@ -248,6 +248,9 @@
                   "Attempts beyond the first of a request.", data.Repeated);
   page.addCounter("waxwing_upstream_connections_total",
                   "Connections opened to upstreams.", data.Connections);
+  page.addCounter("waxwing_upstream_connections_failed_total",
+                  "Connections to upstreams that did not open.",
+                  data.FailedConnections);
   page.addCounter("waxwing_queued_total", "Requests that waited.", data.Waited);
   page.addCounter("waxwing_callers_left_total",
                   "Requests whose caller left before the answer.",
--- a/src/peers/peer_message.cpp
+++ b/src/peers/peer_message.cpp
@@ -19,6 +19,20 @@
 constexpr int ReplyTag = 2;
 constexpr int RangesTag = 3;
 
+Json encodeVms(const std::vector<VmId> &vms) {
+  Json result = Json::array();
+  for (const VmId &vm : vms)
+    result.push_back(vm.Value);
+  return result;
+}
+
+std::vector<VmId> decodeVms(const Json &json) {
+  std::vector<VmId> vms;
+  for (const Json &vm : json)
+    vms.emplace_back(vm.get<std::string>());
+  return vms;
+}
+
 struct Encoder {
   Json operator()(const PeerHello &hello) const {
     Json revisions = Json::object();
@@ -27,13 +41,19 @@
     Json keys = Json::object();
     for (const auto &[service, list] : hello.Keys)
       keys[service.Value] = list;
-    return {HelloTag, hello.Vm.Value, hello.VmsHash, revisions, keys};
+    return {HelloTag,
+            hello.Sender.Vm.Value,
+            hello.Sender.Domain.Value,
+            hello.Sender.ProcessorShare,
+            hello.ListHash,
+            revisions,
+            keys};
   }
   Json operator()(const PeerReply &reply) const {
-    Json vms = Json::array();
-    for (const VmId &vm : reply.Vms)
-      vms.push_back(vm.Value);
-    return {ReplyTag, reply.Term, vms};
+    Json list;
+    if (reply.List)
+      list = {encodeVms(reply.List->Vms), encodeVms(reply.List->Successors)};
+    return {ReplyTag, reply.Term, list, reply.IsLeaving};
   }
   Json operator()(const PeerRanges &ranges) const {
     Json rows = Json::array();
@@ -47,11 +67,13 @@
 
 PeerHello decodeHello(const Json &json) {
   PeerHello hello;
-  hello.Vm = VmId(json.at(1).get<std::string>());
-  hello.VmsHash = json.at(2).get<std::uint64_t>();
-  for (const auto &[service, revision] : json.at(3).items())
+  hello.Sender = {VmId(json.at(1).get<std::string>()),
+                  DomainId(json.at(2).get<std::string>()),
+                  json.at(3).get<double>()};
+  hello.ListHash = json.at(4).get<std::uint64_t>();
+  for (const auto &[service, revision] : json.at(5).items())
     hello.MapRevisions[ServiceId(service)] = revision.get<std::uint64_t>();
-  for (const auto &[service, keys] : json.at(4).items())
+  for (const auto &[service, keys] : json.at(6).items())
     hello.Keys[ServiceId(service)] = keys.get<std::vector<std::uint16_t>>();
   return hello;
 }
@@ -59,8 +81,9 @@
 PeerReply decodeReply(const Json &json) {
   PeerReply reply;
   reply.Term = json.at(1).get<std::uint64_t>();
-  for (const Json &vm : json.at(2))
-    reply.Vms.emplace_back(vm.get<std::string>());
+  if (const Json &list = json.at(2); !list.is_null())
+    reply.List = VmList{decodeVms(list.at(0)), decodeVms(list.at(1))};
+  reply.IsLeaving = json.at(3).get<bool>();
   return reply;
 }
 
@@ -102,9 +125,11 @@
   }
 }
 
-std::uint64_t hashVms(const std::vector<VmId> &vms) {
+std::uint64_t hashList(const VmList &list) {
   std::uint64_t hash = 1;
-  for (const VmId &vm : vms)
+  for (const VmId &vm : list.Vms)
+    hash = hashText(vm.Value, hash);
+  for (const VmId &vm : list.Successors)
     hash = hashText(vm.Value, hash);
   return hash;
 }
--- a/src/peers/peer_message_type.h
+++ b/src/peers/peer_message_type.h
@@ -6,9 +6,11 @@
 #ifndef WAXWING_PEERS_PEER_MESSAGE_TYPE_H
 #define WAXWING_PEERS_PEER_MESSAGE_TYPE_H
 
+#include "peers/candidacy.h"
 #include "ranges/range_type.h"
 
 #include <map>
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
@@ -17,18 +19,27 @@
 
 /// From each VM to the leader, a few times per second.
 struct PeerHello {
-  VmId Vm;
-  std::uint64_t VmsHash = 0; ///< hashVms() of the list that it has
+  Candidate Sender;
+  std::uint64_t ListHash = 0; ///< hashList() of the list that it has
   /// Revision of each service's range map that it has; 0: none.
   std::map<ServiceId, std::uint64_t> MapRevisions;
   /// Keys that were asked for since the last hello, one entry a request.
   std::map<ServiceId, std::vector<std::uint16_t>> Keys;
 };
 
-/// The leader's answer to a hello.
+/// The VMs as the leader knows them.
+struct VmList {
+  std::vector<VmId> Vms;        ///< sorted
+  std::vector<VmId> Successors; ///< of the leader, best first
+
+  bool operator==(const VmList &) const = default;
+};
+
+/// The leader's answer to a hello, and its last message.
 struct PeerReply {
-  std::uint64_t Term = 0; ///< revision of the leader's key
-  std::vector<VmId> Vms;  ///< sorted; empty when the hash was equal
+  std::uint64_t Term = 0;     ///< revision of the leader's key
+  std::optional<VmList> List; ///< nullopt when the hash was equal
+  bool IsLeaving = false;     ///< its leadership has just ended
 };
 
 /// Rows of a range map, from the leader.
@@ -51,7 +62,7 @@
 absl::StatusOr<PeerMessage> decodePeerMessage(const std::string &bytes);
 
 /// @return a digest that equal lists share
-std::uint64_t hashVms(const std::vector<VmId> &vms);
+std::uint64_t hashList(const VmList &list);
 
 } // namespace waxwing
 
--- a/src/ranges/range_leader.cpp
+++ b/src/ranges/range_leader.cpp
@@ -46,6 +46,7 @@
 
 void RangeLeader::setUpstreams(std::vector<RangeUpstream> upstreams, Time now) {
   Upstreams = std::move(upstreams);
+  std::ranges::sort(Upstreams, {}, &RangeUpstream::Id);
   const auto eligible =
       std::ranges::count_if(Upstreams, &RangeUpstream::IsEligible);
   if (eligible > EligibleSeen) {
@@ -72,8 +73,9 @@
 }
 
 const RangeUpstream *RangeLeader::findUpstream(const UpstreamId &id) const {
-  const auto it = std::ranges::find(Upstreams, id, &RangeUpstream::Id);
-  return it == Upstreams.end() ? nullptr : &*it;
+  const auto it =
+      std::ranges::lower_bound(Upstreams, id, {}, &RangeUpstream::Id);
+  return it == Upstreams.end() || it->Id != id ? nullptr : &*it;
 }
 
 const RangeUpstream *RangeLeader::liveOwner(const RangeRow &row) const {
--- a/src/ranges/range_leader_base.h
+++ b/src/ranges/range_leader_base.h
@@ -120,7 +120,7 @@
   std::vector<RowState> States;         ///< one for each row of Stored
   std::optional<RangeMap> InFlight;     ///< write without an outcome yet
   std::vector<RowState> InFlightStates; ///< States once InFlight is stored
-  std::vector<RangeUpstream> Upstreams;
+  std::vector<RangeUpstream> Upstreams; ///< sorted by id
   std::set<std::pair<UpstreamId, std::int64_t>> Dead;
   std::map<std::uint64_t, RangeOrder> Orders; ///< without an outcome yet
   std::uint64_t NextOrder = 1;
--- /dev/null
+++ b/tests/node_fixture.h
@@ -0,0 +1,190 @@
+/**
+ * @file node_fixture.h
+ * Real waxwing-node processes against the stand-in platform, which runs on a
+ * thread of the test.
+ */
+#ifndef WAXWING_TESTS_NODE_FIXTURE_H
+#define WAXWING_TESTS_NODE_FIXTURE_H
+
+#include "standin/platform_base.h"
+#include "support/child_process.h"
+
+#include <boost/asio/connect.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
+#include <csignal>
+#include <filesystem>
+#include <fmt/format.h>
+#include <fstream>
+#include <future>
+#include <gtest/gtest.h>
+#include <thread>
+
+namespace waxwing {
+
+inline constexpr std::uint16_t NodeBasePort = 27100;
+inline constexpr const char *NodeConfig =
+    R"({"config_version":"00000001","base_version":"00000000","routes":{
+      "keys":{"hostname":"h","prefix":"/keys/","kind":"idempotent",
+        "timeout_s":2,"target_latency_s":0.5,"priority":1,"max_attempts":2,
+        "service":"divided"},
+      "book":{"hostname":"h","prefix":"/book/","kind":"non_idempotent",
+        "timeout_s":2,"target_latency_s":0.5,"priority":0,"max_attempts":1,
+        "service":"plain"}},
+    "services":{
+      "divided":{"health_path":"/healthz","max_connections":100,
+        "sharded":true},
+      "plain":{"health_path":"/healthz","max_connections":100}},
+    "limits":{"max_header_bytes":16384,"max_body_bytes":1048576,
+      "header_timeout_s":3,"idle_timeout_s":15}})";
+
+/// The platform on a thread of its own, and the nodes as processes.
+class NodeProcessTest : public testing::Test {
+protected:
+  void SetUp() override {
+    Store = std::make_unique<StandinPlatformStore>(Loop, address(0));
+    for (int n = 0; n < 3; ++n) {
+      addUpstream(n, "divided", true);
+      addUpstream(3 + n, "plain", false);
+    }
+    Store->put("op/config", NodeConfig);
+    Thread = std::thread([this] { Loop.run(); });
+    for (int n = 0; n < NodeCount; ++n)
+      startNode(n);
+    for (int n = 0; n < NodeCount; ++n)
+      ASSERT_TRUE(waitFor(
+          [&] { return status(readyPort(n), "GET", "/", "", "") == 200; }));
+  }
+
+  void TearDown() override {
+    Nodes.clear();
+    Loop.stop();
+    Thread.join();
+    std::filesystem::remove_all(Folder);
+  }
+
+  static constexpr int NodeCount = 3;
+
+  static Endpoint address(int offset) {
+    return {"127.0.0.1", static_cast<std::uint16_t>(NodeBasePort + offset)};
+  }
+  static int callerPort(int node) { return NodeBasePort + 30 + node * 10; }
+  static int readyPort(int node) { return callerPort(node) + 1; }
+
+  void addUpstream(int n, const std::string &service, bool isDivided) {
+    StandinPlatformUpstream settings;
+    settings.Id = "i-" + std::to_string(n);
+    settings.Service = service;
+    settings.Domain = "d" + std::to_string(n % 2);
+    settings.Address = address(1 + n);
+    settings.IsDividedByKey = isDivided;
+    Upstreams.push_back(std::make_unique<StandinUpstreamHost>(Loop, settings));
+    Store->put("servers/" + settings.Id, Upstreams.back()->entry(false));
+  }
+
+  void startNode(int n) {
+    std::filesystem::create_directories(Folder);
+    const std::string path = Folder + "/node" + std::to_string(n) + ".ini";
+    std::ofstream(path) << fmt::format(
+        "[vm]\nname = vm{0}\ndomain = d{1}\n[listen]\ncallers = "
+        "127.0.0.1:{2}\nready = 127.0.0.1:{3}\nmetrics = 127.0.0.1:{4}\n"
+        "peers = 127.0.0.1:{5}\n[store]\naddress = {6}\n",
+        n, n % 2, callerPort(n), readyPort(n), callerPort(n) + 2,
+        callerPort(n) + 3, formatEndpoint(address(0)));
+    Nodes.resize(std::max<std::size_t>(Nodes.size(), n + 1));
+    Nodes[n] = std::make_unique<ChildProcess>(
+        std::vector<std::string>{"waxwing-node", "--settings", path},
+        Folder + "/node" + std::to_string(n) + ".log");
+  }
+
+  /// Runs @p what on the platform's thread.
+  template <class F> void onPlatform(F what) {
+    std::promise<void> done;
+    boost::asio::post(Loop, [&] {
+      what();
+      done.set_value();
+    });
+    done.get_future().wait();
+  }
+
+  template <class F> static bool waitFor(F isTrue) {
+    const auto end = std::chrono::steady_clock::now() + seconds(15);
+    while (std::chrono::steady_clock::now() < end) {
+      if (isTrue())
+        return true;
+      std::this_thread::sleep_for(milliseconds(50));
+    }
+    return false;
+  }
+
+  /// @return the status of one request on a connection of its own; 0: none
+  static int status(int port, const std::string &method,
+                    const std::string &path, const std::string &id,
+                    const std::string &key) {
+    boost::asio::io_context io;
+    boost::asio::ip::tcp::socket socket(io);
+    boost::system::error_code ec;
+    socket.connect({boost::asio::ip::make_address("127.0.0.1"),
+                    static_cast<std::uint16_t>(port)},
+                   ec);
+    if (ec)
+      return 0;
+    std::string request =
+        fmt::format("{} {} HTTP/1.1\r\nHost: h\r\nRequest-Id: {}\r\n"
+                    "Deadline-Ms: 2000\r\nContent-Length: 0\r\n"
+                    "Connection: close\r\n",
+                    method, path, id);
+    if (!key.empty())
+      request += "Shard-Key: " + key + "\r\n";
+    boost::asio::write(socket, boost::asio::buffer(request + "\r\n"), ec);
+    std::string answer;
+    boost::asio::read(socket, boost::asio::dynamic_buffer(answer), ec);
+    int code = 0;
+    return std::sscanf(answer.c_str(), "HTTP/1.1 %d", &code) == 1 ? code : 0;
+  }
+
+  /// @return the value of @p name on the node's metrics page; -1: absent
+  static double metric(int node, const std::string &name) {
+    boost::asio::io_context io;
+    boost::asio::ip::tcp::socket socket(io);
+    socket.connect({boost::asio::ip::make_address("127.0.0.1"),
+                    static_cast<std::uint16_t>(callerPort(node) + 2)});
+    boost::asio::write(
+        socket, boost::asio::buffer(std::string(
+                    "GET /metrics HTTP/1.1\r\nConnection: close\r\n\r\n")));
+    std::string page;
+    boost::system::error_code ec;
+    boost::asio::read(socket, boost::asio::dynamic_buffer(page), ec);
+    const auto at = page.find("\n" + name + " ");
+    return at == std::string::npos
+               ? -1
+               : std::stod(page.substr(at + name.size() + 2));
+  }
+
+  int askKey(int node, int key) {
+    return status(callerPort(node), "GET", "/keys/x",
+                  "k" + std::to_string(++LastId), std::to_string(key));
+  }
+  int book(int node) {
+    return status(callerPort(node), "POST", "/book/x",
+                  "b" + std::to_string(++LastId), "");
+  }
+  bool waitUntilKeysAreServed(int node) {
+    return waitFor([&] {
+      return askKey(node, 0) == 200 && askKey(node, 30000) == 200 &&
+             askKey(node, 65535) == 200;
+    });
+  }
+
+  boost::asio::io_context Loop;
+  std::unique_ptr<StandinPlatformStore> Store;
+  std::vector<std::unique_ptr<StandinUpstreamHost>> Upstreams;
+  std::vector<std::unique_ptr<ChildProcess>> Nodes;
+  std::thread Thread;
+  std::string Folder = fmt::format("/tmp/waxwing-node-test-{}", getpid());
+  int LastId = 0;
+};
+
+} // namespace waxwing
+
+#endif
--- a/tests/range_balance_test.cpp
+++ b/tests/range_balance_test.cpp
@@ -173,12 +173,18 @@
 
 TEST(PeerMessage, SurvivesTheWireAndRefusesNoise) {
   PeerHello hello;
-  hello.Vm = VmId("vm1");
+  hello.Sender = {VmId("vm1"), DomainId("d1"), 0.5};
   hello.Keys[ServiceId("s")] = {1, 2, 2};
   hello.MapRevisions[ServiceId("s")] = 4;
   const auto decoded = decodePeerMessage(encodePeerMessage(hello));
   ASSERT_TRUE(decoded.ok());
   EXPECT_EQ(std::get<PeerHello>(*decoded).Keys, hello.Keys);
+  EXPECT_EQ(std::get<PeerHello>(*decoded).Sender, hello.Sender);
+  const PeerReply reply{7, VmList{{VmId("a"), VmId("b")}, {VmId("b")}}, true};
+  const auto back = decodePeerMessage(encodePeerMessage(reply));
+  ASSERT_TRUE(back.ok());
+  EXPECT_EQ(std::get<PeerReply>(*back).List, reply.List);
+  EXPECT_TRUE(std::get<PeerReply>(*back).IsLeaving);
   for (const std::string noise : {"", "x", "\x81\x09", "\xff\xff\xff"})
     EXPECT_FALSE(decodePeerMessage(noise).ok());
 }
