Fix: [Router] Losses right behind the probe of a death count against crashers

Change: upstreams found dead are remembered for the span of one death; a loss within it counts at once. Test: LossesRightBehindTheProbeCount.

--- a/src/traffic/crash_suspects.cpp
+++ b/src/traffic/crash_suspects.cpp
@@ -10,19 +10,31 @@
 
 void CrashSuspects::noteLost(RequestPrint print, const UpstreamId &upstream,
                              const DomainId &domain, Time now) {
+  const auto found = FoundDead.find(upstream);
+  if (found != FoundDead.end() && now <= found->second + SameDeathSpan) {
+    // Another request's loss at this death was looked into already.
+    hold({print, domain, now}, upstream, now);
+    return;
+  }
   if (Losses.size() < CrashPrintLimit)
     Losses.emplace(upstream, Loss{print, domain, now});
 }
 
+void CrashSuspects::hold(const Loss &loss, const UpstreamId &upstream,
+                         Time now) {
+  if (add(loss.Print, {upstream, loss.Domain, loss.At}, now))
+    News.push_back({loss.Print, upstream, loss.Domain, now - loss.At});
+}
+
 void CrashSuspects::noteDead(const UpstreamId &upstream, Time now) {
   const auto [first, last] = Losses.equal_range(upstream);
   std::for_each(first, last, [&](const auto &entry) {
     const Loss &loss = entry.second;
-    if (now <= loss.At + CorroborationSpan &&
-        add(loss.Print, {upstream, loss.Domain, loss.At}, now))
-      News.push_back({loss.Print, upstream, loss.Domain, now - loss.At});
+    if (now <= loss.At + CorroborationSpan)
+      hold(loss, upstream, now);
   });
   Losses.erase(first, last);
+  FoundDead[upstream] = now;
 }
 
 void CrashSuspects::noteAnswered(RequestPrint print) {
@@ -117,6 +129,9 @@
   std::erase_if(Losses, [now](const auto &entry) {
     return now > entry.second.At + CorroborationSpan;
   });
+  std::erase_if(FoundDead, [now](const auto &entry) {
+    return now > entry.second + SameDeathSpan;
+  });
   absl::erase_if(Marks, [now](const auto &entry) {
     const Record &record = entry.second;
     return now >= record.SuspectUntil &&
--- a/src/traffic/crash_suspects_base.h
+++ b/src/traffic/crash_suspects_base.h
@@ -77,6 +77,8 @@
   };
 
   bool add(RequestPrint print, Death death, Time now);
+  /// Holds a loss that a death explains against its request.
+  void hold(const Loss &loss, const UpstreamId &upstream, Time now);
 
   /// What is held against one request.
   struct Record {
@@ -87,6 +89,8 @@
 
   absl::flat_hash_map<RequestPrint, Record> Marks;
   std::multimap<UpstreamId, Loss> Losses;
+  /// When upstreams were last found dead; losses at the same death follow.
+  std::map<UpstreamId, Time> FoundDead;
   std::vector<CrashMark> News; ///< Age is filled when they are taken
 };
 
--- a/tests/request_health_test.cpp
+++ b/tests/request_health_test.cpp
@@ -254,6 +254,23 @@
   EXPECT_FALSE(suspects.isMarked(RequestPrint(1)));
 }
 
+/// Of several requests at one death, the first loss leads to the probe; the
+/// later ones count as well.
+TEST(CrashSuspects, LossesRightBehindTheProbeCount) {
+  CrashSuspects suspects;
+  const Time now{seconds(1)};
+  suspects.noteLost(RequestPrint(1), UpstreamId("a"), DomainId("x"), now);
+  suspects.noteDead(UpstreamId("a"), now);
+  suspects.noteLost(RequestPrint(2), UpstreamId("a"), DomainId("x"), now);
+  suspects.tick(now + CorroborationSpan + milliseconds(1));
+  EXPECT_TRUE(suspects.isMarked(RequestPrint(2)));
+  // Much later it may be another life's connection.
+  const Time later = now + seconds(3);
+  suspects.noteLost(RequestPrint(3), UpstreamId("a"), DomainId("x"), later);
+  suspects.tick(later + CorroborationSpan + milliseconds(1));
+  EXPECT_FALSE(suspects.isMarked(RequestPrint(3)));
+}
+
 /// Attempts at one upstream that answers each after about @p usual.
 class HealthWorld {
 public:
