--- a/src/node/cluster.cpp
+++ b/src/node/cluster.cpp
@@ -9,6 +9,7 @@
 #include "node/store_keys.h"
 
 #include <algorithm>
+#include <iterator>
 
 namespace waxwing {
 namespace {
@@ -210,8 +211,9 @@
     return;
   ConsiderHandOverAt = now + HandOverEvery;
   std::vector<Candidate> others;
-  for (const auto &[vm, peer] : Peers)
-    others.push_back(peer.Standing);
+  std::ranges::transform(
+      Peers, std::back_inserter(others),
+      [](const auto &entry) { return entry.second.Standing; });
   if (shouldHandOver(Self, others))
     Lead.resign("stronger_vm");
 }
--- a/tests/node_connection_process_test.cpp
+++ b/tests/node_connection_process_test.cpp
@@ -92,6 +92,7 @@
   // So many at a time that the upstream that answers cannot take all.
   constexpr int callers = 8;
   std::vector<std::future<void>> running;
+  running.reserve(callers);
   for (int caller = 0; caller < callers; ++caller)
     running.push_back(std::async(std::launch::async, [caller] {
       for (int n = 0; n < 10; ++n) {
