--- a/src/node/attempt.cpp
+++ b/src/node/attempt.cpp
@@ -19,6 +19,9 @@
 /// Reading from the upstream pauses when more response bytes than this wait for
 /// the caller, and resumes below half of it.
 constexpr std::size_t MaxUnsentBytes = 524288;
+/// Bytes of a request that wait in the connection while the upstream does not
+/// read.
+constexpr std::size_t MaxUnwrittenRequestBytes = 65536;
 
 bool hasNoBody(const http::RequestHead &request, int status) {
   return request.Method == "HEAD" || status == 204 || status == 304;
@@ -67,36 +70,49 @@
 void Attempt::start(Time now) {
   StartedAt = now;
   const auto exchange = ParentExchange.lock();
-  Connection->beginRequest(this, requestHead(now),
+  std::string bytes = requestHead(now);
+  const bool continues = appendRequestBody(bytes, MaxUnwrittenRequestBytes);
+  Connection->beginRequest(this, bytes, !continues,
                            exchange->Head.Method == "HEAD");
-  Connection->setRequestWhole(exchange->IsBodyWhole);
-  sendBody();
+}
+
+bool Attempt::appendRequestBody(std::string &out, std::size_t room) {
+  const auto exchange = ParentExchange.lock();
+  const std::string_view piece = exchange->Body.bytesFrom(BodyOffset, room);
+  BodyOffset += piece.size();
+  IsRequestWhole =
+      exchange->Body.isWhole() && BodyOffset == exchange->Body.received();
+  if (!exchange->Head.IsChunked) {
+    out.append(piece);
+    return !IsRequestWhole;
+  }
+  if (!piece.empty())
+    fmt::format_to(std::back_inserter(out), "{:x}\r\n{}\r\n", piece.size(),
+                   piece);
+  if (IsRequestWhole)
+    out += "0\r\n\r\n";
+  return !IsRequestWhole;
 }
 
 void Attempt::sendBody() {
+  const auto self = shared_from_this(); // sending may end the attempt
   const auto exchange = ParentExchange.lock();
-  if (!exchange || HasEnded)
+  if (!exchange || HasEnded || IsRequestWhole)
     return;
+  const std::size_t waiting = Connection->unwrittenBytes();
   std::string bytes;
-  if (exchange->Head.IsChunked) {
-    if (!exchange->Body.empty())
-      fmt::format_to(std::back_inserter(bytes), "{:x}\r\n{}\r\n",
-                     exchange->Body.size(), exchange->Body);
-    if (exchange->IsBodyWhole)
-      bytes += "0\r\n\r\n";
-  } else {
-    bytes = exchange->Body;
-  }
-  if (!exchange->IsBodyWhole) {
-    exchange->Body.clear();
-    exchange->IsBodyForwarded = true;
-  } else if (exchange->IsBodyForwarded) {
-    exchange->Body.clear();
-  }
-  Connection->setRequestWhole(exchange->IsBodyWhole);
+  if (waiting < MaxUnwrittenRequestBytes)
+    appendRequestBody(bytes, MaxUnwrittenRequestBytes - waiting);
+  // Until a byte has reached an upstream, another one can get the request. A
+  // body that was received completely stays stored, since the upstream may
+  // still refuse to execute the request.
+  const bool isStreamed =
+      !exchange->Body.isWhole() || !exchange->Body.isStored();
+  if (isStreamed && Connection->isSent())
+    exchange->Body.dropBefore(BodyOffset);
   if (!bytes.empty())
-    Connection->send(bytes);
-  if (exchange->OnBodyConsumed)
+    Connection->send(bytes, IsRequestWhole);
+  if (!HasEnded && exchange->OnBodyConsumed)
     exchange->OnBodyConsumed();
 }
 
@@ -107,6 +123,12 @@
   Connection->close();
 }
 
+void Attempt::abortResponse() {
+  const auto self = shared_from_this();
+  Connection->close();
+  onConnectionLost("response without end", true);
+}
+
 bool Attempt::isStillNeeded() {
   const auto self =
       shared_from_this(); // CheckCallerConnected() may cancel this attempt
@@ -156,6 +178,13 @@
   return {};
 }
 
+bool Attempt::isForCaller(const Exchange &exchange,
+                          const AttemptResult &result) const {
+  return result.End == AttemptOutcome::Served ||
+         (result.Cause == Reason::UpstreamFailed &&
+          !Handler.wouldRetry(exchange));
+}
+
 void Attempt::appendBody(std::string &out, std::string_view bytes) const {
   if (bytes.empty())
     return;
@@ -183,6 +212,8 @@
       IsChunkedResponse = false;
       exchange->Response.MustClose = true;
     }
+    if (!exchange->Body.isWhole())
+      exchange->Response.MustClose = true;
     fmt::format_to(std::back_inserter(out), "HTTP/1.1 {} {}\r\n",
                    ResponseStatus, ResponseHead.ReasonPhrase);
     for (const auto &[name, value] : ResponseHead.Headers) {
@@ -220,9 +251,15 @@
   if (!exchange)
     return;
   if (!IsForwarding) {
-    if (ResponseBody.size() <= MaxBufferedResponseBytes ||
-        classifyResponse().End != AttemptOutcome::Served)
+    if (ResponseBody.size() <= MaxBufferedResponseBytes)
+      return;
+    const AttemptResult result = classifyResponse();
+    if (!isForCaller(*exchange, result)) {
+      // The rest of the response is of no use and may have no end.
+      Connection->close();
+      finish(result);
       return;
+    }
   }
   forwardToCaller(false);
   if (HasEnded)
@@ -244,16 +281,10 @@
 
 void Attempt::onResponseEnd() {
   const auto self = shared_from_this();
-  AttemptResult result = classifyResponse();
+  const AttemptResult result = classifyResponse();
   const auto exchange = ParentExchange.lock();
-  if (exchange && !IsForwarding) {
-    const bool isUpstreamFailure = result.Cause == Reason::UpstreamFailed;
-    if (result.End == AttemptOutcome::Served ||
-        (isUpstreamFailure && !Handler.wouldRetry(*exchange)))
-      forwardToCaller(true);
-  } else if (exchange) {
+  if (exchange && (IsForwarding || isForCaller(*exchange, result)))
     forwardToCaller(true);
-  }
   finish(result);
 }
 
--- a/src/node/attempt.h
+++ b/src/node/attempt.h
@@ -55,6 +55,8 @@
   /// Ends the attempt without calling onAttemptEnd(). The connection is reset,
   /// so that the upstream drops the request.
   void cancel();
+  /// Ends the attempt and breaks off its response.
+  void abortResponse();
   /// Called when response bytes were moved to the caller's connection. Resumes
   /// reading the upstream's response if that was paused.
   void onResponseConsumed();
@@ -71,6 +73,7 @@
     return ResponseMetadata.Load;
   }
 
+  void onRequestWritten() override { sendBody(); }
   bool onResponseHead(http::ResponseHead &head) override;
   void onResponseBody(std::string bytes) override;
   void onResponseEnd() override;
@@ -79,11 +82,19 @@
 
 private:
   std::string requestHead(Time now) const;
+  /// Passes the next part of the body to the connection, as much as the
+  /// connection has room for.
   void sendBody();
+  /// Appends the next part of the body to @p out.
+  /// @return true if the body continues
+  bool appendRequestBody(std::string &out, std::size_t room);
   void forwardToCaller(bool isWhole);
   void appendBody(std::string &out, std::string_view bytes) const;
   void finish(const AttemptResult &result);
   AttemptResult classifyResponse() const;
+  /// @return true if the response is for the caller, rather than a reason to
+  ///   send the request again
+  bool isForCaller(const Exchange &exchange, const AttemptResult &result) const;
 
   AttemptHandler &Handler;
   std::weak_ptr<Exchange> ParentExchange;
@@ -92,6 +103,9 @@
   bool IsNewConnection;
   Time StartedAt;
 
+  std::uint64_t BodyOffset = 0; ///< body bytes passed to the connection
+  bool IsRequestWhole = false;  ///< the end of the body was passed, too
+
   http::ResponseHead ResponseHead;
   platform::ResponseMetadata ResponseMetadata;
   std::string ResponseBody; ///< bytes received and not yet forwarded
--- a/src/node/call_client.cpp
+++ b/src/node/call_client.cpp
@@ -20,14 +20,15 @@
 public:
   PendingCall(boost::asio::io_context &loop, ConnectionPool &pool,
               std::shared_ptr<ClientConnection> connection,
-              HttpCallClient::Callback callback)
-      : Pool(pool), Connection(std::move(connection)),
-        Callback(std::move(callback)), Timer(loop, [this] { onDeadline(); }) {}
+              std::size_t maxResponse, HttpCallClient::Callback callback)
+      : Pool(pool), Connection(std::move(connection)), MaxResponse(maxResponse),
+        Callback(std::move(callback)),
+        Timer(loop, [this] { abandon("no response before the deadline"); }) {}
 
   void start(const std::string &request, Time deadline) {
     Self = shared_from_this();
     Timer.scheduleBy(deadline);
-    Connection->beginRequest(this, request, false);
+    Connection->beginRequest(this, request, true, false);
   }
 
   bool onResponseHead(http::ResponseHead &head) override {
@@ -35,7 +36,12 @@
     Result.Headers = std::move(head.Headers);
     return true;
   }
-  void onResponseBody(std::string bytes) override { Result.Body += bytes; }
+  void onResponseBody(std::string bytes) override {
+    if (Result.Body.size() + bytes.size() > MaxResponse)
+      abandon("response is too long");
+    else
+      Result.Body += bytes;
+  }
   void onResponseEnd() override {
     Pool.release(Connection);
     finish();
@@ -53,12 +59,12 @@
   }
 
 private:
-  void onDeadline() {
+  void abandon(const char *why) {
     // If no byte was written, the peer cannot receive the call any more.
     Result.IsDelivered = Connection->isSent();
     Connection->close();
     Result.Status = 0;
-    Result.Error = "no response before the deadline";
+    Result.Error = why;
     finish();
   }
   void finish() {
@@ -70,6 +76,7 @@
 
   ConnectionPool &Pool;
   std::shared_ptr<ClientConnection> Connection;
+  std::size_t MaxResponse;
   HttpCallClient::Callback Callback;
   DeadlineTimer Timer;
   HttpCallResult Result;
@@ -96,8 +103,9 @@
   auto connection = Pool.acquire(peer, bootNow(), seconds(60));
   if (!connection)
     connection = Pool.open(peer);
-  std::make_shared<PendingCall>(Loop, Pool, std::move(connection),
-                                std::move(callback))
+  std::make_shared<PendingCall>(
+      Loop, Pool, std::move(connection),
+      target.empty() ? MaxStoreResponse : MaxOrderResponse, std::move(callback))
       ->start(request, deadline);
 }
 
--- a/src/node/call_client.h
+++ b/src/node/call_client.h
@@ -27,11 +27,17 @@
 class HttpCallClient {
 public:
   using Callback = std::function<void(const HttpCallResult &)>;
+  /// Longest response body of the store; a page of items has about 1 MB.
+  static constexpr std::size_t MaxStoreResponse = 16U << 20;
+  /// Longest response body of an upstream to an order.
+  static constexpr std::size_t MaxOrderResponse = 65536;
 
   explicit HttpCallClient(boost::asio::io_context &loop)
       : Loop(loop), Pool(loop) {}
 
-  /// @param target instance that must process the call; empty for any
+  /// @param target instance that must process the call; empty for the store.
+  ///   A response that exceeds MaxOrderResponse or MaxStoreResponse counts as
+  ///   lost
   /// @param deadline the connection is reset if there is no response by then
   void call(const Endpoint &peer, const platform::PlatformRequest &call,
             const std::string &target, Time deadline, Callback callback);
--- a/src/node/caller_connection.cpp
+++ b/src/node/caller_connection.cpp
@@ -13,6 +13,7 @@
 #include <boost/asio/error.hpp>
 #include <boost/asio/write.hpp>
 #include <cerrno>
+#include <poll.h>
 #include <sys/socket.h>
 
 namespace waxwing {
@@ -25,14 +26,14 @@
 constexpr std::size_t ReadBufferSize = 65536;
 /// Requests of one connection that are processed concurrently.
 constexpr std::size_t MaxPipelinedRequests = 32;
-/// Larger request bodies are streamed to the upstream while they arrive.
-constexpr std::size_t MaxBufferedRequestBody = 65536;
-/// Reading pauses when more bytes of a request body than this are unsent.
-constexpr std::size_t MaxUnsentRequestBody = 262144;
 /// Reading pauses when more pipelined bytes than this are unparsed.
 constexpr std::size_t MaxUnparsedBytes = 131072;
-/// Time that a caller has to close its side after the last response.
+/// Time that a caller has to close its side after the last response, from the
+/// last bytes that it sent.
 constexpr Duration CallerCloseTimeout = seconds(1);
+/// Longest time for which bytes after the last response are read and discarded,
+/// so that a caller that still sends a body can read the response.
+constexpr Duration MaxLingerTime = seconds(10);
 
 std::array<char, ReadBufferSize> &readBuffer() {
   static std::array<char, ReadBufferSize> buffer;
@@ -52,10 +53,13 @@
   scheduleRead();
 }
 
+bool CallerConnection::isBodyFull() const {
+  return IncomingExchange != nullptr && !IncomingExchange->IsFinished &&
+         IncomingExchange->Body.space() == 0;
+}
+
 void CallerConnection::scheduleRead() {
-  const bool isBodyFull = IncomingExchange != nullptr &&
-                          IncomingExchange->Body.size() > MaxUnsentRequestBody;
-  if (IsReading || IsClosed || isBodyFull ||
+  if (IsReading || IsClosed || isBodyFull() ||
       UnparsedInput.size() > MaxUnparsedBytes)
     return;
   IsReading = true;
@@ -70,16 +74,23 @@
 }
 
 void CallerConnection::readSome() {
+  std::size_t size = ReadBufferSize;
+  if (IncomingExchange != nullptr && !IncomingExchange->IsFinished)
+    size = std::clamp<std::size_t>(IncomingExchange->Body.space(), 1, size);
   error_code ec;
-  const std::size_t n = Socket.read_some(asio::buffer(readBuffer()), ec);
+  const std::size_t n = Socket.read_some(asio::buffer(readBuffer(), size), ec);
   if (ec == asio::error::would_block)
     return;
   if (ec) {
     close();
     return;
   }
-  if (LingerUntil != Time())
-    return; // lingering close: discard what the caller still sends
+  if (LingerUntil != Time()) {
+    // Lingering close: discard what the caller still sends.
+    LingerUntil = std::min(bootNow() + CallerCloseTimeout,
+                           LingerStartedAt + MaxLingerTime);
+    return;
+  }
   UnparsedInput.append(readBuffer().data(), n);
   parseRequests();
 }
@@ -110,34 +121,44 @@
     rejectMalformed(state);
     return false;
   }
-  if (Parser.isHeadComplete() && IncomingExchange == nullptr)
+  const bool isNew = Parser.isHeadComplete() && IncomingExchange == nullptr;
+  if (isNew)
     startExchange();
   if (IncomingExchange == nullptr)
     return false;
-  IncomingExchange->Body += Parser.takeBody();
-  const bool isWhole = state == http::ParseState::Done;
-  IncomingExchange->IsBodyWhole = isWhole;
   const auto exchange = IncomingExchange;
+  const std::string bytes = Parser.takeBody();
+  if (!exchange->IsFinished)
+    exchange->Body.append(bytes);
+  const bool isWhole = state == http::ParseState::Done;
   if (isWhole) {
+    exchange->Body.markWhole();
     IncomingExchange.reset();
     Parser = http::RequestParser(
         {Handler.callerLimits().HeaderBytes, Handler.callerLimits().BodyBytes});
     HeadStartedAt = Time();
-  }
-  if (IsIncomingStarted) {
-    Handler.continueExchange(exchange);
-  } else if (isWhole || exchange->Body.size() > MaxBufferedRequestBody) {
-    IsIncomingStarted = true;
-    Handler.beginExchange(exchange);
-  }
-  if (isWhole) {
-    IsIncomingStarted = false;
     if (!exchange->Head.IsKeepAlive)
       IsLastRequest = true;
   }
+  if (isNew)
+    Handler.beginExchange(exchange);
+  else if (!exchange->IsFinished)
+    Handler.continueExchange(exchange);
+  sendContinue();
   return isWhole;
 }
 
+void CallerConnection::sendContinue() {
+  if (Exchanges.empty() || IsClosed)
+    return;
+  Exchange &exchange = *Exchanges.front();
+  const bool isAwaited = std::exchange(exchange.NeedsContinue, false);
+  // The interim response is pointless once the final one is determined or the
+  // caller has begun to send.
+  if (isAwaited && !exchange.IsFinished && exchange.Body.received() == 0)
+    UnwrittenOutput += "HTTP/1.1 100 Continue\r\n\r\n";
+}
+
 void CallerConnection::startExchange() {
   IncomingExchange = std::make_shared<Exchange>();
   IncomingExchange->Head = std::move(Parser.head());
@@ -158,12 +179,10 @@
     if (const auto self = weak.lock())
       self->closeIfDisconnected();
   };
+  IncomingExchange->Body = RequestBody(Handler.bodyMemory());
+  IncomingExchange->NeedsContinue = http::fieldHasToken(
+      IncomingExchange->Head.Headers, "Expect", "100-continue");
   Exchanges.push_back(IncomingExchange);
-  IsIncomingStarted = false;
-  if (http::fieldHasToken(IncomingExchange->Head.Headers, "Expect",
-                          "100-continue") &&
-      Exchanges.size() == 1)
-    UnwrittenOutput += "HTTP/1.1 100 Continue\r\n\r\n";
 }
 
 void CallerConnection::closeIfDisconnected() {
@@ -185,8 +204,9 @@
   if (IncomingExchange != nullptr) {
     // The body is malformed: cancel the request if it was started already.
     const auto exchange = std::exchange(IncomingExchange, nullptr);
-    if (IsIncomingStarted)
-      Handler.cancelExchange(exchange);
+    if (exchange->IsFinished)
+      return; // its response was sent already
+    Handler.cancelExchange(exchange);
     exchange->IsFinished = true;
     exchange->Response = {};
     exchange->Response.Bytes =
@@ -232,6 +252,8 @@
     const std::size_t n = Socket.write_some(asio::buffer(UnwrittenOutput), ec);
     UnwrittenOutput.erase(0, n);
     if (ec == asio::error::would_block) {
+      if (!std::exchange(IsPeerFull, true))
+        setPeerReading(Socket, false);
       IsWriting = true;
       Socket.async_wait(tcp::socket::wait_write,
                         [self](const error_code &result) {
@@ -245,6 +267,8 @@
       close();
       return;
     }
+    if (UnwrittenOutput.empty() && std::exchange(IsPeerFull, false))
+      setPeerReading(Socket, true);
   }
 }
 
@@ -262,6 +286,7 @@
     beginLingeringClose();
     return;
   }
+  sendContinue();
   parseRequests();
   scheduleRead();
 }
@@ -275,7 +300,8 @@
     close();
     return;
   }
-  LingerUntil = bootNow() + CallerCloseTimeout;
+  LingerStartedAt = bootNow();
+  LingerUntil = LingerStartedAt + CallerCloseTimeout;
   IsLastRequest = true;
   UnparsedInput.clear();
   for (const auto &exchange : std::exchange(Exchanges, {}))
@@ -290,6 +316,14 @@
     close();
     return;
   }
+  // A caller that leaves while its body is not read is not noticed by reading.
+  if (isBodyFull()) {
+    pollfd state{Socket.native_handle(), POLLRDHUP, 0};
+    if (poll(&state, 1, 0) > 0) {
+      close();
+      return;
+    }
+  }
   const CallerLimits &limits = Handler.callerLimits();
   const bool isHeadSlow =
       HeadStartedAt != Time() && now > HeadStartedAt + limits.HeaderTimeout;
--- a/src/node/caller_connection.h
+++ b/src/node/caller_connection.h
@@ -18,14 +18,15 @@
 class ExchangeHandler {
 public:
   virtual ~ExchangeHandler() = default;
-  /// Called when the request head is complete and the body is either complete
-  /// or too large to buffer.
+  /// Called when the request head is complete; the body may be incomplete.
   virtual void beginExchange(const std::shared_ptr<Exchange> &exchange) = 0;
-  /// Called when more of a streamed request body has arrived.
+  /// Called when more of a request body has arrived.
   virtual void continueExchange(const std::shared_ptr<Exchange> &exchange) = 0;
   /// Called when the caller has disconnected or its request body is malformed.
   virtual void cancelExchange(const std::shared_ptr<Exchange> &exchange) = 0;
   virtual const CallerLimits &callerLimits() const = 0;
+  /// @return memory that the bodies of all requests share
+  virtual BodyMemory &bodyMemory() = 0;
   /// @return true while the process shuts down
   virtual bool isDraining() const = 0;
   /// Called when the caller connection at address @p connection was closed; the
@@ -55,6 +56,10 @@
   ///   connection cannot accept more requests now
   bool parseRequest();
   void startExchange();
+  /// @return true if no more of the incoming body can be stored now
+  bool isBodyFull() const;
+  /// Tells the caller of the first exchange to send its body, if it waits.
+  void sendContinue();
   /// Closes the connection if the caller has closed its side and no bytes are
   /// unread.
   void closeIfDisconnected();
@@ -72,19 +77,20 @@
   std::deque<std::shared_ptr<Exchange>> Exchanges; ///< in order of the requests
   /// Exchange whose request body is incomplete.
   std::shared_ptr<Exchange> IncomingExchange;
-  /// beginExchange() was called for IncomingExchange.
-  bool IsIncomingStarted = false;
   bool IsParsing = false;
   bool IsReading = false;
   bool IsWriting = false;
+  bool IsPeerFull = false;    ///< the caller has not read what was written
   bool IsLastRequest = false; ///< no further requests are accepted
   bool IsClosed = false;
   Time IdleSince;
   /// Arrival of the first byte of an incomplete request head; Time() if none.
   Time HeadStartedAt;
-  /// Deadline for the caller to close its side after the last response; Time()
-  /// if this connection is not waiting for that.
+  /// Deadline for the caller to close its side after the last response,
+  /// extended while it still sends; Time() if this connection is not waiting
+  /// for that.
   Time LingerUntil;
+  Time LingerStartedAt; ///< valid while LingerUntil is set
 };
 
 } // namespace waxwing
--- a/src/node/client_connection.cpp
+++ b/src/node/client_connection.cpp
@@ -26,6 +26,8 @@
 /// Effectively unlimited: responses of upstreams may have any length.
 constexpr std::uint64_t MaxResponseBytes = 1ULL << 40;
 constexpr std::uint32_t MaxResponseHeaderBytes = 65536;
+/// Limit on the bytes of an incomplete element, such as a chunk's header.
+constexpr std::size_t MaxUnparsedBytes = 2UL * MaxResponseHeaderBytes;
 
 std::array<char, ReadBufferSize> &readBuffer() {
   static std::array<char, ReadBufferSize> buffer;
@@ -78,23 +80,24 @@
 }
 
 void ClientConnection::beginRequest(ResponseObserver *observer,
-                                    const std::string &head,
+                                    const std::string &bytes, bool isWhole,
                                     bool isHeadMethod) {
   Observer = observer;
   IsHeadMethod = isHeadMethod;
   IsHeadDelivered = false;
   IsDiscardingResponse = false;
   IsSent = false;
-  IsRequestWhole = true;
+  IsRequestWhole = isWhole;
   Parser.reset();
-  UnwrittenOutput += head;
+  UnwrittenOutput += bytes;
   // Deferred, so that the observer is not called from within this function.
   asio::post(Socket.get_executor(),
              [self = shared_from_this()] { self->flush(); });
 }
 
-void ClientConnection::send(const std::string &bytes) {
+void ClientConnection::send(const std::string &bytes, bool isWhole) {
   UnwrittenOutput += bytes;
+  IsRequestWhole = isWhole;
   flush();
 }
 
@@ -116,8 +119,15 @@
       fail("write: " + ec.message());
     return;
   }
-  if (UnwrittenOutput.empty())
+  if (UnwrittenOutput.empty()) {
+    if (std::exchange(IsPeerFull, false))
+      setPeerReading(Socket, true);
+    if (Observer != nullptr && !IsRequestWhole)
+      Observer->onRequestWritten();
     return;
+  }
+  if (!std::exchange(IsPeerFull, true))
+    setPeerReading(Socket, false);
   IsWriting = true;
   Socket.async_wait(tcp::socket::wait_write,
                     [self = shared_from_this()](const error_code &result) {
@@ -227,6 +237,10 @@
     break;
   }
   UnparsedInput.append(bytes);
+  if (UnparsedInput.size() > MaxUnparsedBytes) {
+    fail("malformed HTTP response");
+    return false;
+  }
   return true;
 }
 
--- a/src/node/client_connection.h
+++ b/src/node/client_connection.h
@@ -26,6 +26,9 @@
   /// Called before the first byte of the request is written.
   /// @return false if the request was cancelled meanwhile
   virtual bool isStillNeeded() { return true; }
+  /// Called when all bytes of the request that were passed are written, if more
+  /// of its body is to follow.
+  virtual void onRequestWritten() {}
   /// @return false if the response belongs to another request; that response is
   ///   discarded and the next one is awaited
   virtual bool onResponseHead(http::ResponseHead &head) = 0;
@@ -48,13 +51,16 @@
   void open();
   /// Starts a request.
   /// @param observer must stay valid until the request ends or close()
+  /// @param bytes the request's head and the first part of its body
+  /// @param isWhole false if more of the request body will be sent
   /// @param isHeadMethod method is HEAD, so the response has no body
-  void beginRequest(ResponseObserver *observer, const std::string &head,
-                    bool isHeadMethod);
+  void beginRequest(ResponseObserver *observer, const std::string &bytes,
+                    bool isWhole, bool isHeadMethod);
   /// Sends more of the request body.
-  void send(const std::string &bytes);
-  /// @param isWhole false while more of the request body will be sent
-  void setRequestWhole(bool isWhole) { IsRequestWhole = isWhole; }
+  /// @param isWhole false if more of it will be sent
+  void send(const std::string &bytes, bool isWhole);
+  /// @return bytes that wait until the peer reads
+  std::size_t unwrittenBytes() const { return UnwrittenOutput.size(); }
   /// Pauses or resumes reading the response.
   void setPaused(bool isPaused);
   /// Closes the connection with a TCP reset, which discards unsent bytes.
@@ -97,6 +103,7 @@
   bool IsDiscardingResponse = false; ///< response is for another request
   bool IsOpen = false;               ///< the TCP connection was established
   bool IsWriting = false;
+  bool IsPeerFull = false; ///< the peer has not read what was written
   bool IsReading = false;
   bool IsPaused = false;
   bool IsSent = false;        ///< at least one byte of the request was written
--- a/src/node/exchange.h
+++ b/src/node/exchange.h
@@ -7,6 +7,8 @@
 
 #include "core/verdict_type.h"
 #include "headers.h"
+#include "node/request_body.h"
+#include "routing/request_order.h"
 #include "routing/route_table.h"
 
 #include <functional>
@@ -32,11 +34,9 @@
 struct Exchange {
   http::RequestHead Head;
   platform::RequestMetadata Meta;
-  std::string Body;         ///< received and not yet forwarded
-  bool IsBodyWhole = false; ///< the request body is completely received
-  /// Part of the request body was forwarded and is no longer stored, so the
-  /// request cannot be retried.
-  bool IsBodyForwarded = false;
+  RequestBody Body;
+  /// The caller waits for an interim response before it sends the body.
+  bool NeedsContinue = false;
 
   Time ArrivedAt;        ///< time at which the request head was complete
   Time CallerDeadlineAt; ///< time at which the caller gives up
@@ -53,10 +53,12 @@
   Time QueuedSince;               ///< valid if IsQueued
   Time NextCheckAt; ///< next try of a request that is not first in its queue
   /// Fence of the key's range when an upstream last rejected the key as not
-  /// held; 0 if none did. Until WaitForOwnerUntil, the request is not sent
-  /// while the range map still has this fence.
+  /// held; 0 if none did. The request is not sent while the range map still has
+  /// this fence, and is given up at WaitForOwnerUntil.
   std::uint64_t FenceOfRejectedKey = 0;
   Time WaitForOwnerUntil;
+  /// Fence of the key's range when the last attempt was started.
+  std::uint64_t SentFence = 0;
   Reason LastReason = Reason::None; ///< failure reason of the last attempt
   bool IsFinished = false;          ///< the final response is determined
   bool IsCallerDisconnected = false;
@@ -69,9 +71,12 @@
   /// the event loop lags behind and has not read the end of stream yet.
   std::function<void()> CheckCallerConnected;
 
+  /// Position in the queue of the service.
+  QueuePosition position() const {
+    return {MatchedRoute->Priority, ArrivedAt + MatchedRoute->TargetLatency};
+  }
   bool mayRetry() const {
-    return MatchedRoute != nullptr &&
-           MatchedRoute->Kind != RequestKind::NonIdempotent;
+    return MatchedRoute != nullptr && isRepeatable(MatchedRoute->Kind);
   }
 };
 
--- a/src/node/gateway.cpp
+++ b/src/node/gateway.cpp
@@ -32,6 +32,12 @@
 /// connection goes to another VM.
 constexpr Duration ShutdownRetryAfter = milliseconds(20);
 constexpr int ListenBacklog = 1024;
+/// Fraction of the VM's memory that callers' request bodies may use.
+constexpr double BodyMemoryFraction = 0.125;
+constexpr double BytesPerMegabyte = 1e6;
+/// A response that has been started is broken off this long after the caller's
+/// deadline; an upstream in trouble may send bytes without end.
+constexpr Duration MaxResponseOvertime = seconds(30);
 
 std::string makeLocalResponse(const Exchange &exchange, int status,
                               std::string_view phrase, Duration retryAfter,
@@ -72,6 +78,8 @@
 
 Gateway::Gateway(asio::io_context &loop, const NodeSettings &settings)
     : Loop(loop), Acceptor(loop), Random(randomNumber()), Pool(loop),
+      Bodies(static_cast<std::size_t>(settings.Vm.decimal("memory") *
+                                      BodyMemoryFraction * BytesPerMegabyte)),
       TimeoutTimer(loop, [this] { checkTimeouts(); }),
       QueueTimer(loop, [this] { sendAllQueued(); }),
       SweepTimer(loop, [this] { sweep(); }) {
@@ -153,7 +161,8 @@
 
 void Gateway::beginRefusing() {
   IsRefusing = true;
-  std::vector<std::shared_ptr<Exchange>> waiting;
+  std::vector<std::shared_ptr<Exchange>> waiting(AwaitingBody.begin(),
+                                                 AwaitingBody.end());
   for (const auto &[service, queue] : Queues)
     waiting.insert(waiting.end(), queue.begin(), queue.end());
   for (const auto &exchange : waiting)
@@ -202,8 +211,7 @@
   exchange->TimeoutAt = exchange->ArrivedAt + route.Timeout;
   exchange->TimeoutAt =
       std::min(exchange->TimeoutAt, exchange->CallerDeadlineAt);
-  const ServiceRules *rules = Config->rules(part.Service);
-  if (rules != nullptr && rules->IsDividedByKey) {
+  if (isDividedByKey(part.Service)) {
     if (!exchange->Meta.Key) {
       refuse(exchange, Reason::BadRequest, {});
       return;
@@ -213,7 +221,21 @@
   }
   retryBudget(part.Service).addRequest(now);
   armTimeout(exchange);
-  dispatch(exchange);
+  if (exchange->Body.isReadyToSend()) {
+    dispatch(exchange);
+    return;
+  }
+  if (serviceSummary(part.Service, now).Slots == 0) {
+    refuse(exchange, Reason::NoUpstream,
+           admission(*exchange, now, false).RetryAfter);
+    return;
+  }
+  AwaitingBody.insert(exchange);
+}
+
+bool Gateway::isDividedByKey(const ServiceId &service) const {
+  const ServiceRules *rules = Config ? Config->rules(service) : nullptr;
+  return rules != nullptr && rules->IsDividedByKey;
 }
 
 void Gateway::armTimeout(const std::shared_ptr<Exchange> &exchange) {
@@ -236,8 +258,17 @@
 /// Sends the final response of a request that has timed out.
 void Gateway::refuseExpired(const std::shared_ptr<Exchange> &exchange,
                             Time now) {
-  if (exchange->Response.IsStarted)
-    return; // a started response is completed even if it is late
+  if (exchange->Response.IsStarted) {
+    // A started response is completed even if it is late.
+    const Time lastAt = exchange->CallerDeadlineAt + MaxResponseOvertime;
+    if (now < lastAt) {
+      Timeouts.emplace(lastAt, exchange);
+      return;
+    }
+    if (exchange->CurrentAttempt)
+      exchange->CurrentAttempt->abortResponse();
+    return;
+  }
   const bool wasSent = exchange->CurrentAttempt != nullptr;
   if (const auto attempt = std::exchange(exchange->CurrentAttempt, nullptr)) {
     if (Upstream *upstream = Upstreams.find(attempt->upstream().Id))
@@ -256,6 +287,8 @@
 void Gateway::continueExchange(const std::shared_ptr<Exchange> &exchange) {
   if (exchange->CurrentAttempt)
     exchange->CurrentAttempt->continueBody();
+  else if (exchange->Body.isReadyToSend() && AwaitingBody.erase(exchange) > 0)
+    dispatch(exchange);
 }
 
 void Gateway::cancelExchange(const std::shared_ptr<Exchange> &exchange) {
@@ -290,13 +323,8 @@
   const Time now = bootNow();
   removeFromQueue(exchange);
   const ReasonInfo &info = reasonInfo(reason);
-  int status = info.HttpStatus;
-  // 503 and 429 tell the caller that the request was not executed.
-  if (exchange->PossibleExecutionCount > 0 && (status == 503 || status == 429))
-    status = 502;
-  if (exchange->PossibleExecutionCount == 0 && reason == Reason::RouteTimeout)
-    status = 503;
-  if (IsDraining)
+  const int status = refusalStatus(reason, exchange->PossibleExecutionCount);
+  if (IsDraining || !exchange->Body.isWhole())
     exchange->Response.MustClose = true;
   Counters.Refusals.add(reason);
   exchange->IsFinished = true;
@@ -322,7 +350,18 @@
     exchange->OnResponse();
 }
 
+void Gateway::insertIntoQueue(const std::shared_ptr<Exchange> &exchange) {
+  exchange->IsQueued = true;
+  RequestQueue &queue = Queues[exchange->Service];
+  const auto behind =
+      std::ranges::find_if(queue, [&](const std::shared_ptr<Exchange> &other) {
+        return exchange->position() < other->position();
+      });
+  queue.insert(behind, exchange);
+}
+
 void Gateway::removeFromQueue(const std::shared_ptr<Exchange> &exchange) {
+  AwaitingBody.erase(exchange);
   if (!exchange->IsQueued)
     return;
   exchange->IsQueued = false;
@@ -340,8 +379,7 @@
   if (queue != Queues.end())
     input.QueuedAhead = static_cast<int>(std::ranges::count_if(
         queue->second, [&](const std::shared_ptr<Exchange> &other) {
-          return other->MatchedRoute->Priority <=
-                 exchange.MatchedRoute->Priority;
+          return other->position() <= exchange.position();
         }));
   const ServiceSummary &service = serviceSummary(exchange.Service, now);
   input.AvailableSlots =
@@ -391,21 +429,21 @@
   };
   request.PrefersOwnDomain =
       exchange->MatchedRoute->Kind == RequestKind::Download;
-  const ServiceRules *rules = Config->rules(exchange->Service);
-  if (rules != nullptr && rules->IsDividedByKey && exchange->Meta.Key) {
+  if (isDividedByKey(exchange->Service) && exchange->Meta.Key) {
     const RangeRow *row = findRangeRow(*exchange);
     if (row == nullptr || row->Owner.Value.empty()) {
       exchange->LastReason = Reason::NoOwner;
       canBeServedLater = false;
       return false;
     }
-    const bool isAwaitingOwner = exchange->FenceOfRejectedKey == row->Fence &&
-                                 now < exchange->WaitForOwnerUntil;
-    if (row->IsMoving || isAwaitingOwner) {
+    const bool isRejected = exchange->FenceOfRejectedKey == row->Fence;
+    if (row->IsMoving || isRejected) {
       exchange->LastReason = Reason::NoOwner;
+      canBeServedLater = !isRejected || now < exchange->WaitForOwnerUntil;
       return false;
     }
     request.RequiredUpstream = row->Owner;
+    exchange->SentFence = row->Fence;
   }
   const UpstreamChoice choice = Upstreams.choose(
       request, Context, Config->config().Services, now, Random());
@@ -428,12 +466,10 @@
   }
   const auto queue = Queues.find(exchange->Service);
   bool canBeServedLater = true;
-  const ServiceRules *rules = Config->rules(exchange->Service);
-  const bool isDivided = rules != nullptr && rules->IsDividedByKey;
-  const bool mustQueue = queue != Queues.end() && !queue->second.empty() &&
-                         !isDivided &&
-                         queue->second.front()->MatchedRoute->Priority <=
-                             exchange->MatchedRoute->Priority;
+  const bool mustQueue =
+      queue != Queues.end() && !queue->second.empty() &&
+      !isDividedByKey(exchange->Service) &&
+      queue->second.front()->position() <= exchange->position();
   if (!mustQueue && trySend(exchange, now, canBeServedLater))
     return;
   enqueue(exchange, now, canBeServedLater);
@@ -451,18 +487,13 @@
     return;
   }
   ++Counters.Queued;
-  exchange->IsQueued = true;
   exchange->QueuedSince = now;
-  RequestQueue &queue = Queues[exchange->Service];
-  const auto behind =
-      std::ranges::find_if(queue, [&](const std::shared_ptr<Exchange> &other) {
-        return other->MatchedRoute->Priority > exchange->MatchedRoute->Priority;
-      });
-  queue.insert(behind, exchange);
+  insertIntoQueue(exchange);
   logLine(LogPriority::Routine, now, "queued",
           "request={} service={} reason={} ahead={} wait_limit_ms={}",
           sanitizeForLog(exchange->Meta.Id), exchange->Service.Value,
-          reasonInfo(exchange->LastReason).Name, queue.size() - 1,
+          reasonInfo(exchange->LastReason).Name,
+          Queues[exchange->Service].size() - 1,
           toMilliseconds(decision.WaitLimit));
   QueueTimer.scheduleBy(now + QueueCheckInterval);
 }
@@ -474,8 +505,7 @@
   const Time now = bootNow();
   const std::vector<std::shared_ptr<Exchange>> waiting(found->second.begin(),
                                                        found->second.end());
-  const ServiceRules *rules = Config ? Config->rules(service) : nullptr;
-  const bool isDivided = rules != nullptr && rules->IsDividedByKey;
+  const bool isDivided = isDividedByKey(service);
   // Set when a request found no upstream with a free slot, so the requests
   // behind that request would find none either.
   bool isServiceFull = false;
@@ -499,16 +529,7 @@
       refuse(exchange, exchange->LastReason, decision.RetryAfter);
       continue;
     }
-    exchange->IsQueued = true;
-    const auto behind = std::ranges::find_if(
-        found->second, [&](const std::shared_ptr<Exchange> &other) {
-          return other->MatchedRoute->Priority >
-                     exchange->MatchedRoute->Priority ||
-                 (other->MatchedRoute->Priority ==
-                      exchange->MatchedRoute->Priority &&
-                  other->ArrivedAt > exchange->ArrivedAt);
-        });
-    found->second.insert(behind, exchange);
+    insertIntoQueue(exchange);
   }
   if (!found->second.empty())
     QueueTimer.scheduleBy(now + QueueCheckInterval);
--- a/src/node/gateway.h
+++ b/src/node/gateway.h
@@ -14,6 +14,7 @@
 #include "node/node_clock.h"
 #include "ranges/range_type.h"
 #include "routing/admission.h"
+#include "routing/retry_decision.h"
 #include "routing/service_retry_budget.h"
 #include "routing/upstream_table.h"
 #include "settings/node_settings_base.h"
@@ -86,6 +87,7 @@
   void continueExchange(const std::shared_ptr<Exchange> &exchange) override;
   void cancelExchange(const std::shared_ptr<Exchange> &exchange) override;
   const CallerLimits &callerLimits() const override;
+  BodyMemory &bodyMemory() override { return Bodies; }
   bool isDraining() const override { return IsDraining; }
   void onCallerClosed(const void *connection) override;
   void onAttemptEnd(const std::shared_ptr<Exchange> &exchange, Attempt &attempt,
@@ -124,9 +126,15 @@
   const ServiceSummary &serviceSummary(const ServiceId &service, Time now);
   AdmissionDecision admission(const Exchange &exchange, Time now,
                               bool canBeServedLater);
+  /// Handles an upstream's response that it does not run the request.
+  void onRejected(const std::shared_ptr<Exchange> &exchange,
+                  const Attempt &attempt, Time now);
   void retryOrFinish(const std::shared_ptr<Exchange> &exchange,
                      const AttemptResult &result, Time now);
+  /// Adds the request to the queue of its service, in order.
+  void insertIntoQueue(const std::shared_ptr<Exchange> &exchange);
   void removeFromQueue(const std::shared_ptr<Exchange> &exchange);
+  bool isDividedByKey(const ServiceId &service) const;
   void onExchangeFinished(const std::shared_ptr<Exchange> &exchange);
   ServiceRetryBudget &retryBudget(const ServiceId &service);
   void sweep();
@@ -142,8 +150,11 @@
   ConnectionPool Pool;
   std::map<ServiceId, ServiceRetryBudget> RetryBudgets;
   std::map<ServiceId, std::pair<ServiceSummary, Time>> ServiceSummaryCache;
-  /// Queued requests of each service, ordered by priority, then arrival.
+  /// Queued requests of each service, ordered by Exchange::position().
   std::map<ServiceId, RequestQueue> Queues;
+  /// Requests whose body is being received before they are sent.
+  std::set<std::shared_ptr<Exchange>> AwaitingBody;
+  BodyMemory Bodies;
   std::unordered_map<const void *, std::shared_ptr<CallerConnection>> Callers;
   std::multimap<Time, std::weak_ptr<Exchange>> Timeouts; ///< by TimeoutAt
   DeadlineTimer TimeoutTimer;
--- a/src/node/gateway_send.cpp
+++ b/src/node/gateway_send.cpp
@@ -20,11 +20,18 @@
 /// map entry of the range arrives earlier. The leader resends a lost grant
 /// within this time.
 constexpr Duration MaxOwnerUpdateWait = milliseconds(250);
-/// A request is not retried after more deliveries than this that upstreams
-/// certainly did not execute. These do not count as attempts of the route.
-constexpr int MaxDeliveriesNotExecuted = 4;
-/// A request is not retried if less time than this is left.
-constexpr Duration MinTimeForRetry = milliseconds(30);
+/// @param uncountedExecutions deliveries that may have been executed and are
+/// not
+///   counted in the exchange yet
+RetryInput retryInput(const Exchange &exchange, int uncountedExecutions,
+                      Time now) {
+  return {exchange.MatchedRoute->Kind,
+          exchange.PossibleExecutionCount + uncountedExecutions,
+          exchange.DeliveryCount - exchange.PossibleExecutionCount,
+          exchange.MatchedRoute->MaxAttempts,
+          exchange.TimeoutAt - now,
+          exchange.Body.isStored()};
+}
 
 } // namespace
 
@@ -70,10 +77,9 @@
 }
 
 bool Gateway::wouldRetry(const Exchange &exchange) const {
-  return exchange.mayRetry() && !exchange.IsBodyForwarded &&
-         exchange.PossibleExecutionCount + 1 <
-             exchange.MatchedRoute->MaxAttempts &&
-         exchange.TimeoutAt - bootNow() > MinTimeForRetry;
+  // The failed attempt is not counted in the exchange yet.
+  return decideRetry(retryInput(exchange, 1, bootNow())) ==
+         RetryDecision::Retry;
 }
 
 void Gateway::onAttemptEnd(const std::shared_ptr<Exchange> &exchange,
@@ -97,8 +103,8 @@
     ++Counters.FailedConnections;
   if (result.Cause != Reason::None)
     exchange->LastReason = result.Cause;
-  if (result.End == AttemptOutcome::WrongUpstream && OnKeyRejected)
-    OnKeyRejected();
+  if (result.End == AttemptOutcome::WrongUpstream)
+    onRejected(exchange, attempt, now);
   if (exchange->IsFinished) {
     const platform::LoadReport load =
         attempt.load().value_or(platform::LoadReport{});
@@ -130,32 +136,44 @@
   retryOrFinish(exchange, result, now);
 }
 
+/// An upstream of a service divided by key may not hold the key. Any other
+/// rejection means that the address is in use by another process.
+void Gateway::onRejected(const std::shared_ptr<Exchange> &exchange,
+                         const Attempt &attempt, Time now) {
+  const UpstreamEntry &target = attempt.upstream();
+  const Upstream *successor = Upstreams.findOtherAt(target.Address, target.Id);
+  if (isDividedByKey(exchange->Service) && successor == nullptr) {
+    exchange->FenceOfRejectedKey = exchange->SentFence;
+    exchange->WaitForOwnerUntil = now + MaxOwnerUpdateWait;
+    exchange->TriedUpstreams.clear();
+    if (OnKeyRejected)
+      OnKeyRejected();
+    return;
+  }
+  if (Upstreams.markMisaddressed(target.Id, target.StartedAtMs))
+    logLine(
+        LogPriority::StateChange, now, "upstream_misaddressed",
+        "upstream={} service={} address={} answered_by={}",
+        sanitizeForLog(target.Id.Value), sanitizeForLog(target.Service.Value),
+        formatEndpoint(target.Address),
+        successor == nullptr ? "-" : sanitizeForLog(successor->Entry.Id.Value));
+  // The repeated delivery reached the service that uses the address now.
+  if (successor != nullptr && successor->Entry.Service != exchange->Service &&
+      exchange->DeliveryCount > 1)
+    retryBudget(successor->Entry.Service).addRepeatedAttempt(now);
+}
+
 void Gateway::retryOrFinish(const std::shared_ptr<Exchange> &exchange,
                             const AttemptResult &result, Time now) {
-  const bool mayRunAgain =
-      exchange->PossibleExecutionCount == 0 || exchange->mayRetry();
-  const int deliveriesNotExecuted =
-      exchange->DeliveryCount - exchange->PossibleExecutionCount;
-  const bool hasAttempts =
-      exchange->PossibleExecutionCount < exchange->MatchedRoute->MaxAttempts &&
-      deliveriesNotExecuted <= MaxDeliveriesNotExecuted;
-  const bool hasTime = exchange->TimeoutAt - now > MinTimeForRetry;
-  const bool isWhole = !exchange->IsBodyForwarded;
-  bool isAllowed = mayRunAgain && hasAttempts && hasTime && isWhole;
-  if (isAllowed && result.IsDelivered)
-    isAllowed = retryBudget(exchange->Service)
-                    .tryConsume(now, static_cast<int>(Context.Vms.size()));
+  const bool isAllowed =
+      decideRetry(retryInput(*exchange, 0, now)) == RetryDecision::Retry &&
+      (!result.IsDelivered ||
+       retryBudget(exchange->Service)
+           .tryConsume(now, static_cast<int>(Context.Vms.size())));
   if (!isAllowed) {
-    const AdmissionDecision decision = admission(*exchange, now, true);
-    refuse(exchange, result.Cause, decision.RetryAfter);
+    refuse(exchange, result.Cause, admission(*exchange, now, true).RetryAfter);
     return;
   }
-  if (result.End == AttemptOutcome::WrongUpstream) {
-    const RangeRow *row = findRangeRow(*exchange);
-    exchange->FenceOfRejectedKey = row == nullptr ? 0 : row->Fence;
-    exchange->WaitForOwnerUntil = now + MaxOwnerUpdateWait;
-    exchange->TriedUpstreams.clear();
-  }
   dispatch(exchange);
 }
 
--- a/src/node/socket_options.cpp
+++ b/src/node/socket_options.cpp
@@ -15,6 +15,9 @@
 /// Time in ms without acknowledgement of sent data after which the peer counts
 /// as lost. Two retransmissions fit into it.
 constexpr int TcpUserTimeoutMs = 1000;
+/// The same while the peer's receive window is full: the kernel applies the
+/// timeout to peers that acknowledge but do not read, too.
+constexpr int FullWindowTimeoutMs = 15000;
 /// TCP keep-alive on idle connections: first probe and interval in s, and
 /// number of unanswered probes after which the peer counts as lost.
 constexpr int KeepAliveIdleSeconds = 2;
@@ -44,6 +47,11 @@
   setOption(fd, IPPROTO_TCP, TCP_KEEPCNT, KeepAliveProbeCount);
 }
 
+void setPeerReading(boost::asio::ip::tcp::socket &socket, bool isReading) {
+  setOption(socket.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT,
+            isReading ? TcpUserTimeoutMs : FullWindowTimeoutMs);
+}
+
 absl::Status listenOn(boost::asio::ip::tcp::acceptor &acceptor,
                       const Endpoint &address, int backlog) {
   using boost::asio::ip::tcp;
--- a/src/node/socket_options.h
+++ b/src/node/socket_options.h
@@ -15,6 +15,9 @@
 /// Makes @p socket non-blocking and enables fast detection of peers that vanish
 /// without a reset.
 void setStreamOptions(boost::asio::ip::tcp::socket &socket);
+/// Sets how long unacknowledged data may wait.
+/// @param isReading false if a write would block, as the peer does not read
+void setPeerReading(boost::asio::ip::tcp::socket &socket, bool isReading);
 
 /// Starts to listen on @p address.
 /// @param backlog maximum number of connections not yet accepted
--- a/src/routing/route_type.h
+++ b/src/routing/route_type.h
@@ -16,13 +16,19 @@
 
 namespace waxwing {
 
-/// Whether a request may be sent more than once.
+/// Whether a request may be sent more than once, and which part of it is large.
 enum class RequestKind : std::uint8_t {
   Idempotent,    ///< may run more than once
   NonIdempotent, ///< runs at most once
   Download,      ///< idempotent, with a large response
+  Upload,        ///< runs at most once, with a large body
 };
 
+/// @return true if a request of this kind may run more than once
+constexpr bool isRepeatable(RequestKind kind) {
+  return kind == RequestKind::Idempotent || kind == RequestKind::Download;
+}
+
 /// A service that receives part of a route's traffic.
 struct WeightedService {
   ServiceId Service;
--- a/src/routing/service_retry_budget.h
+++ b/src/routing/service_retry_budget.h
@@ -39,6 +39,9 @@
     return true;
   }
 
+  /// Counts a repeated attempt that was sent to this service without a permit.
+  void addRepeatedAttempt(Time now) { RepeatedAttempts.add(now); }
+
 private:
   /// Windows of different VMs start at different times, so their sum could
   /// exceed the limit slightly.
--- a/src/routing/upstream_table.cpp
+++ b/src/routing/upstream_table.cpp
@@ -53,6 +53,7 @@
   upstream.Entry = entry;
   upstream.EntryRevision = revision;
   upstream.IsListed = true;
+  upstream.IsMisaddressed = false;
   ByService[entry.Service].insert(entry.Id);
   return upstream;
 }
@@ -65,6 +66,23 @@
   }
 }
 
+bool UpstreamTable::markMisaddressed(const UpstreamId &id,
+                                     std::int64_t startedAtMs) {
+  Upstream *upstream = find(id);
+  if (upstream == nullptr || upstream->Entry.StartedAtMs != startedAtMs)
+    return false;
+  return !std::exchange(upstream->IsMisaddressed, true);
+}
+
+const Upstream *UpstreamTable::findOtherAt(const Endpoint &address,
+                                           const UpstreamId &id) const {
+  const auto it = std::ranges::find_if(Upstreams, [&](const auto &entry) {
+    return entry.first != id && entry.second.IsListed &&
+           entry.second.Entry.Address == address;
+  });
+  return it == Upstreams.end() ? nullptr : &it->second;
+}
+
 std::vector<UpstreamId> UpstreamTable::removeUnlisted(Time before) {
   std::vector<UpstreamId> removed;
   for (const auto &[id, upstream] : Upstreams)
@@ -96,7 +114,7 @@
 
 bool UpstreamTable::isUsable(const Upstream &upstream) const {
   return upstream.IsListed && !upstream.Entry.IsDraining &&
-         !Evacuated.contains(upstream.Entry.Domain);
+         !upstream.IsMisaddressed && !Evacuated.contains(upstream.Entry.Domain);
 }
 
 bool UpstreamTable::canReceiveRequest(Upstream &upstream,
--- a/src/routing/upstream_table.h
+++ b/src/routing/upstream_table.h
@@ -22,6 +22,9 @@
   UpstreamLoad Load;
   std::uint64_t EntryRevision = 0; ///< store revision of Entry
   bool IsListed = true;            ///< its entry is in the platform's store
+  /// Another process answered at its address. Invariant: false after its entry
+  /// has changed, since only the process itself writes that.
+  bool IsMisaddressed = false;
   Time UnlistedAt; ///< when the entry was removed; valid while !IsListed
   Time ColdUntil;  ///< end of the warm-up; ColdShare applies until then
   /// Requests that this VM sent in the last second; limited to ColdShare while
@@ -72,6 +75,13 @@
   Upstream &apply(const UpstreamEntry &entry, std::uint64_t revision, Time now);
   /// Records that the entry of @p id was removed from the store.
   void markUnlisted(const UpstreamId &id, Time now);
+  /// Records that another process uses the address of @p id, unless it was
+  /// started anew since @p startedAtMs.
+  /// @return true if that was not known
+  bool markMisaddressed(const UpstreamId &id, std::int64_t startedAtMs);
+  /// @return a listed upstream other than @p id with this address, or nullptr
+  const Upstream *findOtherAt(const Endpoint &address,
+                              const UpstreamId &id) const;
   /// Removes upstreams that were unlisted before @p before and have no
   /// outstanding requests.
   /// @return ids of the removed upstreams
--- a/src/standin/platform_base.h
+++ b/src/standin/platform_base.h
@@ -115,14 +115,21 @@
   bool IsDividedByKey = false;
 };
 
+/// @param startedAtMs start time of the upstream's process, ms
+/// @return the JSON entry under which the platform registers the upstream
+std::string makeStandinUpstreamEntry(const StandinUpstreamSettings &settings,
+                                     std::int64_t startedAtMs, bool isDraining);
+
 /// In-process upstream that accepts grants and serves requests.
 class StandinUpstreamHost {
 public:
   StandinUpstreamHost(boost::asio::io_context &loop,
                       const StandinUpstreamSettings &settings);
 
-  /// @return the JSON entry under which the platform registers the upstream
+  /// @return makeStandinUpstreamEntry() of this upstream
   std::string entry(bool isDraining) const;
+  /// @return arrivals that named another upstream
+  int misdirectedRequests() const { return MisdirectedRequests; }
   /// @return number of executions by request id
   const std::map<std::string, int> &executions() const { return Executions; }
   /// While set, requests are executed, but their connections are reset instead
@@ -154,6 +161,7 @@
   bool IsResetting = false;
   int RunningRequests = 0;
   int MisroutedRequests = 0;
+  int MisdirectedRequests = 0;
 };
 
 } // namespace waxwing
--- a/src/standin/platform_server.cpp
+++ b/src/standin/platform_server.cpp
@@ -112,14 +112,16 @@
                handle(request, respond);
              }) {}
 
-std::string StandinUpstreamHost::entry(bool isDraining) const {
-  return nlohmann::json{{"address", formatEndpoint(Settings.Address)},
-                        {"born", StartedAtMs},
+std::string makeStandinUpstreamEntry(const StandinUpstreamSettings &settings,
+                                     std::int64_t startedAtMs,
+                                     bool isDraining) {
+  return nlohmann::json{{"address", formatEndpoint(settings.Address)},
+                        {"born", startedAtMs},
                         {"info",
-                         {{"service", Settings.Service},
+                         {{"service", settings.Service},
                           {"config_version", "v1"},
-                          {"zone", Settings.Domain},
-                          {"slots", Settings.Slots}}},
+                          {"zone", settings.Domain},
+                          {"slots", settings.Slots}}},
                         {"status",
                          {{"state", isDraining ? "draining" : "ready"},
                           {"sequence", 1},
@@ -127,6 +129,10 @@
       .dump();
 }
 
+std::string StandinUpstreamHost::entry(bool isDraining) const {
+  return makeStandinUpstreamEntry(Settings, StartedAtMs, isDraining);
+}
+
 bool StandinUpstreamHost::ownsKey(std::uint16_t key) const {
   const Time now = bootNow();
   return std::ranges::any_of(HeldGrants, [&](const HeldGrant &held) {
@@ -180,6 +186,7 @@
   const bool isGrantOrder = request.Head.Target == "/v1/grant" ||
                             request.Head.Target == "/v1/release";
   if (target != nullptr && *target != Settings.Id) {
+    MisdirectedRequests += isGrantOrder ? 0 : 1;
     respond(formatResponse(421, "Instance-Id: " + Settings.Id + "\r\n", ""));
     return;
   }
--- a/src/table/node_settings.h
+++ b/src/table/node_settings.h
@@ -19,6 +19,8 @@
      "region of this VM"},
     {"vm", "processor_share", SettingType::Decimal, "cores", "1", 0, 1024,
      "processor cores of this VM; VMs with more cores are preferred as leader"},
+    {"vm", "memory", SettingType::Decimal, "MB", "256", 16, 1000000,
+     "memory of this process; an eighth of it holds callers' request bodies"},
     {"listen", "callers", SettingType::Address, "", "", 1, 64,
      "address for callers' HTTP requests"},
     {"listen", "ready", SettingType::Address, "", "", 1, 64,
--- a/tests/fake_tcp_upstream.h
+++ b/tests/fake_tcp_upstream.h
@@ -6,20 +6,15 @@
 #ifndef WAXWING_TESTS_FAKE_TCP_UPSTREAM_H
 #define WAXWING_TESTS_FAKE_TCP_UPSTREAM_H
 
-#include <boost/asio/connect.hpp>
-#include <boost/asio/io_context.hpp>
-#include <boost/asio/ip/tcp.hpp>
+#include "support/threaded_tcp_server.h"
+
 #include <boost/asio/read.hpp>
 #include <boost/asio/read_until.hpp>
 #include <boost/asio/write.hpp>
 #include <chrono>
-#include <functional>
-#include <map>
 #include <mutex>
 #include <set>
 #include <string>
-#include <thread>
-#include <vector>
 
 namespace waxwing {
 
@@ -27,58 +22,20 @@
 /// request's target names the fault, the one before it identifies the request.
 class FakeTcpUpstream {
 public:
-  using Tcp = boost::asio::ip::tcp;
-  using Error = boost::system::error_code;
+  using Tcp = ThreadedTcpServer::Tcp;
+  using Error = ThreadedTcpServer::Error;
 
   explicit FakeTcpUpstream(std::uint16_t port)
-      : Acceptor(
-            Context,
-            Tcp::endpoint(boost::asio::ip::make_address("127.0.0.1"), port)),
-        Thread([this] { acceptAll(); }) {}
-
-  ~FakeTcpUpstream() {
-    IsStopping = true;
-    Tcp::socket waker(Context);
-    Error ec;
-    waker.connect(Acceptor.local_endpoint(), ec);
-    Thread.join();
-    {
-      const std::scoped_lock lock(Mutex);
-      for (const auto &socket : Sockets)
-        socket->shutdown(Tcp::socket::shutdown_both, ec);
-    }
-    for (std::thread &thread : Connections)
-      thread.join();
-  }
-  FakeTcpUpstream(const FakeTcpUpstream &) = delete;
-  FakeTcpUpstream &operator=(const FakeTcpUpstream &) = delete;
+      : Server(port, [this](Tcp::socket &socket) { serve(socket); }) {}
 
   /// @return whether the header of a request with @p target was received
   bool hasReceived(const std::string &target) const {
     const std::scoped_lock lock(Mutex);
     return ReceivedTargets.contains(target);
   }
-  int connections() const {
-    const std::scoped_lock lock(Mutex);
-    return static_cast<int>(Sockets.size());
-  }
+  int connections() const { return Server.connectionCount(); }
 
 private:
-  using Socket = std::shared_ptr<Tcp::socket>;
-
-  void acceptAll() {
-    while (!IsStopping) {
-      auto socket = std::make_shared<Tcp::socket>(Context);
-      Error ec;
-      Acceptor.accept(*socket, ec);
-      if (ec || IsStopping)
-        continue;
-      const std::scoped_lock lock(Mutex);
-      Sockets.push_back(socket);
-      Connections.emplace_back([this, socket] { serve(*socket); });
-    }
-  }
-
   void serve(Tcp::socket &socket) {
     std::string buffer;
     for (;;) {
@@ -240,14 +197,9 @@
     return fault != "answer-close";
   }
 
-  boost::asio::io_context Context;
-  Tcp::acceptor Acceptor;
   mutable std::mutex Mutex;
   std::set<std::string> ReceivedTargets;
-  std::vector<Socket> Sockets;
-  std::vector<std::thread> Connections;
-  std::atomic<bool> IsStopping{false};
-  std::thread Thread;
+  ThreadedTcpServer Server;
 };
 
 } // namespace waxwing
--- a/tests/node_connection_process_test.cpp
+++ b/tests/node_connection_process_test.cpp
@@ -78,11 +78,7 @@
   silent.Service = "plain";
   silent.Domain = "d0";
   silent.Address = address(20);
-  std::string entry;
-  {
-    asio::io_context unused;
-    entry = StandinUpstreamHost(unused, silent).entry(false);
-  }
+  const std::string entry = makeStandinUpstreamEntry(silent, 1, false);
   const ListenerWithFullQueue listener(io, silent.Address);
   runOnPlatform([&] {
     Store->put("servers/i-silent", entry);
--- a/tests/node_fixture.h
+++ b/tests/node_fixture.h
@@ -30,12 +30,22 @@
         "service":"divided"},
       "book":{"hostname":"h","prefix":"/book/","kind":"non_idempotent",
         "timeout_s":2,"target_latency_s":0.5,"priority":0,"max_attempts":1,
-        "service":"plain"}},
+        "service":"plain"},
+      "media":{"hostname":"h","prefix":"/media/","kind":"upload",
+        "timeout_s":1.5,"target_latency_s":0.5,"priority":0,"max_attempts":3,
+        "service":"media"},
+      "bulk":{"hostname":"h","prefix":"/bulk/","kind":"upload",
+        "timeout_s":60,"target_latency_s":9,"priority":1,"max_attempts":1,
+        "service":"media"},
+      "lookup":{"hostname":"h","prefix":"/lookup/","kind":"idempotent",
+        "timeout_s":1.5,"target_latency_s":0.5,"priority":0,"max_attempts":2,
+        "service":"media"}},
     "services":{
+      "media":{"health_path":"/healthz","max_connections":100},
       "divided":{"health_path":"/healthz","max_connections":100,
         "sharded":true},
       "plain":{"health_path":"/healthz","max_connections":100}},
-    "limits":{"max_header_bytes":16384,"max_body_bytes":1048576,
+    "limits":{"max_header_bytes":16384,"max_body_bytes":67108864,
       "header_timeout_s":3,"idle_timeout_s":15}})";
 
 /// Runs the platform's store and upstreams on one thread and the nodes as
--- a/tests/node_process_test.cpp
+++ b/tests/node_process_test.cpp
@@ -62,6 +62,34 @@
   EXPECT_TRUE(waitUntilKeysAreServed(0));
 }
 
+/// Pattern: entries of upstreams that ended stay listed while their addresses
+/// are in use by upstreams of another service.
+TEST_F(NodeProcessTest, AddressUsedByAnotherServiceIsTriedOnlyOnce) {
+  ASSERT_TRUE(waitUntilKeysAreServed(0));
+  runOnPlatform([&] {
+    for (const int n : {0, 1, 2}) {
+      StandinUpstreamSettings ended;
+      ended.Id = "i-ended-" + std::to_string(n);
+      ended.Service = "plain";
+      ended.Domain = "d0";
+      ended.Address = address(1 + n); // upstream i-N of service "divided"
+      Store->put("servers/" + ended.Id,
+                 makeStandinUpstreamEntry(ended, 1, false));
+    }
+  });
+  std::this_thread::sleep_for(seconds(1));
+  for (int n = 0; n < 40; ++n)
+    EXPECT_EQ(sendPlainRequest(0), 200);
+  runOnPlatform([&] {
+    int arrivals = 0;
+    for (const int n : {0, 1, 2}) {
+      EXPECT_LE(Upstreams[n]->misdirectedRequests(), 1) << n;
+      arrivals += Upstreams[n]->misdirectedRequests();
+    }
+    EXPECT_GT(arrivals, 0);
+  });
+}
+
 TEST_F(NodeProcessTest, DrainingNodeStillServesRequests) {
   ASSERT_TRUE(waitUntilKeysAreServed(0));
   Nodes[0]->signal(SIGTERM);
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -94,13 +94,23 @@
   EXPECT_EQ(config->Limits.IdleTimeout, seconds(15));
 }
 
+TEST(Configuration, UploadIsAKindThatRunsAtMostOnce) {
+  const auto config = platform::decodeTrafficConfig(
+      replaced(ValidConfig, "\"idempotent\"", "\"upload\""));
+  ASSERT_TRUE(config.ok()) << config.status();
+  EXPECT_EQ(config->Routes[0].Kind, RequestKind::Upload);
+  EXPECT_FALSE(isRepeatable(RequestKind::Upload));
+}
+
 TEST(Configuration, ErrorsNameTheField) {
   const std::string text = replaced(ValidConfig, "\"idempotent\"", "\"maybe\"");
   const auto config = platform::decodeTrafficConfig(text);
   ASSERT_FALSE(config.ok());
   const std::string message(config.status().message());
   EXPECT_NE(message.find("'maybe'"), std::string::npos) << message;
-  EXPECT_NE(message.find("non_idempotent"), std::string::npos) << message;
+  for (const char *allowed :
+       {"idempotent", "non_idempotent", "download", "upload"})
+    EXPECT_NE(message.find(allowed), std::string::npos) << message;
   EXPECT_FALSE(platform::decodeTrafficConfig("{").ok());
   EXPECT_FALSE(
       platform::decodeTrafficConfig(replaced(ValidConfig, "0000000c", "xyz"))
--- a/tests/routing_test.cpp
+++ b/tests/routing_test.cpp
@@ -5,6 +5,7 @@
  */
 #include "routing/admission.h"
 #include "routing/cold_share.h"
+#include "routing/request_order.h"
 #include "routing/route_table.h"
 #include "routing/service_retry_budget.h"
 #include "routing/upstream_table.h"
@@ -159,6 +160,58 @@
   EXPECT_FALSE(choice.IsAnyUsable);
 }
 
+/// Pattern: an upstream ended and its address was given to an upstream of
+/// another service, while the entry of the first is still listed.
+TEST_F(ChoiceTest, UpstreamWhoseAddressIsUsedByAnotherIsNotChosenAgain) {
+  add("u1");
+  EXPECT_TRUE(Table.markMisaddressed(UpstreamId("u1"), 1));
+  EXPECT_FALSE(Table.markMisaddressed(UpstreamId("u1"), 1));
+  for (std::uint64_t draw = 0; draw < 8; ++draw)
+    EXPECT_EQ(choose(draw), UpstreamId());
+  add("u2");
+  for (std::uint64_t draw = 0; draw < 8; ++draw)
+    EXPECT_EQ(choose(draw), UpstreamId("u2"));
+}
+
+TEST_F(ChoiceTest, ChangedEntryMakesAMisaddressedUpstreamUsable) {
+  add("u1");
+  Table.markMisaddressed(UpstreamId("u1"), 1);
+  UpstreamEntry changed = createEntry("u1");
+  changed.StartedAtMs = 5;
+  Table.apply(changed, 2, Now);
+  EXPECT_EQ(choose(), UpstreamId("u1"));
+  // A rejection of the earlier process says nothing about this one.
+  EXPECT_FALSE(Table.markMisaddressed(UpstreamId("u1"), 1));
+  EXPECT_EQ(choose(), UpstreamId("u1"));
+}
+
+TEST_F(ChoiceTest, SuccessorAtAnAddressIsFound) {
+  const Endpoint address = add("u1").Entry.Address;
+  EXPECT_EQ(Table.findOtherAt(address, UpstreamId("u1")), nullptr);
+  UpstreamEntry successor = createEntry("u2");
+  successor.Service = ServiceId("t");
+  successor.Address = address;
+  Table.apply(successor, 2, Now);
+  ASSERT_NE(Table.findOtherAt(address, UpstreamId("u1")), nullptr);
+  EXPECT_EQ(Table.findOtherAt(address, UpstreamId("u1"))->Entry.Id,
+            UpstreamId("u2"));
+  Table.markUnlisted(UpstreamId("u2"), Now);
+  EXPECT_EQ(Table.findOtherAt(address, UpstreamId("u1")), nullptr);
+}
+
+/// Pattern: urgent lookups behind uploads of the same service under overload.
+TEST(QueuePosition, UrgentLookupsDoNotWaitBehindUploads) {
+  const QueuePosition upload{1, Start + milliseconds(300)};
+  const QueuePosition lookup{1, Start + milliseconds(50) + milliseconds(100)};
+  EXPECT_LT(lookup, upload);
+  // An upload that has waited long enough is not overtaken any more.
+  const QueuePosition laterLookup{1, Start + milliseconds(250) +
+                                         milliseconds(100)};
+  EXPECT_LT(upload, laterLookup);
+  // A higher priority goes first in any case.
+  EXPECT_LT((QueuePosition{0, Start + seconds(9)}), lookup);
+}
+
 TEST_F(ChoiceTest, RestartedUpstreamStartsWithFreshEstimates) {
   Upstream &upstream = add("u1");
   upstream.Load.onLoadReport({4, 16, 4, 900}, Now);
@@ -229,6 +282,16 @@
   EXPECT_GT(repeats, 0.5 * limits.Ratio * 100 * vmCount);
 }
 
+TEST(ServiceRetryBudget, RejectedArrivalsOfOtherServicesDrawOnTheBudget) {
+  ServiceRetryBudget budget({});
+  int permitted = 0;
+  for (ServiceRetryBudget other({}); other.tryConsume(Start, 1);)
+    ++permitted;
+  for (int n = 0; n < permitted; ++n)
+    budget.addRepeatedAttempt(Start);
+  EXPECT_FALSE(budget.tryConsume(Start, 1));
+}
+
 TEST(ServiceRetryBudget, BudgetIsReplenishedOverTime) {
   ServiceRetryBudget budget({});
   while (budget.tryConsume(Start, 1)) {
--- a/tests/support/child_process.h
+++ b/tests/support/child_process.h
@@ -23,6 +23,7 @@
 
   /// Sends SIGSTOP, SIGCONT, SIGTERM or SIGKILL.
   void signal(int number) const;
+  pid_t pid() const { return Id; }
   /// @return exit code, or the negated number of the signal that ended it
   int wait();
 
