Fix: [Leader] A killed leader succeeds itself; owners that are gone for long are not waited for

Change: a process that finds its own VM and address in the leader key replaces the key under a condition on its revision. Responses without end are broken off 5 s after the caller's deadline (30 s before).

--- a/src/node/cluster.cpp
+++ b/src/node/cluster.cpp
@@ -170,10 +170,15 @@
   if (item->Revision <= std::max(Leader.Term, LastEndedTerm))
     return; // already known, or a stale read
   const auto end = item->Value.find('\n');
-  setLeader({VmId(item->Value.substr(0, end)),
-             parseEndpoint(
-                 end == std::string::npos ? "" : item->Value.substr(end + 1)),
-             item->Revision});
+  const LeaderInfo leader{VmId(item->Value.substr(0, end)),
+                          parseEndpoint(end == std::string::npos
+                                            ? ""
+                                            : item->Value.substr(end + 1)),
+                          item->Revision};
+  if (leader.Name == Self.Vm && leader.Address == PeerAddress)
+    succeedOwnProcess(leader.Term);
+  else
+    setLeader(leader);
 }
 
 void Cluster::onLeaderEnded(std::uint64_t term) {
@@ -214,7 +219,18 @@
     return;
   if (now >=
       LeaderlessSince + candidacyDelay(Self, List.Successors, LastEndedTerm))
-    OwnLeadership.tryBecomeLeader(Self.Vm, PeerAddress);
+    OwnLeadership.tryBecomeLeader(Self.Vm, PeerAddress, 0);
+}
+
+/// Takes over from an earlier process of this VM that ended while it led. That
+/// process cannot act any more, so its lease need not expire first.
+void Cluster::succeedOwnProcess(std::uint64_t term) {
+  if (isLeader() || OwnLeadership.isElecting() || IsResigned ||
+      Health.isUnavailable())
+    return;
+  logLine(LogPriority::StateChange, bootNow(), "succeeding_own_process",
+          "term={}", term);
+  OwnLeadership.tryBecomeLeader(Self.Vm, PeerAddress, term);
 }
 
 /// Resigns if a VM with much more processor time is available.
--- a/src/node/cluster.h
+++ b/src/node/cluster.h
@@ -77,6 +77,7 @@
   void onLeaderKeyRead(const HttpCallResult &result);
   void setLeader(const LeaderInfo &leader);
   void electIfLeaderless(Time now);
+  void succeedOwnProcess(std::uint64_t term);
   void fetchRangeMaps();
   void sendHello(Time now);
   void listen();
--- a/src/node/gateway.cpp
+++ b/src/node/gateway.cpp
@@ -37,7 +37,7 @@
 constexpr double BytesPerMegabyte = 1e6;
 /// A response that has been started is broken off this long after the caller's
 /// deadline; an upstream in trouble may send bytes without end.
-constexpr Duration MaxResponseOvertime = seconds(30);
+constexpr Duration MaxResponseOvertime = seconds(5);
 
 std::string makeLocalResponse(const Exchange &exchange, int status,
                               std::string_view phrase, Duration retryAfter,
@@ -447,7 +447,9 @@
   }
   const UpstreamChoice choice = Upstreams.choose(
       request, Context, Config->config().Services, now, Random());
-  canBeServedLater = choice.IsAnyUsable || request.RequiredUpstream.has_value();
+  canBeServedLater = choice.IsAnyUsable ||
+                     (request.RequiredUpstream &&
+                      Upstreams.mayMoveSoon(*request.RequiredUpstream, now));
   if (choice.Chosen == nullptr) {
     if (exchange->LastReason == Reason::None)
       exchange->LastReason =
--- a/src/node/leadership.cpp
+++ b/src/node/leadership.cpp
@@ -99,12 +99,14 @@
   });
 }
 
-void Leadership::tryBecomeLeader(const VmId &self, const Endpoint &address) {
+void Leadership::tryBecomeLeader(const VmId &self, const Endpoint &address,
+                                 std::uint64_t replacedTerm) {
   ++Counters.Elections;
   IsElecting = true;
   const Time sentAt = bootNow();
   sendStoreCall(platform::buildLeaseRequest(LeaderLeaseDuration),
-                [this, self, address, sentAt](const HttpCallResult &result) {
+                [this, self, address, sentAt,
+                 replacedTerm](const HttpCallResult &result) {
                   const auto lease = platform::decodeStoreLease(result.Body);
                   if (result.Status != platform::StatusOk || !lease.ok()) {
                     IsElecting = false;
@@ -114,13 +116,14 @@
                   LeaderLeaseDuration = lease->Term;
                   LeaseValidUntil =
                       sentAt + safeLeaseDuration(LeaderLeaseDuration);
-                  writeLeaderKey(self, address);
+                  writeLeaderKey(self, address, replacedTerm);
                 });
 }
 
-void Leadership::writeLeaderKey(const VmId &self, const Endpoint &address) {
+void Leadership::writeLeaderKey(const VmId &self, const Endpoint &address,
+                                std::uint64_t replacedTerm) {
   platform::StoreTransaction transaction;
-  transaction.Conditions.push_back({std::string(LeaderKey), 0});
+  transaction.Conditions.push_back({std::string(LeaderKey), replacedTerm});
   transaction.Writes.push_back({std::string(LeaderKey),
                                 self.Value + "\n" + formatEndpoint(address),
                                 Lease});
--- a/src/node/leadership.h
+++ b/src/node/leadership.h
@@ -40,8 +40,12 @@
   bool isLeaderNeeded() const { return !ServicesDividedByKey.empty(); }
   bool isLeading() const { return Term != 0; }
   bool isElecting() const { return IsElecting; }
-  /// Acquires a lease and writes the leader key if it does not exist.
-  void tryBecomeLeader(const VmId &self, const Endpoint &address);
+  /// Acquires a lease and writes the leader key.
+  /// @param replacedTerm revision of the leader key that is to be replaced; 0
+  /// if
+  ///   the key must not exist
+  void tryBecomeLeader(const VmId &self, const Endpoint &address,
+                       std::uint64_t replacedTerm);
   /// Called when services, upstreams or evacuations have changed.
   void onRoutingStateChanged(const RouteTable &config);
   /// Called when any VM received a request for @p key.
@@ -71,7 +75,8 @@
   /// Calls @p action after a delay if this VM still leads in the same term.
   void retryLater(std::function<void()> action);
   bool isLeaseValid(Time now) const { return now < LeaseValidUntil; }
-  void writeLeaderKey(const VmId &self, const Endpoint &address);
+  void writeLeaderKey(const VmId &self, const Endpoint &address,
+                      std::uint64_t replacedTerm);
   void renewLease();
   void endLeadership(std::string_view why);
   void loadRangeMaps();
--- a/src/routing/upstream_table.cpp
+++ b/src/routing/upstream_table.cpp
@@ -29,6 +29,9 @@
 /// as equally good, so that VMs with the same estimates do not all choose the
 /// same one.
 constexpr double CostTolerance = 0.12;
+/// Time within which the keys of an upstream that was removed from the list
+/// usually have another owner.
+constexpr Duration UsualMoveTime = milliseconds(1000);
 
 } // namespace
 
@@ -144,6 +147,12 @@
          MaxRequestsPerSlot * upstream.Entry.Slots;
 }
 
+bool UpstreamTable::mayMoveSoon(const UpstreamId &id, Time now) {
+  const Upstream *upstream = find(id);
+  return upstream != nullptr &&
+         (upstream->IsListed || now < upstream->UnlistedAt + UsualMoveTime);
+}
+
 UpstreamChoice
 UpstreamTable::choose(const UpstreamChoiceRequest &request,
                       const UpstreamChoiceContext &context,
--- a/src/routing/upstream_table.h
+++ b/src/routing/upstream_table.h
@@ -99,6 +99,10 @@
 
   /// @return true when new requests may go to @p upstream
   bool isUsable(const Upstream &upstream) const;
+  /// @return true if the keys of owner @p id, which is not usable, may get
+  ///   another owner soon. An owner that has been gone for longer may hold its
+  ///   keys until its grants expire.
+  bool mayMoveSoon(const UpstreamId &id, Time now);
   /// Chooses the upstream for a request.
   /// @param draw random number that selects among equally good upstreams
   UpstreamChoice choose(const UpstreamChoiceRequest &request,
--- a/src/standin/platform_base.h
+++ b/src/standin/platform_base.h
@@ -63,6 +63,13 @@
   /// While the store is down, it answers calls with 503, resets waiting
   /// watches and expires no leases.
   void setDown(bool isDown) { IsDown = isDown; }
+  /// While not set, no lease expires.
+  void setExpiringLeases(bool isExpiring) { IsExpiringLeases = isExpiring; }
+  /// @return revision of the last write of @p key; 0 if it does not exist
+  std::uint64_t revisionOf(const std::string &key) const {
+    const auto it = Items.find(key);
+    return it == Items.end() ? 0 : it->second.Revision;
+  }
 
 private:
   struct Item {
@@ -102,6 +109,7 @@
   std::uint64_t Revision = 1;
   std::uint64_t NextLease = 1;
   bool IsDown = false;
+  bool IsExpiringLeases = true;
 };
 
 /// Settings of one in-process upstream.
--- a/src/standin/platform_store.cpp
+++ b/src/standin/platform_store.cpp
@@ -93,9 +93,10 @@
     for (const Watch &watch : Watches)
       watch.Respond("");
     Watches.clear();
+  }
+  if (IsDown || !IsExpiringLeases)
     for (auto &[id, lease] : Leases)
       lease.second = now + lease.first;
-  }
   std::vector<std::string> expired;
   for (const auto &[key, item] : Items)
     if (const auto lease = Leases.find(item.Lease);
--- a/tests/node_process_test.cpp
+++ b/tests/node_process_test.cpp
@@ -35,6 +35,26 @@
   }
 }
 
+/// Pattern: all processes are killed at the same moment, the leader among them.
+TEST_F(NodeProcessTest, KilledLeaderSucceedsItselfBeforeItsLeaseExpires) {
+  ASSERT_TRUE(waitUntilKeysAreServed(0));
+  const auto leaderTerm = [&] {
+    std::uint64_t term = 0;
+    runOnPlatform([&] { term = Store->revisionOf("waxwing/leader"); });
+    return term;
+  };
+  const std::uint64_t before = leaderTerm();
+  ASSERT_NE(before, 0U);
+  runOnPlatform([&] { Store->setExpiringLeases(false); });
+  for (int n = 0; n < NodeCount; ++n)
+    Nodes[n]->signal(SIGKILL);
+  for (int n = 0; n < NodeCount; ++n)
+    startNode(n);
+  // The lease of the former leader never expires, so only that VM can lead.
+  EXPECT_TRUE(waitUntilKeysAreServed(0));
+  EXPECT_GT(leaderTerm(), before);
+}
+
 TEST_F(NodeProcessTest, KeysStayServedWhileTheStoreIsDown) {
   ASSERT_TRUE(waitUntilKeysAreServed(0));
   std::this_thread::sleep_for(seconds(2));
--- a/tests/routing_test.cpp
+++ b/tests/routing_test.cpp
@@ -185,6 +185,17 @@
   EXPECT_EQ(choose(), UpstreamId("u1"));
 }
 
+/// Pattern: owners of keys are lost together with their failure domain, and
+/// their grants have to expire before the keys can move.
+TEST_F(ChoiceTest, KeysOfAnOwnerThatIsGoneForLongAreNotWaitedFor) {
+  add("u1");
+  EXPECT_TRUE(Table.mayMoveSoon(UpstreamId("u1"), Now));
+  Table.markUnlisted(UpstreamId("u1"), Now);
+  EXPECT_TRUE(Table.mayMoveSoon(UpstreamId("u1"), Now + milliseconds(500)));
+  EXPECT_FALSE(Table.mayMoveSoon(UpstreamId("u1"), Now + seconds(2)));
+  EXPECT_FALSE(Table.mayMoveSoon(UpstreamId("never listed"), Now));
+}
+
 TEST_F(ChoiceTest, SuccessorAtAnAddressIsFound) {
   const Endpoint address = add("u1").Entry.Address;
   EXPECT_EQ(Table.findOtherAt(address, UpstreamId("u1")), nullptr);
