Add: [Distribution] Readers of a failure domain read the store for their neighbours

Change: the leader names readers for each failure domain (ReaderPlan): they watch the store, pass its changes on as batches between two revisions (ChangeHistory), gather hellos and keys, and forward range maps. A state never goes back: changes up to the complete revision are ignored whatever brings them.

--- /dev/null
+++ b/src/distribution/feed_freshness.h
@@ -0,0 +1,38 @@
+/**
+ * @file feed_freshness.h
+ * Decides whether a VM may rely on another one that reads the store for it.
+ */
+#ifndef WAXWING_DISTRIBUTION_FEED_FRESHNESS_H
+#define WAXWING_DISTRIBUTION_FEED_FRESHNESS_H
+
+#include "core/time_type.h"
+
+namespace waxwing {
+
+/// A VM with a path to the store must act on its changes in time even if its
+/// reader is silent, behind or cut off. It therefore reads the store itself
+/// when its state may be older than MaxAge.
+class FeedFreshness {
+public:
+  /// With the time until the store has answered, this stays below the shortest
+  /// bound (2 s) within which a change must be acted on.
+  static constexpr Duration MaxAge = milliseconds(1200);
+
+  /// Records a report of the reader.
+  /// @param age time since the reader last heard from the store
+  /// @param isComplete this VM has all changes that the reader has
+  void onReport(Duration age, bool isComplete, Time now) {
+    if (isComplete)
+      FreshUntil = std::max(FreshUntil, now - age + MaxAge);
+  }
+  /// The reader is not relied on any more.
+  void clear() { FreshUntil = Time(); }
+  bool isFresh(Time now) const { return now < FreshUntil; }
+
+private:
+  Time FreshUntil;
+};
+
+} // namespace waxwing
+
+#endif
--- a/src/node/cluster.cpp
+++ b/src/node/cluster.cpp
@@ -26,6 +26,12 @@
 constexpr Duration UrgentLeaderKeyProbeInterval = milliseconds(400);
 constexpr Duration ProbeTimeout = milliseconds(1200);
 constexpr Duration HelloInterval = milliseconds(400);
+/// Readers pass on what they gather more often.
+constexpr Duration ReaderHelloInterval = milliseconds(200);
+/// Least time between hellos that ask for lost updates.
+constexpr Duration MinHelloInterval = milliseconds(50);
+/// Interval of a reader's probes, by which it knows how old its state may be.
+constexpr Duration ReaderProbeInterval = milliseconds(400);
 /// Time without a datagram after which the leader counts as silent.
 constexpr Duration LeaderSilenceTimeout = milliseconds(1300);
 /// Time without a datagram after which the leader counts as lost.
@@ -41,6 +47,14 @@
 constexpr Duration HandoverCheckInterval = seconds(5);
 constexpr Duration WorkInterval = milliseconds(100);
 constexpr std::size_t MaxReportedKeysPerService = 1000;
+/// The same for a reader, which reports the keys of several VMs.
+constexpr std::size_t MaxGatheredKeysPerService = 4000;
+/// Interval at which the leader renews the list of VMs and the readers.
+constexpr Duration PlanInterval = milliseconds(300);
+/// A new leader assigns readers after this time, when it knows the VMs.
+constexpr Duration FirstAssignmentDelay = milliseconds(700);
+/// A reader without a message for this time gets no more followers.
+constexpr Duration ReaderSuspicionTimeout = milliseconds(900);
 
 } // namespace
 
@@ -52,22 +66,28 @@
   void operator()(const PeerHello &hello) const {
     Parent.onHello(hello, Sender);
   }
-  void operator()(const PeerReply &reply) const { Parent.onReply(reply); }
+  void operator()(const PeerReply &reply) const {
+    Parent.onReply(reply, Sender);
+  }
   void operator()(const PeerRangeUpdate &ranges) const {
     Parent.onRangeUpdate(ranges);
   }
+  void operator()(const PeerStoreUpdate &update) const {
+    Parent.onStoreUpdate(update, Sender);
+  }
 };
 
 Cluster::Cluster(asio::io_context &loop, const NodeSettings &settings,
                  HttpCallClient &calls, StoreHealth &health,
-                 UpstreamTable &upstreams)
+                 UpstreamTable &upstreams,
+                 std::array<StoreFeed *, FeedCount> feeds)
     : Calls(calls), Health(health),
       Store(parseEndpoint(settings.Store.text("address"))),
       Self{VmId(settings.Vm.text("name")), DomainId(settings.Vm.text("domain")),
            settings.Vm.decimal("processor_share")},
       PeerAddress(parseEndpoint(settings.Listen.text("peers"))),
       UdpSocket(loop), PeriodicWorkTimer(loop, [this] { runPeriodicWork(); }),
-      OwnLeadership(loop, settings, calls, health, upstreams),
+      OwnLeadership(loop, settings, calls, health, upstreams), Feeds(feeds),
       List{{Self.Vm}, {}} {
   OwnLeadership.OnRangeMapChanged = [this](const ServiceId &service,
                                            const RangeMap &before,
@@ -76,13 +96,21 @@
   };
   OwnLeadership.OnLeading = [this](std::uint64_t term) {
     setLeader({Self.Vm, PeerAddress, term});
-    NextHandoverCheckAt = bootNow() + HandoverCheckInterval;
+    const Time now = bootNow();
+    Parent.clear();
+    followReader(now);
+    Peers.clear();
+    NextHandoverCheckAt = now + HandoverCheckInterval;
+    NextPlanAt = now + FirstAssignmentDelay;
+    KeepFormerListUntil = now + PeerTimeout;
   };
   OwnLeadership.OnEnded = [this] {
-    const PeerReply leaveNotice{Leader.Term, {}, true};
-    for (const auto &[vm, peer] : Peers)
-      sendTo(peer.Address, leaveNotice);
+    PeerReply leaveNotice;
+    leaveNotice.Leader = Leader;
+    leaveNotice.IsLeaving = true;
+    sendToPeers(leaveNotice);
     Peers.clear();
+    Plan.update({});
     if (Leader.Name == Self.Vm)
       onLeaderEnded(Leader.Term);
   };
@@ -110,7 +138,14 @@
   if (IsResigned)
     return;
   const Time now = bootNow();
-  if (now >= NextLeaderKeyProbeAt && !IsReadingLeaderKey)
+  if (Parent.giveUpIfSilent(now)) {
+    logLine(LogPriority::StateChange, now, "reader_silent", "term={}",
+            Leader.Term);
+    NextHelloAt = now;
+  }
+  followReader(now);
+  const bool isRelayed = Parent.hasReader() && Freshness.isFresh(now);
+  if (now >= NextLeaderKeyProbeAt && !IsReadingLeaderKey && !isRelayed)
     probeLeaderKey();
   if (now >= NextHelloAt)
     sendHello(now);
@@ -119,6 +154,8 @@
       now >= NextRangeMapFetchAt && !IsFetchingRangeMaps)
     fetchRangeMaps();
   electIfLeaderless(now);
+  if (isParent())
+    dropSilentPeers(now);
   if (isLeader()) {
     refreshVmList(now);
     resignIfBetterLeader(now);
@@ -126,6 +163,15 @@
   PeriodicWorkTimer.scheduleBy(now + WorkInterval);
 }
 
+/// Lets the reader's reports decide whether this VM reads the store itself.
+void Cluster::followReader(Time now) {
+  if (!Parent.hasReader())
+    Freshness.clear();
+  const bool isRelayed = Parent.hasReader() && Freshness.isFresh(now);
+  for (StoreFeed *feed : Feeds)
+    feed->setRelayed(isRelayed);
+}
+
 void Cluster::probeLeaderKey() {
   IsReadingLeaderKey = true;
   ++StoreCalls;
@@ -133,8 +179,9 @@
   const bool isUrgent =
       !isLeader() &&
       (Leader.Term == 0 || now > LastLeaderMessageAt + LeaderSilenceTimeout);
-  NextLeaderKeyProbeAt =
-      now + (isUrgent ? UrgentLeaderKeyProbeInterval : LeaderKeyProbeInterval);
+  NextLeaderKeyProbeAt = now + (Parent.isReader() ? ReaderProbeInterval
+                                : isUrgent ? UrgentLeaderKeyProbeInterval
+                                           : LeaderKeyProbeInterval);
   // The designated successors must notice at once that the leader is gone. The
   // other VMs use a read that costs a tenth but may return data that is seconds
   // old.
@@ -267,15 +314,28 @@
 }
 
 void Cluster::sendHello(Time now) {
-  NextHelloAt = now + HelloInterval;
-  if (isLeader() || Leader.Address.Port == 0)
+  NextHelloAt = now + (Parent.isReader() ? ReaderHelloInterval : HelloInterval);
+  EarliestExtraHelloAt = now + MinHelloInterval;
+  const Endpoint &parent =
+      Parent.hasReader() ? Parent.current().Address : Leader.Address;
+  if (isLeader() || parent.Port == 0)
     return;
   PeerHello hello;
   hello.Sender = Self;
   hello.ListHash = hashVmList(List);
   hello.MapRevisions = RangeMaps.revisions();
   hello.Keys = std::exchange(Keys, {});
-  send(hello);
+  std::ranges::transform(Feeds, hello.StoreRevisions.begin(),
+                         [](const StoreFeed *feed) { return feed->revision(); });
+  if (Parent.isReader()) {
+    hello.Report.emplace();
+    hello.Report->StoreAge = now - Health.lastResponseAt();
+    for (const auto &[vm, peer] : Peers)
+      hello.Report->Followers.push_back(
+          {peer.CandidateInfo,
+           {peer.Address.address().to_string(), peer.Address.port()}});
+  }
+  sendTo(toUdp(parent), hello);
 }
 
 void Cluster::requestRangeMapUpdate() {
@@ -289,15 +349,20 @@
     return;
   }
   auto &keys = Keys[service];
-  if (keys.size() < MaxReportedKeysPerService)
+  if (keys.size() < (Parent.isReader() ? MaxGatheredKeysPerService
+                                       : MaxReportedKeysPerService))
     keys.push_back(key);
 }
 
-void Cluster::send(const PeerMessage &message) {
+udp::endpoint Cluster::toUdp(const Endpoint &address) {
   error_code ec;
-  const auto ip = asio::ip::make_address(Leader.Address.Address, ec);
-  if (!ec)
-    sendTo({ip, Leader.Address.Port}, message);
+  const auto ip = asio::ip::make_address(address.Address, ec);
+  return ec ? udp::endpoint() : udp::endpoint(ip, address.Port);
+}
+
+void Cluster::sendToPeers(const PeerMessage &message) {
+  for (const auto &[vm, peer] : Peers)
+    sendTo(peer.Address, message);
 }
 
 void Cluster::sendTo(const udp::endpoint &address, const PeerMessage &message) {
@@ -329,16 +394,18 @@
 }
 
 void Cluster::onHello(const PeerHello &hello, const udp::endpoint &sender) {
-  if (!isLeader())
+  if (!isParent())
     return;
   const Time now = bootNow();
-  Peers[hello.Sender.Vm] = {sender, now, hello.Sender};
+  Peers[hello.Sender.Vm] = {sender, now, hello.Sender, hello.Report};
   for (const auto &[service, keys] : hello.Keys)
     for (const std::uint16_t key : keys)
-      OwnLeadership.recordKeyRequest(service, key);
-  PeerReply reply{Leader.Term, {}, false};
+      reportKeyRequest(service, key);
+  PeerReply reply = makeReply(now);
   if (hello.ListHash != hashVmList(List))
     reply.List = List;
+  if (isLeader() && now >= NextPlanAt - PlanInterval && Plan.size() > 0)
+    reply.Assignment = assignmentFor(hello.Sender);
   sendTo(sender, reply);
   for (const auto &[service, revision] : RangeMaps.revisions()) {
     const auto known = hello.MapRevisions.find(service);
@@ -348,22 +415,128 @@
                service, nullptr, *RangeMaps.find(service)))
         sendTo(sender, part);
   }
+  if (Parent.isReader())
+    sendMissingChanges(hello.StoreRevisions, sender);
 }
 
-void Cluster::onReply(const PeerReply &reply) {
-  if (isLeader() || reply.Term < Leader.Term)
+PeerReply Cluster::makeReply(Time now) const {
+  PeerReply reply;
+  reply.Leader = Leader;
+  const bool isCurrent =
+      std::ranges::all_of(Feeds, &StoreFeed::isCurrent) &&
+      !Health.isUnavailable();
+  if (!Parent.isReader() || !isCurrent)
+    return reply;
+  reply.Store.emplace();
+  reply.Store->Age = now - Health.lastResponseAt();
+  if (Health.recoveredAt() != Time())
+    reply.Store->RecoveredAge = now - Health.recoveredAt();
+  std::ranges::transform(Feeds, reply.Store->Revisions.begin(),
+                         [](const StoreFeed *feed) { return feed->revision(); });
+  return reply;
+}
+
+void Cluster::sendMissingChanges(const FeedRevisions &known,
+                                 const udp::endpoint &address) {
+  for (std::size_t n = 0; n < FeedCount; ++n) {
+    // A VM that has loaded nothing yet does so from the store.
+    if (known[n] == 0 || known[n] >= Histories[n].revision())
+      continue;
+    const auto batches = Histories[n].since(known[n]);
+    if (!batches)
+      continue; // that VM will read the store, since its state is too old
+    for (const ChangeBatch &batch : *batches)
+      sendTo(address, PeerStoreUpdate{static_cast<FeedId>(n), batch});
+  }
+}
+
+void Cluster::onStoreBatch(FeedId feed, const ChangeBatch &batch) {
+  if (!Parent.isReader())
     return;
-  LastLeaderMessageAt = bootNow();
+  for (const ChangeBatch &part :
+       Histories[static_cast<std::size_t>(feed)].add(batch))
+    if (!part.Changes.empty() && estimateSize(part) <= MaxBatchBytes)
+      sendToPeers(PeerStoreUpdate{feed, part});
+}
+
+bool Cluster::isFromReader(const udp::endpoint &sender) const {
+  return Parent.hasReader() && sender == toUdp(Parent.current().Address);
+}
+
+void Cluster::onStoreUpdate(const PeerStoreUpdate &update,
+                            const udp::endpoint &sender) {
+  if (!isFromReader(sender))
+    return;
+  StoreFeed &feed = *Feeds[static_cast<std::size_t>(update.Feed)];
+  const Time now = bootNow();
+  if (!feed.applyBatch(update.Batch) && now >= EarliestExtraHelloAt)
+    sendHello(now); // an earlier update was lost; request it again
+}
+
+void Cluster::onStoreReport(const StoreReport &report, Time now) {
+  Health.recordRelayedAnswer(now - report.Age,
+                             report.RecoveredAge ? now - *report.RecoveredAge
+                                                 : Time(),
+                             now);
+  bool isComplete = true;
+  for (std::size_t n = 0; n < FeedCount; ++n)
+    isComplete &= Feeds[n]->isLoaded() &&
+                  Feeds[n]->revision() >= report.Revisions[n];
+  Freshness.onReport(report.Age, isComplete, now);
+  followReader(now);
+}
+
+void Cluster::onAssignment(const ReaderAssignment &assignment, Time now) {
+  if (!Parent.assign(assignment, now))
+    return;
+  Freshness.clear();
+  Peers.clear();
+  for (std::size_t n = 0; n < FeedCount; ++n)
+    Histories[n].reset(Feeds[n]->revision());
+  logLine(LogPriority::StateChange, now, "reader_assigned",
+          "is_reader={} reader={} term={}", assignment.IsReader,
+          assignment.Reader.Value.empty()
+              ? "-"
+              : sanitizeForLog(assignment.Reader.Value),
+          Leader.Term);
+  followReader(now);
+  NextHelloAt = now;
+}
+
+void Cluster::onReply(const PeerReply &reply, const udp::endpoint &sender) {
+  const bool isFromOwnReader = isFromReader(sender);
+  if (isLeader() || (reply.Leader.Term < Leader.Term && !isFromOwnReader))
+    return;
+  const Time now = bootNow();
+  if (isFromOwnReader) {
+    Parent.onReaderReply(now);
+    if (reply.Store)
+      onStoreReport(*reply.Store, now);
+    if (reply.Leader.Term > std::max(Leader.Term, LastEndedTerm))
+      setLeader(reply.Leader);
+    if (reply.Leader.Term < Leader.Term)
+      return;
+  }
+  LastLeaderMessageAt = now;
   if (reply.List)
     setVmList(*reply.List);
   if (reply.IsLeaving)
-    onLeaderEnded(reply.Term);
+    onLeaderEnded(reply.Leader.Term);
+  else if (reply.Assignment && reply.Leader.Term == Leader.Term)
+    onAssignment(*reply.Assignment, now);
 }
 
 void Cluster::onRangeUpdate(const PeerRangeUpdate &ranges) {
   if (isLeader())
     return;
+  const RangeMap *known = RangeMaps.find(ranges.Service);
+  const RangeMap before = known == nullptr ? RangeMap() : *known;
   if (RangeMaps.applyRangeMap(ranges)) {
+    if (Parent.isReader())
+      for (const PeerRangeUpdate &part : RangeMapReplica::buildRangeUpdates(
+               ranges.Service, &before, *RangeMaps.find(ranges.Service)))
+        sendToPeers(part);
+
     logLine(LogPriority::Routine, bootNow(), "ranges",
             "service={} revision={} base={} rows={}", ranges.Service.Value,
             ranges.Revision, ranges.Base, ranges.Rows.size());
@@ -371,7 +544,8 @@
   } else if (const RangeMap *map = RangeMaps.find(ranges.Service);
              ranges.Base != 0 &&
              (map == nullptr || map->Revision < ranges.Base)) {
-    sendHello(bootNow()); // an earlier update was lost; request it again
+    if (bootNow() >= EarliestExtraHelloAt)
+      sendHello(bootNow()); // an earlier update was lost; request it again
   }
 }
 
@@ -381,28 +555,87 @@
     return;
   for (const PeerRangeUpdate &part :
        RangeMapReplica::buildRangeUpdates(service, &before, after))
-    for (const auto &[vm, peer] : Peers)
-      sendTo(peer.Address, part);
+    sendToPeers(part);
   OnRangeMapUpdate(service, after);
 }
 
-/// Rebuilds the leader's VM list: itself and the VMs that sent a hello
-/// recently.
-void Cluster::refreshVmList(Time now) {
+void Cluster::dropSilentPeers(Time now) {
   std::erase_if(Peers, [&](const auto &entry) {
     return now > entry.second.LastMessageAt + PeerTimeout;
   });
-  VmList list{{Self.Vm}, {}};
-  std::vector<Candidate> candidates;
+}
+
+/// Rebuilds the leader's VM list: itself, the VMs that sent a hello recently,
+/// and those that report to a reader.
+void Cluster::refreshVmList(Time now) {
+  std::map<VmId, ReaderCandidate> vms;
+  for (const auto &[vm, peer] : Peers)
+    if (peer.Report)
+      for (const FollowerInfo &follower : peer.Report->Followers)
+        vms[follower.Vm.Vm] = {follower.Vm, false, true};
   for (const auto &[vm, peer] : Peers) {
+    const bool isFresh =
+        now < peer.LastMessageAt + ReaderSuspicionTimeout &&
+        (!peer.Report || peer.Report->StoreAge < FeedFreshness::MaxAge);
+    vms[vm] = {peer.CandidateInfo, peer.Report.has_value(), isFresh};
+  }
+  vms[Self.Vm] = {Self, false, true};
+  VmList list;
+  std::vector<Candidate> candidates;
+  for (const auto &[vm, info] : vms) {
     list.Vms.push_back(vm);
-    candidates.push_back(peer.CandidateInfo);
+    candidates.push_back(info.Vm);
   }
+  // VMs that the former leader knew have some time to report to this one.
+  if (now < KeepFormerListUntil)
+    std::ranges::set_difference(std::vector(List.Vms), std::vector(list.Vms),
+                                std::back_inserter(list.Vms));
   std::ranges::sort(list.Vms);
   list.Successors =
       chooseSuccessors(std::move(candidates), Self.Vm, Leader.Term);
   if (list != List)
     setVmList(std::move(list));
+  if (now < NextPlanAt)
+    return;
+  NextPlanAt = now + PlanInterval;
+  vms.erase(Self.Vm);
+  planReaders(vms);
+}
+
+/// Chooses the readers anew, and tells the VMs behind a reader that it is no
+/// longer theirs. All others learn it with the reply to their next hello.
+void Cluster::planReaders(const std::map<VmId, ReaderCandidate> &vms) {
+  std::vector<ReaderCandidate> candidates;
+  std::ranges::transform(vms, std::back_inserter(candidates),
+                         [](const auto &entry) { return entry.second; });
+  Plan.update(candidates);
+  PeerReply reply;
+  reply.Leader = Leader;
+  for (const auto &[reader, peer] : Peers) {
+    if (!peer.Report)
+      continue;
+    for (const FollowerInfo &follower : peer.Report->Followers) {
+      reply.Assignment = assignmentFor(follower.Vm);
+      if (reply.Assignment->Reader != reader)
+        sendTo(toUdp(follower.Address), reply);
+    }
+  }
+}
+
+ReaderAssignment Cluster::assignmentFor(const Candidate &vm) const {
+  ReaderAssignment assignment;
+  assignment.IsReader = Plan.isReader(vm.Vm);
+  const auto reader = Plan.readerFor(vm.Vm, vm.Domain);
+  if (!reader)
+    return assignment;
+  const auto peer = Peers.find(*reader);
+  // The VM follows the reader once that has reported itself as one.
+  if (peer == Peers.end() || !peer->second.Report)
+    return assignment;
+  assignment.Reader = *reader;
+  assignment.Address = {peer->second.Address.address().to_string(),
+                        peer->second.Address.port()};
+  return assignment;
 }
 
 void Cluster::setVmList(VmList list) {
--- a/src/node/cluster.h
+++ b/src/node/cluster.h
@@ -1,14 +1,19 @@
 /**
  * @file cluster.h
  * Cooperation with the other VMs: finds or becomes the leader, reports
- * requested keys to it, and keeps a replica of the range maps.
+ * requested keys to it, keeps a replica of the range maps, and reads the store
+ * for others or has it read by them.
  */
 #ifndef WAXWING_NODE_CLUSTER_H
 #define WAXWING_NODE_CLUSTER_H
 
+#include "distribution/feed_freshness.h"
+#include "distribution/parent_choice.h"
+#include "distribution/reader_plan.h"
 #include "node/call_client.h"
 #include "node/leadership.h"
 #include "node/node_clock.h"
+#include "node/store_feed.h"
 #include "node/store_health.h"
 #include "peers/range_map_replica_base.h"
 #include "routing/route_table.h"
@@ -21,18 +26,13 @@
 
 namespace waxwing {
 
-/// The leader, as recorded in the leader key in the store.
-struct LeaderInfo {
-  VmId Name;              ///< empty if there is no leader
-  Endpoint Address;       ///< UDP address for messages of other VMs
-  std::uint64_t Term = 0; ///< revision of the leader key; 0 if none
-};
-
 /// Leader election and exchange of range maps between the VMs.
 class Cluster {
 public:
+  /// @param feeds the feeds of this VM, indexed by FeedId
   Cluster(boost::asio::io_context &loop, const NodeSettings &settings,
-          HttpCallClient &calls, StoreHealth &health, UpstreamTable &upstreams);
+          HttpCallClient &calls, StoreHealth &health, UpstreamTable &upstreams,
+          std::array<StoreFeed *, FeedCount> feeds);
 
   /// Opens the UDP socket and starts to look for the leader.
   /// @return Unavailable if the address cannot be bound
@@ -44,6 +44,8 @@
   void reportKeyRequest(const ServiceId &service, std::uint16_t key);
   /// Asks the leader immediately for range map changes.
   void requestRangeMapUpdate();
+  /// Called with changes that this VM read from the store.
+  void onStoreBatch(FeedId feed, const ChangeBatch &batch);
   /// Ends this VM's leadership, if any, and its participation in elections.
   void resign();
 
@@ -56,6 +58,8 @@
     return StoreCalls + OwnLeadership.storeCalls();
   }
   std::size_t vmCount() const { return List.Vms.size(); }
+  /// @return true if this VM reads the store for others
+  bool isReader() const { return Parent.isReader(); }
 
   /// Called with the new range map of a service.
   std::function<void(const ServiceId &, const RangeMap &)> OnRangeMapUpdate;
@@ -63,12 +67,13 @@
   std::function<void(const std::vector<VmId> &)> OnVmListChanged;
 
 private:
-  /// A VM that sent a hello (a periodic datagram) to this VM while this VM
-  /// leads.
+  /// A VM that sent a hello (a periodic datagram) to this VM, which is the
+  /// leader or a reader.
   struct Peer {
     boost::asio::ip::udp::endpoint Address;
     Time LastMessageAt;
     Candidate CandidateInfo;
+    std::optional<ReaderReport> Report; ///< of a reader to the leader
   };
   struct MessageHandler;
 
@@ -83,10 +88,27 @@
   void listen();
   void onHello(const PeerHello &hello,
                const boost::asio::ip::udp::endpoint &sender);
-  void onReply(const PeerReply &reply);
+  void onReply(const PeerReply &reply,
+               const boost::asio::ip::udp::endpoint &sender);
   void onRangeUpdate(const PeerRangeUpdate &ranges);
+  void onStoreUpdate(const PeerStoreUpdate &update,
+                     const boost::asio::ip::udp::endpoint &sender);
+  void onStoreReport(const StoreReport &report, Time now);
+  void onAssignment(const ReaderAssignment &assignment, Time now);
+  /// @return true if VMs report to this one
+  bool isParent() const { return isLeader() || Parent.isReader(); }
+  bool isFromReader(const boost::asio::ip::udp::endpoint &sender) const;
+  void followReader(Time now);
+  ReaderAssignment assignmentFor(const Candidate &vm) const;
+  PeerReply makeReply(Time now) const;
+  void planReaders(const std::map<VmId, ReaderCandidate> &vms);
+  void sendMissingChanges(const FeedRevisions &known,
+                          const boost::asio::ip::udp::endpoint &address);
+  void sendToPeers(const PeerMessage &message);
+  static boost::asio::ip::udp::endpoint toUdp(const Endpoint &address);
   void onRangeMapChange(const ServiceId &service, const RangeMap &before,
                         const RangeMap &after);
+  void dropSilentPeers(Time now);
   void refreshVmList(Time now);
   void resignIfBetterLeader(Time now);
   void setVmList(VmList list);
@@ -94,7 +116,6 @@
   bool isSuccessor() const;
   void sendTo(const boost::asio::ip::udp::endpoint &address,
               const PeerMessage &message);
-  void send(const PeerMessage &message);
 
   HttpCallClient &Calls;
   StoreHealth &Health;
@@ -108,6 +129,15 @@
   Leadership OwnLeadership;
   RangeMapReplica RangeMaps;
 
+  std::array<StoreFeed *, FeedCount> Feeds;
+  ParentChoice Parent;
+  FeedFreshness Freshness; ///< of the feeds, while this VM has a reader
+  std::array<ChangeHistory, FeedCount> Histories; ///< used on readers only
+  ReaderPlan Plan;                                ///< used on the leader only
+  Time NextPlanAt;                                ///< used on the leader only
+  /// Until then, a new leader's list includes the VMs of its predecessor.
+  Time KeepFormerListUntil;
+
   LeaderInfo Leader;
   /// Time of the leader's last reply, or when the leader became known.
   Time LastLeaderMessageAt;
@@ -118,12 +148,13 @@
   Time NextHandoverCheckAt; ///< used on the leader only
   Time NextLeaderKeyProbeAt;
   Time NextHelloAt;
+  Time EarliestExtraHelloAt; ///< hellos for lost updates wait until then
   Time NextRangeMapFetchAt;
   bool IsReadingLeaderKey = false;  ///< a read of the leader key is in progress
   bool IsFetchingRangeMaps = false; ///< a read of the range maps is in progress
   bool IsResigned = false;    ///< resign() was called; no further elections
   VmList List;                ///< VMs and successors as last sent by the leader
-  std::map<VmId, Peer> Peers; ///< used on the leader only
+  std::map<VmId, Peer> Peers; ///< used on the leader and on readers only
   /// Keys that callers requested from this VM since its last hello, by service;
   /// reported to the leader in the next hello.
   std::map<ServiceId, std::vector<std::uint16_t>> Keys;
--- a/src/node/node_process.cpp
+++ b/src/node/node_process.cpp
@@ -58,7 +58,8 @@
                    parseEndpoint(settings.Store.text("address")),
                    {std::string(platform::UpstreamPrefix), UpstreamBatchDelay}),
       RequestGateway(Loop, settings),
-      VmCluster(Loop, settings, Calls, Health, RequestGateway.upstreams()),
+      VmCluster(Loop, settings, Calls, Health, RequestGateway.upstreams(),
+                {&OperatorFeed, &UpstreamFeed}),
       ReadyPort(Loop, [this] { return readyPage(); }),
       MetricsPort(Loop, [this] { return metricsPage(); }),
       RemovalTimer(Loop, [this] { applyDeferredRemovals(); }),
@@ -88,6 +89,12 @@
         std::min(MaxBatchDelayForVms,
                  BatchDelayPerVm * static_cast<int>(vms.size())));
   };
+  OperatorFeed.OnBatchRead = [this](const ChangeBatch &batch) {
+    VmCluster.onStoreBatch(FeedId::Operators, batch);
+  };
+  UpstreamFeed.OnBatchRead = [this](const ChangeBatch &batch) {
+    VmCluster.onStoreBatch(FeedId::Upstreams, batch);
+  };
   if (auto status =
           RequestGateway.listen(parseEndpoint(Settings.Listen.text("callers")));
       !status.ok())
@@ -173,7 +180,9 @@
     return;
   }
   RequestGateway.upstreams().apply(*entry, change.Revision, now);
-  logLine(LogPriority::StateChange, now, "upstream",
+  ++ChangedUpstreams;
+  // The number of these lines grows with the fleet; onBatchEnd() counts them.
+  logLine(LogPriority::Routine, now, "upstream",
           "upstream={} service={} domain={} address={} born={} draining={} "
           "slots={} cold_ms={} revision={}",
           sanitizeForLog(id), sanitizeForLog(entry->Service.Value),
@@ -241,6 +250,9 @@
 }
 
 void NodeProcess::onBatchEnd() {
+  if (const int count = std::exchange(ChangedUpstreams, 0); count > 0)
+    logLine(LogPriority::StateChange, bootNow(), "upstreams",
+            "changed={} revision={}", count, UpstreamFeed.revision());
   RequestGateway.upstreams().removeUnlisted(bootNow() -
                                             RemovedUpstreamRetention);
   if (RequestGateway.config() != nullptr)
@@ -293,6 +305,8 @@
           .count());
   page.addGauge("waxwing_leading", "1 on the leader.",
                 VmCluster.isLeader() ? 1 : 0);
+  page.addGauge("waxwing_reader", "1 on a VM that reads the store for others.",
+                VmCluster.isReader() ? 1 : 0);
   page.addGauge("waxwing_vms", "VMs known.",
                 static_cast<double>(VmCluster.vmCount()));
   page.addCounter("waxwing_store_calls_total", "Calls to the store.",
--- a/src/node/node_process.h
+++ b/src/node/node_process.h
@@ -63,6 +63,7 @@
   /// removal.
   std::map<UpstreamId, std::uint64_t> DeferredRemovals;
   std::set<DomainId> Evacuated;
+  int ChangedUpstreams = 0; ///< since the last onBatchEnd()
   Time ShutdownStartedAt; ///< when SIGTERM or SIGINT arrived; Time() before
   Time ShutdownDeadline;
 };
--- a/src/node/store_feed.cpp
+++ b/src/node/store_feed.cpp
@@ -5,6 +5,7 @@
  */
 #include "node/store_feed.h"
 
+#include "core/random_func.h"
 #include "node/node_log.h"
 
 #include <algorithm>
@@ -21,6 +22,9 @@
 /// Delay after a failed call; doubled up to MaxRetryDoublings times.
 constexpr Duration InitialRetryDelay = milliseconds(100);
 constexpr int MaxRetryDoublings = 3;
+/// Calls begin at a random time within this delay when the VM that read for
+/// this one and others is lost.
+constexpr Duration MaxResumeDelay = milliseconds(150);
 
 } // namespace
 
@@ -42,8 +46,41 @@
   load("");
 }
 
+void StoreFeed::setRelayed(bool isRelayed) {
+  if (IsRelayed == isRelayed)
+    return;
+  IsRelayed = isRelayed;
+  if (IsRelayed) {
+    // The relaying VM has shown that this state is complete.
+    NeedsReload = false;
+    NextCallTimer.cancel();
+  } else if (!IsCallPending) {
+    NextCallTimer.scheduleBy(
+        bootNow() + Duration(static_cast<Duration::rep>(
+                        randomNumber() % MaxResumeDelay.count())));
+  }
+}
+
+bool StoreFeed::applyBatch(const ChangeBatch &batch) {
+  if (!IsLoaded || batch.Base > Revision)
+    return false;
+  if (batch.To <= Revision)
+    return true;
+  for (const platform::StoreChange &change : batch.Changes)
+    applyChange(change);
+  Revision = batch.To;
+  if (!batch.Changes.empty())
+    OnBatchEnd();
+  return true;
+}
+
+void StoreFeed::scheduleCall(Time at) {
+  if (!IsRelayed)
+    NextCallTimer.scheduleBy(at);
+}
+
 void StoreFeed::reloadIfWatching() {
-  if (!IsCallPending || NeedsReload)
+  if (!IsCallPending || NeedsReload || IsRelayed)
     return;
   ++CurrentCallId;
   IsCallPending = false;
@@ -58,8 +95,8 @@
   logLine(LogPriority::Failure, now, "store_call_failed",
           "prefix={} why={} failures={}", Options.Prefix, sanitizeForLog(why),
           Failures);
-  NextCallTimer.scheduleBy(
-      now + InitialRetryDelay * (1 << std::min(Failures, MaxRetryDoublings)));
+  scheduleCall(now + InitialRetryDelay *
+                         (1 << std::min(Failures, MaxRetryDoublings)));
 }
 
 void StoreFeed::load(const std::string &after) {
@@ -69,6 +106,7 @@
   ++CallCount;
   if (after.empty()) {
     LoadedRevisions.clear();
+    LoadedChanges.clear();
     LoadRevision = 0;
   }
   Calls.call(Store, platform::buildListRequest(Options.Prefix, after), "",
@@ -106,7 +144,9 @@
     LoadRevision = page->StoreRevision;
   for (const platform::StoreItem &item : page->Items) {
     LoadedRevisions[item.Key] = item.Revision;
-    applyChange({item.Key, item.Value, item.Revision});
+    platform::StoreChange change{item.Key, item.Value, item.Revision};
+    if (applyChange(change) && IsLoaded)
+      LoadedChanges.push_back(std::move(change));
   }
   if (page->HasMore && !page->Items.empty()) {
     load(page->Items.back().Key);
@@ -121,29 +161,40 @@
   for (const auto &[key, revision] : KnownRevisions)
     if (!LoadedRevisions.contains(key) && revision <= LoadRevision)
       gone.push_back(key);
-  for (const std::string &key : gone)
-    applyChange({key, std::nullopt, LoadRevision});
-  Revision = LoadRevision;
+  for (const std::string &key : gone) {
+    platform::StoreChange change{key, std::nullopt, LoadRevision};
+    if (applyChange(change))
+      LoadedChanges.push_back(std::move(change));
+  }
+  const std::uint64_t before = Revision;
+  Revision = std::max(Revision, LoadRevision);
   NeedsReload = false;
   IsLoaded = true;
   logLine(LogPriority::StateChange, bootNow(), "store_loaded",
           "prefix={} keys={} revision={}", Options.Prefix,
           KnownRevisions.size(), Revision);
+  if (OnBatchRead)
+    OnBatchRead({before, Revision, std::exchange(LoadedChanges, {})});
   OnBatchEnd();
-  watch();
+  // Another VM may take over reading meanwhile.
+  scheduleCall(bootNow() + Options.BatchDelay);
 }
 
-void StoreFeed::applyChange(const platform::StoreChange &change) {
+bool StoreFeed::applyChange(const platform::StoreChange &change) {
   const auto known = KnownRevisions.find(change.Key);
   if (known != KnownRevisions.end() && known->second >= change.Revision)
-    return; // already applied
+    return false; // already applied
+  // The state at Revision is complete, so an unknown key with an older change
+  // was removed since.
+  if (known == KnownRevisions.end() &&
+      (!change.Value || change.Revision <= Revision))
+    return false;
   if (change.Value)
     KnownRevisions[change.Key] = change.Revision;
-  else if (known == KnownRevisions.end())
-    return;
   else
     KnownRevisions.erase(known);
   OnChange(change);
+  return true;
 }
 
 void StoreFeed::watch() {
@@ -188,13 +239,19 @@
   }
   Failures = 0;
   Health.recordCall(true, "", bootNow());
-  for (const platform::StoreChange &change : changes->Changes)
-    applyChange(change);
-  Revision = std::max(Revision, changes->StoreRevision);
-  if (!changes->Changes.empty())
+  ChangeBatch batch{Revision, std::max(Revision, changes->StoreRevision), {}};
+  std::ranges::copy_if(
+      changes->Changes, std::back_inserter(batch.Changes),
+      [this](const platform::StoreChange &change) {
+        return applyChange(change);
+      });
+  Revision = batch.To;
+  const bool isChanged = !changes->Changes.empty();
+  if (OnBatchRead)
+    OnBatchRead(batch);
+  if (isChanged)
     OnBatchEnd();
-  NextCallTimer.scheduleBy(
-      bootNow() + (changes->Changes.empty() ? Duration() : Options.BatchDelay));
+  scheduleCall(bootNow() + (isChanged ? Options.BatchDelay : Duration()));
 }
 
 } // namespace waxwing
--- a/src/node/store_feed.h
+++ b/src/node/store_feed.h
@@ -5,6 +5,7 @@
 #ifndef WAXWING_NODE_STORE_FEED_H
 #define WAXWING_NODE_STORE_FEED_H
 
+#include "distribution/change_history.h"
 #include "node/call_client.h"
 #include "node/node_clock.h"
 #include "node/store_health.h"
@@ -32,6 +33,14 @@
 
   /// @param onBatchEnd called after each group of changes
   void start(ChangeHandler onChange, std::function<void()> onBatchEnd);
+  /// While a feed is relayed, another VM reads the store for it: it takes that
+  /// VM's batches and starts no calls.
+  void setRelayed(bool isRelayed);
+  /// Applies changes that another VM read.
+  /// @return false if changes before the batch are missing
+  bool applyBatch(const ChangeBatch &batch);
+  /// Called with the changes of each call to the store that succeeded.
+  std::function<void(const ChangeBatch &)> OnBatchRead;
   /// Sets the delay between watches after a change.
   void setBatchDelay(Duration pause) { Options.BatchDelay = pause; }
   /// Reloads all keys if a watch is pending, since that watch may never return.
@@ -39,6 +48,9 @@
 
   /// @return true once all keys were loaded
   bool isLoaded() const { return IsLoaded; }
+  /// @return true if no call failed since the last one that succeeded, so that
+  ///   the state is that of the store's last answer
+  bool isCurrent() const { return IsLoaded && !NeedsReload && Failures == 0; }
   std::uint64_t revision() const { return Revision; }
   std::uint64_t callCount() const { return CallCount; }
 
@@ -49,7 +61,10 @@
   void watch();
   void onWatch(const HttpCallResult &result);
   void retry(const std::string &why);
-  void applyChange(const platform::StoreChange &change);
+  /// @return true if the change was not known
+  bool applyChange(const platform::StoreChange &change);
+  /// Schedules the next call, unless the feed is relayed.
+  void scheduleCall(Time at);
 
   HttpCallClient &Calls;
   StoreHealth &Health;
@@ -62,7 +77,9 @@
   std::map<std::string, std::uint64_t> KnownRevisions;
   /// Store revision of each key that the current load has read.
   std::map<std::string, std::uint64_t> LoadedRevisions;
-  /// Store revision up to which changes are applied.
+  /// Changes applied by the current load.
+  std::vector<platform::StoreChange> LoadedChanges;
+  /// Store revision up to which all changes are applied.
   std::uint64_t Revision = 0;
   std::uint64_t LoadRevision = 0; ///< store revision of the load's first page
   std::uint64_t CallCount = 0;
@@ -70,6 +87,7 @@
   bool IsLoaded = false;
   bool NeedsReload = true; ///< the next call loads all keys
   bool IsCallPending = false;
+  bool IsRelayed = false; ///< another VM reads the store for this one
   int Failures = 0; ///< consecutive failed calls
 };
 
--- a/src/node/store_health.cpp
+++ b/src/node/store_health.cpp
@@ -6,6 +6,8 @@
 
 #include "node/node_log.h"
 
+#include <algorithm>
+
 namespace waxwing {
 
 void StoreHealth::recordCall(bool hasResponse, std::string_view why, Time now) {
@@ -30,4 +32,11 @@
     OnChange(hasResponse);
 }
 
+void StoreHealth::recordRelayedAnswer(Time answeredAt, Time recoveredAt,
+                                      Time now) {
+  if (answeredAt > LastResponseAt)
+    recordCall(true, "", now);
+  RecoveredAt = std::max(RecoveredAt, recoveredAt);
+}
+
 } // namespace waxwing
--- a/src/node/store_health.h
+++ b/src/node/store_health.h
@@ -19,6 +19,11 @@
   /// @param why failure reason if @p hasResponse is false
   void recordCall(bool hasResponse, std::string_view why, Time now);
 
+  /// Records that the store answers another VM that reads it for this one.
+  /// @param recoveredAt end of the last outage noticed by that VM; Time() if
+  ///   there was none
+  void recordRelayedAnswer(Time answeredAt, Time recoveredAt, Time now);
+
   bool isUnavailable() const { return IsUnavailable; }
   /// @return time of the store's last response
   Time lastResponseAt() const { return LastResponseAt; }
--- a/src/peers/peer_message.cpp
+++ b/src/peers/peer_message.cpp
@@ -8,6 +8,7 @@
 #include "ranges/range_codec_func.h"
 
 #include <absl/status/status.h>
+#include <algorithm>
 #include <nlohmann/json.hpp>
 
 namespace waxwing {
@@ -19,6 +20,25 @@
 constexpr int HelloTag = 1;
 constexpr int ReplyTag = 2;
 constexpr int RangeUpdateTag = 3;
+constexpr int StoreUpdateTag = 4;
+
+std::int64_t encodeDuration(Duration duration) { return duration.count(); }
+Duration decodeDuration(const Json &json) {
+  return Duration(json.get<std::int64_t>());
+}
+
+Json encodeCandidate(const Candidate &candidate) {
+  return {candidate.Vm.Value, candidate.Domain.Value, candidate.CpuCores};
+}
+
+Candidate decodeCandidate(const Json &json) {
+  return {VmId(json.at(0).get<std::string>()),
+          DomainId(json.at(1).get<std::string>()), json.at(2).get<double>()};
+}
+
+Endpoint decodeEndpoint(const Json &json) {
+  return parseEndpoint(json.get<std::string>());
+}
 
 Json encodeVmIds(const std::vector<VmId> &vms) {
   Json result = Json::array();
@@ -43,20 +63,56 @@
     Json keys = Json::object();
     for (const auto &[service, list] : hello.Keys)
       keys[service.Value] = list;
-    return {HelloTag,
-            hello.Sender.Vm.Value,
-            hello.Sender.Domain.Value,
-            hello.Sender.CpuCores,
-            hello.ListHash,
-            revisions,
-            keys};
+    Json report;
+    if (hello.Report) {
+      Json followers = Json::array();
+      for (const FollowerInfo &follower : hello.Report->Followers)
+        followers.push_back({encodeCandidate(follower.Vm),
+                             formatEndpoint(follower.Address)});
+      report = {encodeDuration(hello.Report->StoreAge), followers};
+    }
+    return {HelloTag,  encodeCandidate(hello.Sender),
+            hello.ListHash, revisions,
+            keys,      hello.StoreRevisions,
+            report};
   }
   Json operator()(const PeerReply &reply) const {
     Json list;
     if (reply.List)
       list = {encodeVmIds(reply.List->Vms),
               encodeVmIds(reply.List->Successors)};
-    return {ReplyTag, reply.Term, list, reply.IsLeaving};
+    Json assignment;
+    if (reply.Assignment)
+      assignment = {reply.Assignment->IsReader, reply.Assignment->Reader.Value,
+                    formatEndpoint(reply.Assignment->Address)};
+    Json store;
+    if (reply.Store) {
+      Json recoveredAge;
+      if (reply.Store->RecoveredAge)
+        recoveredAge = encodeDuration(*reply.Store->RecoveredAge);
+      store = {encodeDuration(reply.Store->Age), recoveredAge,
+               reply.Store->Revisions};
+    }
+    return {ReplyTag,
+            reply.Leader.Term,
+            reply.Leader.Name.Value,
+            formatEndpoint(reply.Leader.Address),
+            list,
+            reply.IsLeaving,
+            assignment,
+            store};
+  }
+  Json operator()(const PeerStoreUpdate &update) const {
+    Json changes = Json::array();
+    for (const platform::StoreChange &change : update.Batch.Changes) {
+      Json value;
+      if (change.Value)
+        value = Json::binary(std::vector<std::uint8_t>(change.Value->begin(),
+                                                       change.Value->end()));
+      changes.push_back({change.Key, value, change.Revision});
+    }
+    return {StoreUpdateTag, static_cast<int>(update.Feed), update.Batch.Base,
+            update.Batch.To, changes};
   }
   Json operator()(const PeerRangeUpdate &ranges) const {
     Json rows = Json::array();
@@ -70,26 +126,63 @@
 
 PeerHello decodeHello(const Json &json) {
   PeerHello hello;
-  hello.Sender = {VmId(json.at(1).get<std::string>()),
-                  DomainId(json.at(2).get<std::string>()),
-                  json.at(3).get<double>()};
-  hello.ListHash = json.at(4).get<std::uint64_t>();
-  for (const auto &[service, revision] : json.at(5).items())
+  hello.Sender = decodeCandidate(json.at(1));
+  hello.ListHash = json.at(2).get<std::uint64_t>();
+  for (const auto &[service, revision] : json.at(3).items())
     hello.MapRevisions[ServiceId(service)] = revision.get<std::uint64_t>();
-  for (const auto &[service, keys] : json.at(6).items())
+  for (const auto &[service, keys] : json.at(4).items())
     hello.Keys[ServiceId(service)] = keys.get<std::vector<std::uint16_t>>();
+  hello.StoreRevisions = json.at(5).get<FeedRevisions>();
+  if (const Json &report = json.at(6); !report.is_null()) {
+    hello.Report.emplace();
+    hello.Report->StoreAge = decodeDuration(report.at(0));
+    for (const Json &follower : report.at(1))
+      hello.Report->Followers.push_back(
+          {decodeCandidate(follower.at(0)), decodeEndpoint(follower.at(1))});
+  }
   return hello;
 }
 
 PeerReply decodeReply(const Json &json) {
   PeerReply reply;
-  reply.Term = json.at(1).get<std::uint64_t>();
-  if (const Json &list = json.at(2); !list.is_null())
+  reply.Leader = {VmId(json.at(2).get<std::string>()),
+                  decodeEndpoint(json.at(3)), json.at(1).get<std::uint64_t>()};
+  if (const Json &list = json.at(4); !list.is_null())
     reply.List = VmList{decodeVmIds(list.at(0)), decodeVmIds(list.at(1))};
-  reply.IsLeaving = json.at(3).get<bool>();
+  reply.IsLeaving = json.at(5).get<bool>();
+  if (const Json &assignment = json.at(6); !assignment.is_null())
+    reply.Assignment = {assignment.at(0).get<bool>(),
+                        VmId(assignment.at(1).get<std::string>()),
+                        decodeEndpoint(assignment.at(2))};
+  if (const Json &store = json.at(7); !store.is_null()) {
+    reply.Store.emplace();
+    reply.Store->Age = decodeDuration(store.at(0));
+    if (!store.at(1).is_null())
+      reply.Store->RecoveredAge = decodeDuration(store.at(1));
+    reply.Store->Revisions = store.at(2).get<FeedRevisions>();
+  }
   return reply;
 }
 
+PeerStoreUpdate decodeStoreUpdate(const Json &json) {
+  PeerStoreUpdate update;
+  const auto feed = json.at(1).get<std::size_t>();
+  update.Feed = static_cast<FeedId>(std::min(feed, FeedCount - 1));
+  update.Batch.Base = json.at(2).get<std::uint64_t>();
+  update.Batch.To = json.at(3).get<std::uint64_t>();
+  for (const Json &item : json.at(4)) {
+    platform::StoreChange change;
+    change.Key = item.at(0).get<std::string>();
+    if (const Json &value = item.at(1); !value.is_null()) {
+      const auto &bytes = value.get_binary();
+      change.Value = std::string(bytes.begin(), bytes.end());
+    }
+    change.Revision = item.at(2).get<std::uint64_t>();
+    update.Batch.Changes.push_back(std::move(change));
+  }
+  return update;
+}
+
 PeerRangeUpdate decodeRangeUpdate(const Json &json) {
   PeerRangeUpdate ranges;
   ranges.Service = ServiceId(json.at(1).get<std::string>());
@@ -120,6 +213,8 @@
       return decodeReply(json);
     case RangeUpdateTag:
       return decodeRangeUpdate(json);
+    case StoreUpdateTag:
+      return decodeStoreUpdate(json);
     default:
       return absl::InvalidArgumentError("datagram has an unknown message type");
     }
--- a/src/peers/peer_message_type.h
+++ b/src/peers/peer_message_type.h
@@ -1,15 +1,19 @@
 /**
  * @file peer_message_type.h
- * Datagrams between the VMs and their leader. Any datagram may be lost; the
- * next hello (regular report) of a VM shows the leader which updates that VM
- * lacks.
+ * Datagrams between the VMs, their readers (VMs that read the store for others
+ * of their failure domain) and the leader. Any datagram may be lost; the next
+ * hello (regular report) of a VM shows its parent, which is its reader or the
+ * leader, what that VM lacks.
  */
 #ifndef WAXWING_PEERS_PEER_MESSAGE_TYPE_H
 #define WAXWING_PEERS_PEER_MESSAGE_TYPE_H
 
+#include "core/endpoint_type.h"
+#include "distribution/change_history.h"
 #include "peers/candidacy.h"
 #include "ranges/range_type.h"
 
+#include <array>
 #include <map>
 #include <optional>
 #include <string>
@@ -18,7 +22,30 @@
 
 namespace waxwing {
 
-/// Report of a VM to the leader, sent a few times per second.
+/// Parts of the store that are read and distributed separately.
+enum class FeedId : std::uint8_t {
+  Operators, ///< configuration and failure domains taken out
+  Upstreams, ///< entries of the running upstreams
+};
+inline constexpr std::size_t FeedCount = 2;
+/// Store revision of each feed's state, indexed by FeedId; 0: not loaded.
+using FeedRevisions = std::array<std::uint64_t, FeedCount>;
+
+/// A VM that reports to a reader.
+struct FollowerInfo {
+  Candidate Vm;
+  Endpoint Address;
+
+  bool operator==(const FollowerInfo &) const = default;
+};
+
+/// Additional report of a reader to the leader.
+struct ReaderReport {
+  Duration StoreAge{}; ///< time since the store last answered the reader
+  std::vector<FollowerInfo> Followers; ///< VMs that report to it, by name
+};
+
+/// Report of a VM to its parent, sent a few times per second.
 struct PeerHello {
   Candidate Sender;
   std::uint64_t ListHash = 0; ///< hashVmList() of the sender's list of VMs
@@ -26,6 +53,8 @@
   std::map<ServiceId, std::uint64_t> MapRevisions;
   /// Keys of the requests since the last hello, one entry per request.
   std::map<ServiceId, std::vector<std::uint16_t>> Keys;
+  FeedRevisions StoreRevisions{};
+  std::optional<ReaderReport> Report; ///< nullopt if the sender is no reader
 };
 
 /// The VMs known to the leader.
@@ -36,13 +65,43 @@
   bool operator==(const VmList &) const = default;
 };
 
-/// The leader's reply to a hello; also sent when its leadership ends.
+/// The leader, as recorded in the leader key in the store.
+struct LeaderInfo {
+  VmId Name;              ///< empty if there is no leader
+  Endpoint Address;       ///< UDP address for messages of other VMs
+  std::uint64_t Term = 0; ///< revision of the leader key; 0 if none
+};
+
+/// Who reads the store for a VM, as decided by the leader.
+struct ReaderAssignment {
+  bool IsReader = false; ///< the VM itself reads for others
+  VmId Reader;           ///< empty if the VM reads for itself only
+  Endpoint Address;      ///< of Reader
+};
+
+/// State of the store as known to a reader.
+struct StoreReport {
+  Duration Age{}; ///< time since the store last answered the reader
+  /// Time since the end of the store's last outage that the reader noticed;
+  /// nullopt if there was none.
+  std::optional<Duration> RecoveredAge;
+  FeedRevisions Revisions{};
+};
+
+/// A parent's reply to a hello; also sent when a leadership ends.
 struct PeerReply {
-  /// Leadership term: store revision of the leader's key.
-  std::uint64_t Term = 0;
+  LeaderInfo Leader;
   /// The leader's list of VMs; nullopt when the VM that sent the hello has it.
   std::optional<VmList> List;
-  bool IsLeaving = false; ///< the sender has just given up leadership
+  bool IsLeaving = false; ///< the leadership of Leader.Term has just ended
+  std::optional<ReaderAssignment> Assignment; ///< from the leader only
+  std::optional<StoreReport> Store;           ///< from a reader only
+};
+
+/// Changes of the store, from a reader.
+struct PeerStoreUpdate {
+  FeedId Feed = FeedId::Operators;
+  ChangeBatch Batch;
 };
 
 /// An update of a service's range map, sent by the leader.
@@ -58,7 +117,8 @@
   std::vector<RangeRow> Rows;
 };
 
-using PeerMessage = std::variant<PeerHello, PeerReply, PeerRangeUpdate>;
+using PeerMessage =
+    std::variant<PeerHello, PeerReply, PeerRangeUpdate, PeerStoreUpdate>;
 
 /// @return the content of one datagram
 std::string encodePeerMessage(const PeerMessage &message);
--- a/tests/node_fixture.h
+++ b/tests/node_fixture.h
@@ -54,10 +54,9 @@
 protected:
   void SetUp() override {
     Store = std::make_unique<StandinPlatformStore>(Loop, address(0));
-    for (int n = 0; n < 3; ++n) {
-      addUpstream(n, "divided", true);
-      addUpstream(3 + n, "plain", false);
-    }
+    // Upstreams[n] has the id i-n.
+    for (int n = 0; n < 6; ++n)
+      addUpstream(n, n < 3 ? "divided" : "plain", n < 3);
     Store->put("op/config", NodeConfig);
     Thread = std::thread([this] { Loop.run(); });
     for (int n = 0; n < NodeCount; ++n)
@@ -94,14 +93,15 @@
     Store->put("servers/" + settings.Id, Upstreams.back()->entry(false));
   }
 
-  void startNode(int n) {
+  void startNode(int n) { startNode(n, fmt::format("d{}", n % 2)); }
+  void startNode(int n, const std::string &domain) {
     std::filesystem::create_directories(Folder);
     const std::string path = Folder + "/node" + std::to_string(n) + ".ini";
     std::ofstream(path) << fmt::format(
-        "[vm]\nname = vm{0}\ndomain = d{1}\n[listen]\ncallers = "
+        "[vm]\nname = vm{0}\ndomain = {1}\n[listen]\ncallers = "
         "127.0.0.1:{2}\nready = 127.0.0.1:{3}\nmetrics = 127.0.0.1:{4}\n"
         "peers = 127.0.0.1:{5}\n[store]\naddress = {6}\n",
-        n, n % 2, callerPort(n), readyPort(n), callerPort(n) + 2,
+        n, domain, callerPort(n), readyPort(n), callerPort(n) + 2,
         callerPort(n) + 3, formatEndpoint(address(0)));
     Nodes.resize(std::max<std::size_t>(Nodes.size(), n + 1));
     Nodes[n] = std::make_unique<ChildProcess>(
@@ -157,17 +157,23 @@
     return std::sscanf(response.c_str(), "HTTP/1.1 %d", &code) == 1 ? code : 0;
   }
 
-  /// @return value of @p name on the node's metrics page, or -1 if absent
+  /// @return value of @p name on the node's metrics page, or -1 if absent or
+  ///   the node is not running
   static double readMetric(int node, const std::string &name) {
     boost::asio::io_context io;
     boost::asio::ip::tcp::socket socket(io);
+    boost::system::error_code ec;
     socket.connect({boost::asio::ip::make_address("127.0.0.1"),
-                    static_cast<std::uint16_t>(callerPort(node) + 2)});
+                    static_cast<std::uint16_t>(callerPort(node) + 2)},
+                   ec);
+    if (ec)
+      return -1;
     boost::asio::write(
-        socket, boost::asio::buffer(std::string(
-                    "GET /metrics HTTP/1.1\r\nConnection: close\r\n\r\n")));
+        socket,
+        boost::asio::buffer(std::string(
+            "GET /metrics HTTP/1.1\r\nConnection: close\r\n\r\n")),
+        ec);
     std::string page;
-    boost::system::error_code ec;
     boost::asio::read(socket, boost::asio::dynamic_buffer(page), ec);
     const auto at = page.find("\n" + name + " ");
     return at == std::string::npos
