Fix: [Shutdown] A stopping VM waits until its callers have received their responses

Change: hasExchanges() includes responses and connections that callers have not closed; idle callers are closed in both directions only when they have received everything; callers, and upstreams with large requests, may pause for 15 s. Readers: missing changes go before the report that needs them; a silent reader is given up after 1.3 s and avoided for 3 s; the first watch waits 0.6 s after a load; a VM that starts reads the leader key by cheap reads.

--- a/src/distribution/parent_choice.h
+++ b/src/distribution/parent_choice.h
@@ -13,19 +13,18 @@
 /// Invariant: a VM that is a reader has no reader.
 class ParentChoice {
 public:
-  /// A reader that does not answer for this time is given up.
-  static constexpr Duration ReaderSilenceTimeout = milliseconds(1000);
+  /// A reader that does not answer for this time is given up; three hellos in a
+  /// row are then lost.
+  static constexpr Duration ReaderSilenceTimeout = milliseconds(1300);
   /// A reader that was given up is not followed again for this time.
-  static constexpr Duration AvoidTime = seconds(10);
+  static constexpr Duration AvoidTime = seconds(3);
 
   /// Takes an assignment of the leader.
   /// @return true if the role or the reader of this VM changed
   bool assign(const ReaderAssignment &assignment, Time now);
   /// This VM leads, or there is no leader that knows it.
   void clear() { Current = {}; }
-  void onReaderReply(Time now) {
-    SilentUntil = now + ReaderSilenceTimeout;
-  }
+  void onReaderReply(Time now) { SilentUntil = now + ReaderSilenceTimeout; }
   /// Gives up a silent reader.
   /// @return true if the reader was given up
   bool giveUpIfSilent(Time now);
--- a/src/distribution/reader_plan.cpp
+++ b/src/distribution/reader_plan.cpp
@@ -34,18 +34,16 @@
     const std::size_t count = std::max<std::size_t>(
         candidates.size() < MinVmsForTwoReaders ? 1 : 2,
         (candidates.size() + MaxVmsPerReader - 1) / MaxVmsPerReader);
-    std::erase_if(candidates, [](const ReaderCandidate &vm) {
-      return !vm.IsFresh;
-    });
+    std::erase_if(candidates,
+                  [](const ReaderCandidate &vm) { return !vm.IsFresh; });
     std::ranges::sort(candidates, {}, [](const ReaderCandidate &vm) {
       return std::tuple(!vm.IsReader, -vm.Vm.CpuCores,
                         hashText(vm.Vm.Vm.Value, 0));
     });
     candidates.resize(std::min(count, candidates.size()));
     std::vector<VmId> &readers = Readers[domain];
-    std::ranges::transform(
-        candidates, std::back_inserter(readers),
-        [](const ReaderCandidate &vm) { return vm.Vm.Vm; });
+    std::ranges::transform(candidates, std::back_inserter(readers),
+                           [](const ReaderCandidate &vm) { return vm.Vm.Vm; });
     std::ranges::sort(readers);
   }
 }
@@ -61,10 +59,9 @@
   const auto found = Readers.find(domain);
   if (found == Readers.end() || found->second.empty() || isReader(vm))
     return std::nullopt;
-  return *std::ranges::max_element(
-      found->second, {}, [&](const VmId &reader) {
-        return hashText(reader.Value, hashText(vm.Value, 0));
-      });
+  return *std::ranges::max_element(found->second, {}, [&](const VmId &reader) {
+    return hashText(reader.Value, hashText(vm.Value, 0));
+  });
 }
 
 std::size_t ReaderPlan::size() const {
--- a/src/node/caller_connection.cpp
+++ b/src/node/caller_connection.cpp
@@ -30,7 +30,7 @@
 constexpr std::size_t MaxUnparsedBytes = 131072;
 /// Time that a caller has to close its side after the last response, from the
 /// last bytes that it sent.
-constexpr Duration CallerCloseTimeout = seconds(1);
+constexpr Duration CallerCloseTimeout = seconds(3);
 /// Longest time for which bytes after the last response are read and discarded,
 /// so that a caller that still sends a body can read the response.
 constexpr Duration MaxLingerTime = seconds(10);
@@ -50,6 +50,7 @@
 
 void CallerConnection::start() {
   setStreamOptions(Socket);
+  setPeerReading(Socket, false); // callers may pause while they receive
   scheduleRead();
 }
 
@@ -252,8 +253,6 @@
     const std::size_t n = Socket.write_some(asio::buffer(UnwrittenOutput), ec);
     UnwrittenOutput.erase(0, n);
     if (ec == asio::error::would_block) {
-      if (!std::exchange(IsPeerFull, true))
-        setPeerReading(Socket, false);
       IsWriting = true;
       Socket.async_wait(tcp::socket::wait_write,
                         [self](const error_code &result) {
@@ -267,8 +266,6 @@
       close();
       return;
     }
-    if (UnwrittenOutput.empty() && std::exchange(IsPeerFull, false))
-      setPeerReading(Socket, true);
   }
 }
 
@@ -291,6 +288,11 @@
   scheduleRead();
 }
 
+void CallerConnection::endAfterResponses() {
+  if (LingerUntil == Time() && !IsClosed)
+    beginLingeringClose();
+}
+
 /// Shuts down the sending side and keeps reading. Closing with unread bytes
 /// would reset the connection, and the caller could lose the response.
 void CallerConnection::beginLingeringClose() {
--- a/src/node/caller_connection.h
+++ b/src/node/caller_connection.h
@@ -45,8 +45,16 @@
   void closeIfTimedOut(Time now);
   /// @return true if no request is pending or partly received
   bool isIdle() const { return Exchanges.empty() && UnparsedInput.empty(); }
+  /// @return true if a response is not yet sent completely or the caller has
+  ///   not closed the connection after the last one
+  bool isResponding() const {
+    return !Exchanges.empty() || !UnwrittenOutput.empty() ||
+           LingerUntil != Time();
+  }
   Time idleSince() const { return IdleSince; }
   void close();
+  /// Closes an idle connection once the caller has received everything.
+  void endAfterResponses();
 
 private:
   void scheduleRead();
@@ -80,7 +88,6 @@
   bool IsParsing = false;
   bool IsReading = false;
   bool IsWriting = false;
-  bool IsPeerFull = false;    ///< the caller has not read what was written
   bool IsLastRequest = false; ///< no further requests are accepted
   bool IsClosed = false;
   Time IdleSince;
--- a/src/node/client_connection.cpp
+++ b/src/node/client_connection.cpp
@@ -26,6 +26,8 @@
 /// Effectively unlimited: responses of upstreams may have any length.
 constexpr std::uint64_t MaxResponseBytes = 1ULL << 40;
 constexpr std::uint32_t MaxResponseHeaderBytes = 65536;
+/// Larger requests may not fit into the peer's receive window.
+constexpr std::size_t LargeRequestBytes = 16384;
 /// Limit on the bytes of an incomplete element, such as a chunk's header.
 constexpr std::size_t MaxUnparsedBytes = 2UL * MaxResponseHeaderBytes;
 
@@ -95,6 +97,12 @@
              [self = shared_from_this()] { self->flush(); });
 }
 
+/// A peer that reads a large body slowly must not count as lost.
+void ClientConnection::allowSlowPeer() {
+  if (IsOpen && !std::exchange(IsSlowPeerAllowed, true))
+    setPeerReading(Socket, false);
+}
+
 void ClientConnection::send(const std::string &bytes, bool isWhole) {
   UnwrittenOutput += bytes;
   IsRequestWhole = isWhole;
@@ -106,6 +114,8 @@
     return;
   if (!IsSent && Observer != nullptr && !Observer->isStillNeeded())
     return;
+  if (!IsRequestWhole || UnwrittenOutput.size() > LargeRequestBytes)
+    allowSlowPeer();
   error_code ec;
   const std::size_t n = Socket.write_some(asio::buffer(UnwrittenOutput), ec);
   if (n > 0)
@@ -120,14 +130,11 @@
     return;
   }
   if (UnwrittenOutput.empty()) {
-    if (std::exchange(IsPeerFull, false))
-      setPeerReading(Socket, true);
     if (Observer != nullptr && !IsRequestWhole)
       Observer->onRequestWritten();
     return;
   }
-  if (!std::exchange(IsPeerFull, true))
-    setPeerReading(Socket, false);
+  allowSlowPeer();
   IsWriting = true;
   Socket.async_wait(tcp::socket::wait_write,
                     [self = shared_from_this()](const error_code &result) {
@@ -256,6 +263,8 @@
   IdleSince = bootNow();
   if (IsReuseForbidden)
     close();
+  else if (std::exchange(IsSlowPeerAllowed, false))
+    setPeerReading(Socket, true);
   observer->onResponseEnd();
 }
 
--- a/src/node/client_connection.h
+++ b/src/node/client_connection.h
@@ -84,6 +84,7 @@
   void onConnected(const boost::system::error_code &ec);
   void setOptions();
   void flush();
+  void allowSlowPeer();
   void scheduleRead();
   void readSome();
   /// @return false if the request or the connection ended
@@ -103,7 +104,7 @@
   bool IsDiscardingResponse = false; ///< response is for another request
   bool IsOpen = false;               ///< the TCP connection was established
   bool IsWriting = false;
-  bool IsPeerFull = false; ///< the peer has not read what was written
+  bool IsSlowPeerAllowed = false; ///< the peer may read the request slowly
   bool IsReading = false;
   bool IsPaused = false;
   bool IsSent = false;        ///< at least one byte of the request was written
--- a/src/node/cluster.cpp
+++ b/src/node/cluster.cpp
@@ -54,7 +54,7 @@
 /// A new leader assigns readers after this time, when it knows the VMs.
 constexpr Duration FirstAssignmentDelay = milliseconds(700);
 /// A reader without a message for this time gets no more followers.
-constexpr Duration ReaderSuspicionTimeout = milliseconds(900);
+constexpr Duration ReaderSuspicionTimeout = milliseconds(1500);
 
 } // namespace
 
@@ -129,6 +129,7 @@
     return absl::UnavailableError(
         fmt::format("cannot receive datagrams on {}: {}",
                     formatEndpoint(PeerAddress), ec.message()));
+  LastLeaderMessageAt = bootNow();
   listen();
   runPeriodicWork();
   return absl::OkStatus();
@@ -180,8 +181,8 @@
       !isLeader() &&
       (Leader.Term == 0 || now > LastLeaderMessageAt + LeaderSilenceTimeout);
   NextLeaderKeyProbeAt = now + (Parent.isReader() ? ReaderProbeInterval
-                                : isUrgent ? UrgentLeaderKeyProbeInterval
-                                           : LeaderKeyProbeInterval);
+                                : isUrgent        ? UrgentLeaderKeyProbeInterval
+                                                  : LeaderKeyProbeInterval);
   // The designated successors must notice at once that the leader is gone. The
   // other VMs use a read that costs a tenth but may return data that is seconds
   // old.
@@ -325,8 +326,9 @@
   hello.ListHash = hashVmList(List);
   hello.MapRevisions = RangeMaps.revisions();
   hello.Keys = std::exchange(Keys, {});
-  std::ranges::transform(Feeds, hello.StoreRevisions.begin(),
-                         [](const StoreFeed *feed) { return feed->revision(); });
+  std::ranges::transform(
+      Feeds, hello.StoreRevisions.begin(),
+      [](const StoreFeed *feed) { return feed->revision(); });
   if (Parent.isReader()) {
     hello.Report.emplace();
     hello.Report->StoreAge = now - Health.lastResponseAt();
@@ -401,6 +403,9 @@
   for (const auto &[service, keys] : hello.Keys)
     for (const std::uint16_t key : keys)
       reportKeyRequest(service, key);
+  // Before the report, so that the VM is complete when that arrives.
+  if (Parent.isReader())
+    sendMissingChanges(hello.StoreRevisions, sender);
   PeerReply reply = makeReply(now);
   if (hello.ListHash != hashVmList(List))
     reply.List = List;
@@ -415,24 +420,22 @@
                service, nullptr, *RangeMaps.find(service)))
         sendTo(sender, part);
   }
-  if (Parent.isReader())
-    sendMissingChanges(hello.StoreRevisions, sender);
 }
 
 PeerReply Cluster::makeReply(Time now) const {
   PeerReply reply;
   reply.Leader = Leader;
-  const bool isCurrent =
-      std::ranges::all_of(Feeds, &StoreFeed::isCurrent) &&
-      !Health.isUnavailable();
+  const bool isCurrent = std::ranges::all_of(Feeds, &StoreFeed::isCurrent) &&
+                         !Health.isUnavailable();
   if (!Parent.isReader() || !isCurrent)
     return reply;
   reply.Store.emplace();
   reply.Store->Age = now - Health.lastResponseAt();
   if (Health.recoveredAt() != Time())
     reply.Store->RecoveredAge = now - Health.recoveredAt();
-  std::ranges::transform(Feeds, reply.Store->Revisions.begin(),
-                         [](const StoreFeed *feed) { return feed->revision(); });
+  std::ranges::transform(
+      Feeds, reply.Store->Revisions.begin(),
+      [](const StoreFeed *feed) { return feed->revision(); });
   return reply;
 }
 
@@ -474,14 +477,13 @@
 }
 
 void Cluster::onStoreReport(const StoreReport &report, Time now) {
-  Health.recordRelayedAnswer(now - report.Age,
-                             report.RecoveredAge ? now - *report.RecoveredAge
-                                                 : Time(),
-                             now);
+  Health.recordRelayedAnswer(
+      now - report.Age,
+      report.RecoveredAge ? now - *report.RecoveredAge : Time(), now);
   bool isComplete = true;
   for (std::size_t n = 0; n < FeedCount; ++n)
-    isComplete &= Feeds[n]->isLoaded() &&
-                  Feeds[n]->revision() >= report.Revisions[n];
+    isComplete &=
+        Feeds[n]->isLoaded() && Feeds[n]->revision() >= report.Revisions[n];
   Freshness.onReport(report.Age, isComplete, now);
   followReader(now);
 }
@@ -489,7 +491,6 @@
 void Cluster::onAssignment(const ReaderAssignment &assignment, Time now) {
   if (!Parent.assign(assignment, now))
     return;
-  Freshness.clear();
   Peers.clear();
   for (std::size_t n = 0; n < FeedCount; ++n)
     Histories[n].reset(Feeds[n]->revision());
--- a/src/node/gateway.cpp
+++ b/src/node/gateway.cpp
@@ -175,7 +175,14 @@
     if (connection->isIdle())
       idle.push_back(connection);
   for (const auto &connection : idle)
-    connection->close();
+    connection->endAfterResponses();
+}
+
+bool Gateway::hasExchanges() const {
+  return ActiveExchanges > 0 ||
+         std::ranges::any_of(Callers, [](const auto &entry) {
+           return entry.second->isResponding();
+         });
 }
 
 void Gateway::beginExchange(const std::shared_ptr<Exchange> &exchange) {
--- a/src/node/gateway.h
+++ b/src/node/gateway.h
@@ -69,7 +69,9 @@
   void beginRefusing();
   /// Closes caller connections without a pending request.
   void closeIdleCallers();
-  bool hasExchanges() const { return ActiveExchanges > 0; }
+  /// @return true while a request has no response, or its caller has not
+  ///   received all of it
+  bool hasExchanges() const;
 
   /// Called with service and key of each request to a service divided by key.
   std::function<void(const ServiceId &, std::uint16_t)> OnKeyRequest;
--- a/src/node/leadership.cpp
+++ b/src/node/leadership.cpp
@@ -30,8 +30,8 @@
 constexpr Duration ReleaseTimeout = milliseconds(3500);
 constexpr Duration RetryDelay = milliseconds(200);
 /// Outcomes of orders to upstreams are collected for this time before the
-/// range maps are processed again.
-constexpr Duration OrderBatchDelay = milliseconds(4);
+/// range maps are processed again, so that one write to the store covers them.
+constexpr Duration OrderBatchDelay = milliseconds(20);
 /// A process counts as ended when connections to it are refused for this time.
 constexpr Duration ConnectionRefusalTimeout = milliseconds(250);
 constexpr double MicrosPerSecond = 1e6;
--- a/src/node/node_process.h
+++ b/src/node/node_process.h
@@ -64,7 +64,7 @@
   std::map<UpstreamId, std::uint64_t> DeferredRemovals;
   std::set<DomainId> Evacuated;
   int ChangedUpstreams = 0; ///< since the last onBatchEnd()
-  Time ShutdownStartedAt; ///< when SIGTERM or SIGINT arrived; Time() before
+  Time ShutdownStartedAt;   ///< when SIGTERM or SIGINT arrived; Time() before
   Time ShutdownDeadline;
 };
 
--- a/src/node/socket_options.cpp
+++ b/src/node/socket_options.cpp
@@ -15,8 +15,8 @@
 /// Time in ms without acknowledgement of sent data after which the peer counts
 /// as lost. Two retransmissions fit into it.
 constexpr int TcpUserTimeoutMs = 1000;
-/// The same while the peer's receive window is full: the kernel applies the
-/// timeout to peers that acknowledge but do not read, too.
+/// The same for peers that may pause reading: the kernel applies the timeout to
+/// peers that acknowledge but do not read, too.
 constexpr int FullWindowTimeoutMs = 15000;
 /// TCP keep-alive on idle connections: first probe and interval in s, and
 /// number of unanswered probes after which the peer counts as lost.
--- a/src/node/socket_options.h
+++ b/src/node/socket_options.h
@@ -16,7 +16,7 @@
 /// without a reset.
 void setStreamOptions(boost::asio::ip::tcp::socket &socket);
 /// Sets how long unacknowledged data may wait.
-/// @param isReading false if a write would block, as the peer does not read
+/// @param isReading false if the peer may pause reading
 void setPeerReading(boost::asio::ip::tcp::socket &socket, bool isReading);
 
 /// Starts to listen on @p address.
--- a/src/node/store_feed.cpp
+++ b/src/node/store_feed.cpp
@@ -19,6 +19,9 @@
 /// Additional time for the response of a slow store.
 constexpr Duration WatchResponseMargin = milliseconds(1500);
 constexpr Duration LoadTimeout = milliseconds(2000);
+/// Delay of the first watch after a load. A VM that has just started usually
+/// gets a reader meanwhile, and changes need not be acted on sooner.
+constexpr Duration DelayAfterLoad = milliseconds(600);
 /// Delay after a failed call; doubled up to MaxRetryDoublings times.
 constexpr Duration InitialRetryDelay = milliseconds(100);
 constexpr int MaxRetryDoublings = 3;
@@ -55,9 +58,9 @@
     NeedsReload = false;
     NextCallTimer.cancel();
   } else if (!IsCallPending) {
-    NextCallTimer.scheduleBy(
-        bootNow() + Duration(static_cast<Duration::rep>(
-                        randomNumber() % MaxResumeDelay.count())));
+    NextCallTimer.scheduleBy(bootNow() +
+                             Duration(static_cast<Duration::rep>(
+                                 randomNumber() % MaxResumeDelay.count())));
   }
 }
 
@@ -176,8 +179,7 @@
   if (OnBatchRead)
     OnBatchRead({before, Revision, std::exchange(LoadedChanges, {})});
   OnBatchEnd();
-  // Another VM may take over reading meanwhile.
-  scheduleCall(bootNow() + Options.BatchDelay);
+  scheduleCall(bootNow() + std::max(Options.BatchDelay, DelayAfterLoad));
 }
 
 bool StoreFeed::applyChange(const platform::StoreChange &change) {
@@ -240,11 +242,10 @@
   Failures = 0;
   Health.recordCall(true, "", bootNow());
   ChangeBatch batch{Revision, std::max(Revision, changes->StoreRevision), {}};
-  std::ranges::copy_if(
-      changes->Changes, std::back_inserter(batch.Changes),
-      [this](const platform::StoreChange &change) {
-        return applyChange(change);
-      });
+  std::ranges::copy_if(changes->Changes, std::back_inserter(batch.Changes),
+                       [this](const platform::StoreChange &change) {
+                         return applyChange(change);
+                       });
   Revision = batch.To;
   const bool isChanged = !changes->Changes.empty();
   if (OnBatchRead)
--- a/src/node/store_feed.h
+++ b/src/node/store_feed.h
@@ -88,7 +88,7 @@
   bool NeedsReload = true; ///< the next call loads all keys
   bool IsCallPending = false;
   bool IsRelayed = false; ///< another VM reads the store for this one
-  int Failures = 0; ///< consecutive failed calls
+  int Failures = 0;       ///< consecutive failed calls
 };
 
 } // namespace waxwing
--- a/src/peers/peer_message.cpp
+++ b/src/peers/peer_message.cpp
@@ -67,14 +67,12 @@
     if (hello.Report) {
       Json followers = Json::array();
       for (const FollowerInfo &follower : hello.Report->Followers)
-        followers.push_back({encodeCandidate(follower.Vm),
-                             formatEndpoint(follower.Address)});
+        followers.push_back(
+            {encodeCandidate(follower.Vm), formatEndpoint(follower.Address)});
       report = {encodeDuration(hello.Report->StoreAge), followers};
     }
-    return {HelloTag,  encodeCandidate(hello.Sender),
-            hello.ListHash, revisions,
-            keys,      hello.StoreRevisions,
-            report};
+    return {HelloTag, encodeCandidate(hello.Sender), hello.ListHash, revisions,
+            keys,     hello.StoreRevisions,          report};
   }
   Json operator()(const PeerReply &reply) const {
     Json list;
