Fix: [Peers] Replies and updates are taken from the leader and the reader only

Cause: any sender on the network could name a leader or change range maps. Change: the sender's address must be that of the leader that the store names or of the reader that it assigned; others are logged.

--- a/src/node/cluster.cpp
+++ b/src/node/cluster.cpp
@@ -67,13 +67,28 @@
     Parent.onHello(hello, Sender);
   }
   void operator()(const PeerReply &reply) const {
-    Parent.onReply(reply, Sender);
+    if (isFromParent())
+      Parent.onReply(reply, Sender);
   }
   void operator()(const PeerRangeUpdate &ranges) const {
-    Parent.onRangeUpdate(ranges);
+    if (isFromParent())
+      Parent.onRangeUpdate(ranges);
   }
   void operator()(const PeerStoreUpdate &update) const {
-    Parent.onStoreUpdate(update, Sender);
+    if (Parent.isFromReader(Sender))
+      Parent.onStoreUpdate(update);
+  }
+
+private:
+  /// Only the leader named in the store and the reader that it assigned may
+  /// change what this VM knows.
+  bool isFromParent() const {
+    const bool isExpected = Parent.isFromReader(Sender) ||
+                            Sender == toUdp(Parent.Leader.Address);
+    if (!isExpected)
+      logLine(LogPriority::Routine, bootNow(), "datagram_unexpected",
+              "sender={}", Sender.address().to_string());
+    return isExpected;
   }
 };
 
@@ -466,10 +481,7 @@
   return Parent.hasReader() && sender == toUdp(Parent.current().Address);
 }
 
-void Cluster::onStoreUpdate(const PeerStoreUpdate &update,
-                            const udp::endpoint &sender) {
-  if (!isFromReader(sender))
-    return;
+void Cluster::onStoreUpdate(const PeerStoreUpdate &update) {
   StoreFeed &feed = *Feeds[static_cast<std::size_t>(update.Feed)];
   const Time now = bootNow();
   if (!feed.applyBatch(update.Batch) && now >= EarliestExtraHelloAt)
--- a/src/node/cluster.h
+++ b/src/node/cluster.h
@@ -91,8 +91,7 @@
   void onReply(const PeerReply &reply,
                const boost::asio::ip::udp::endpoint &sender);
   void onRangeUpdate(const PeerRangeUpdate &ranges);
-  void onStoreUpdate(const PeerStoreUpdate &update,
-                     const boost::asio::ip::udp::endpoint &sender);
+  void onStoreUpdate(const PeerStoreUpdate &update);
   void onStoreReport(const StoreReport &report, Time now);
   void onAssignment(const ReaderAssignment &assignment, Time now);
   /// @return true if VMs report to this one
