Fix: [Leader] Weak VMs do not all try to lead when hundreds start at once

Change: VMs with less than 0.15 cores wait 0.6 s longer; the largest batch delay applies until the number of VMs is known. Test: Candidacy.WeakVmsWaitForTheAttemptOfStrongOnes.

--- a/src/node/cluster.cpp
+++ b/src/node/cluster.cpp
@@ -83,8 +83,8 @@
   /// Only the leader named in the store and the reader that it assigned may
   /// change what this VM knows.
   bool isFromParent() const {
-    const bool isExpected = Parent.isFromReader(Sender) ||
-                            Sender == toUdp(Parent.Leader.Address);
+    const bool isExpected =
+        Parent.isFromReader(Sender) || Sender == toUdp(Parent.Leader.Address);
     if (!isExpected)
       logLine(LogPriority::Routine, bootNow(), "datagram_unexpected",
               "sender={}", Sender.address().to_string());
--- a/src/node/node_process.cpp
+++ b/src/node/node_process.cpp
@@ -27,8 +27,9 @@
 /// announce draining.
 constexpr Duration OperatorBatchDelay = milliseconds(150);
 constexpr Duration UpstreamBatchDelay = milliseconds(500);
-/// Every VM reads each change of the upstream list, so the delay grows with the
-/// number of VMs to limit the load on the store.
+/// VMs without a reader read each change of the upstream list themselves, so
+/// the delay grows with the number of VMs to limit the load on the store. Until
+/// that number is known, the largest delay applies.
 constexpr Duration BatchDelayPerVm = milliseconds(6);
 constexpr Duration MaxBatchDelayForVms = milliseconds(450);
 /// Upstreams are kept for this time after their removal, so that their keys can
@@ -56,7 +57,8 @@
                    {std::string(platform::OperatorPrefix), OperatorBatchDelay}),
       UpstreamFeed(Loop, Calls, Health,
                    parseEndpoint(settings.Store.text("address")),
-                   {std::string(platform::UpstreamPrefix), UpstreamBatchDelay}),
+                   {std::string(platform::UpstreamPrefix),
+                    UpstreamBatchDelay + MaxBatchDelayForVms}),
       RequestGateway(Loop, settings),
       VmCluster(Loop, settings, Calls, Health, RequestGateway.upstreams(),
                 {&OperatorFeed, &UpstreamFeed}),
--- a/src/peers/candidacy.cpp
+++ b/src/peers/candidacy.cpp
@@ -24,6 +24,10 @@
 /// number of cores, for which at least MinCpuCores is assumed.
 constexpr Duration OneCoreDelay = milliseconds(50);
 constexpr double MinCpuCores = 0.1;
+/// VMs with less processor time than this wait until a stronger one has made
+/// its attempt and they have read the result; otherwise most of them would try.
+constexpr double WeakVmCores = 0.15;
+constexpr Duration WeakVmDelay = milliseconds(600);
 /// Upper bound of a pseudo-random delay, so that VMs that do not know each
 /// other do not all become candidates at the same time.
 constexpr Duration MaxRandomDelay = milliseconds(300);
@@ -69,7 +73,7 @@
       hashText(self.Vm.Value, term) %
       static_cast<std::uint64_t>(MaxRandomDelay.count())));
   return (successors.empty() ? Duration() : NonSuccessorDelay) + coresDelay +
-         spread;
+         (self.CpuCores < WeakVmCores ? WeakVmDelay : Duration()) + spread;
 }
 
 bool shouldYieldLeadership(const Candidate &leader,
--- a/tests/candidacy_test.cpp
+++ b/tests/candidacy_test.cpp
@@ -94,5 +94,23 @@
   EXPECT_FALSE(shouldYieldLeadership(strong, {weak, similar, strong}));
 }
 
+/// Pattern: hundreds of VMs start at the same moment without a leader.
+TEST(Candidacy, WeakVmsWaitForTheAttemptOfStrongOnes) {
+  Duration lastStrong{};
+  Duration firstWeak = seconds(100);
+  for (int n = 0; n < 300; ++n) {
+    const bool isStrong = n < 18;
+    const Duration delay = candidacyDelay(
+        {VmId("vm" + std::to_string(n)), DomainId("d"), isStrong ? 0.5 : 0.1},
+        {}, 0);
+    if (isStrong)
+      lastStrong = std::max(lastStrong, delay);
+    else
+      firstWeak = std::min(firstWeak, delay);
+  }
+  // A probe of the leader key, each 400 ms, lies between.
+  EXPECT_GT(firstWeak, lastStrong + milliseconds(400));
+}
+
 } // namespace
 } // namespace waxwing
