--- a/tests/upload_process_test.cpp
+++ b/tests/upload_process_test.cpp
@@ -4,10 +4,7 @@
  * of up to 64 MiB, upstreams that refuse, reset, answer early or send bytes
  * without end, and callers that leave, are slow or are refused while they send.
  */
-#include "node_fixture.h"
-#include "support/threaded_tcp_server.h"
-
-#include <boost/asio/read_until.hpp>
+#include "scripted_upstream_fixture.h"
 
 namespace waxwing {
 namespace {
@@ -31,86 +28,6 @@
   return body;
 }
 
-/// Blocking HTTP peer on one socket.
-class Peer {
-public:
-  explicit Peer(tcp::socket &socket) : Socket(socket) {}
-
-  /// @return the next head, or "" at the end of the stream
-  std::string readHead() {
-    error_code ec;
-    const std::size_t n =
-        asio::read_until(Socket, asio::dynamic_buffer(Input), "\r\n\r\n", ec);
-    if (ec)
-      return "";
-    std::string head = Input.substr(0, n);
-    Input.erase(0, n);
-    return head;
-  }
-  /// @return up to @p size bytes, fewer at the end of the stream
-  std::string readBytes(std::size_t size) {
-    error_code ec;
-    if (Input.size() < size)
-      asio::read(Socket, asio::dynamic_buffer(Input),
-                 asio::transfer_exactly(size - Input.size()), ec);
-    std::string bytes = Input.substr(0, size);
-    Input.erase(0, bytes.size());
-    return bytes;
-  }
-  std::string readToEnd() {
-    error_code ec;
-    asio::read(Socket, asio::dynamic_buffer(Input), ec);
-    return std::exchange(Input, {});
-  }
-  /// Reads a body in chunks.
-  std::string readChunks() {
-    std::string body;
-    for (;;) {
-      error_code ec;
-      const std::size_t n =
-          asio::read_until(Socket, asio::dynamic_buffer(Input), "\r\n", ec);
-      if (ec)
-        return body;
-      const std::size_t size = std::stoul(Input.substr(0, n), nullptr, 16);
-      Input.erase(0, n);
-      body += readBytes(size);
-      readBytes(2);
-      if (size == 0)
-        return body;
-    }
-  }
-  /// @return false if the peer has closed the connection
-  bool write(const std::string &bytes) {
-    error_code ec;
-    asio::write(Socket, asio::buffer(bytes), ec);
-    return !ec;
-  }
-
-private:
-  tcp::socket &Socket;
-  std::string Input;
-};
-
-std::string fieldOf(const std::string &head, const std::string &name) {
-  const auto at = head.find(name + ": ");
-  if (at == std::string::npos)
-    return "";
-  const auto from = at + name.size() + 2;
-  return head.substr(from, head.find('\r', from) - from);
-}
-
-std::string makeResponse(const std::string &head, int status,
-                         const std::string &fields, const std::string &body) {
-  return fmt::format("HTTP/1.1 {} X\r\nRequest-Id: {}\r\n{}Content-Length: "
-                     "{}\r\n\r\n{}",
-                     status, fieldOf(head, "Request-Id"), fields, body.size(),
-                     body);
-}
-
-std::string makeSuccess(const std::string &head, const std::string &body) {
-  return makeResponse(head, 200, "Backend-Signature: s\r\n", body);
-}
-
 std::string makeNotExecuted(const std::string &head) {
   return makeResponse(head, 503, "Not-Executed: 1\r\n", "");
 }
@@ -161,46 +78,8 @@
   Peer Connection{Socket};
 };
 
-class UploadProcessTest : public NodeProcessTest {
+class UploadProcessTest : public ScriptedUpstreamTest {
 protected:
-  using Script = std::function<void(Peer &)>;
-
-  /// Adds an upstream of service "media" that runs @p script on each
-  /// connection.
-  void addScripted(int n, Script script) {
-    const Endpoint where = address(60 + n);
-    Servers.push_back(std::make_unique<ThreadedTcpServer>(
-        where.Port, [script = std::move(script)](tcp::socket &socket) {
-          Peer peer(socket);
-          script(peer);
-          error_code ec;
-          socket.set_option(asio::socket_base::linger(true, 0), ec);
-          socket.close(ec);
-        }));
-    addEntry(n);
-  }
-  void addEntry(int n) {
-    StandinUpstreamSettings settings;
-    settings.Id = "i-media-" + std::to_string(n);
-    settings.Service = "media";
-    settings.Domain = "d0";
-    settings.Address = address(60 + n);
-    const std::string entry = makeStandinUpstreamEntry(settings, 1, false);
-    runOnPlatform([&] { Store->put("servers/" + settings.Id, entry); });
-  }
-  /// Waits until node 0 has an upstream of service "media".
-  void waitForUpstreams() { std::this_thread::sleep_for(milliseconds(1200)); }
-  /// @return peak memory of a node in bytes
-  std::size_t peakMemory(int node) const {
-    std::ifstream status(fmt::format("/proc/{}/status", Nodes[node]->pid()));
-    for (std::string line; std::getline(status, line);)
-      if (line.starts_with("VmHWM:"))
-        return std::stoul(line.substr(6)) * 1024;
-    return 0;
-  }
-
-  std::vector<std::unique_ptr<ThreadedTcpServer>> Servers;
-  std::mutex Mutex;
   std::vector<std::string> Bodies; ///< received by scripted upstreams
 };
 
