--- a/tests/range_balance_test.cpp
+++ b/tests/range_balance_test.cpp
@@ -187,9 +187,14 @@
   ASSERT_TRUE(decoded.ok());
   EXPECT_EQ(std::get<PeerHello>(*decoded).Keys, hello.Keys);
   EXPECT_EQ(std::get<PeerHello>(*decoded).Sender, hello.Sender);
-  const PeerReply reply{7, VmList{{VmId("a"), VmId("b")}, {VmId("b")}}, true};
+  const PeerReply reply{{VmId("a"), {"10.0.0.1", 7}, 7},
+                        VmList{{VmId("a"), VmId("b")}, {VmId("b")}},
+                        true,
+                        {},
+                        {}};
   const auto back = decodePeerMessage(encodePeerMessage(reply));
   ASSERT_TRUE(back.ok());
+  EXPECT_EQ(std::get<PeerReply>(*back).Leader.Term, 7U);
   EXPECT_EQ(std::get<PeerReply>(*back).List, reply.List);
   EXPECT_TRUE(std::get<PeerReply>(*back).IsLeaving);
   for (const std::string malformed : {"", "x", "\x81\x09", "\xff\xff\xff"})
--- a/tests/reader_process_test.cpp
+++ b/tests/reader_process_test.cpp
@@ -120,8 +120,9 @@
   Nodes[all.front()]->signal(SIGCONT);
   for (int round = 0; round < 40; ++round)
     for (int n = 0; n < VmCount; ++n)
-      if (n != all.front())
+      if (n != all.front()) {
         EXPECT_EQ(sendPlainRequest(n), 200);
+      }
   int after = 0;
   runOnPlatform([&] {
     for (const auto &[id, count] : Upstreams[3]->executions())
