--- a/src/node/cluster.cpp
+++ b/src/node/cluster.cpp
@@ -105,7 +105,7 @@
       PeerAddress(parseEndpoint(settings.Listen.text("peers"))),
       UdpSocket(loop), PeriodicWorkTimer(loop, [this] { runPeriodicWork(); }),
       OwnLeadership(loop, settings, calls, store, health, upstreams, RangeMaps),
-      Feeds(feeds), List{{Self.Vm}, {}} {
+      Feeds(feeds), List{{describeSelf()}, {}} {
   OwnLeadership.OnRangeMapChanged = [this](const ServiceId &service,
                                            const RangeMap &before,
                                            const RangeMap &after) {
@@ -385,6 +385,7 @@
     return;
   PeerHello hello;
   hello.Sender = Self;
+  hello.HasLinks = HasLinks;
   hello.ListHash = hashVmList(List);
   hello.MapRevisions = RangeMaps.revisions();
   hello.Keys = std::exchange(Keys, {});
@@ -395,9 +396,7 @@
     hello.Report.emplace();
     hello.Report->StoreAge = now - Health.lastResponseAt();
     for (const auto &[vm, peer] : Peers)
-      hello.Report->Followers.push_back(
-          {peer.CandidateInfo,
-           {peer.Address.address().to_string(), peer.Address.port()}});
+      hello.Report->Followers.push_back(describe(peer));
   }
   sendTo(toUdp(parent), hello);
 }
@@ -461,7 +460,8 @@
   if (!isParent())
     return;
   const Time now = bootNow();
-  Peers[hello.Sender.Vm] = {sender, now, hello.Sender, hello.Report};
+  Peers[hello.Sender.Vm] = {sender, now, hello.Sender, hello.HasLinks,
+                            hello.Report};
   for (const auto &[service, keys] : hello.Keys)
     for (const std::uint16_t key : keys)
       reportKeyRequest(service, key);
@@ -637,32 +637,52 @@
   });
 }
 
+VmInfo Cluster::describe(const Peer &peer) const {
+  return {peer.CandidateInfo,
+          {peer.Address.address().to_string(), peer.Address.port()},
+          peer.HasLinks};
+}
+
+VmInfo Cluster::describeSelf() const { return {Self, PeerAddress, HasLinks}; }
+
+void Cluster::setLinksWorking(bool isWorking) {
+  if (std::exchange(HasLinks, isWorking) == isWorking)
+    return;
+  logLine(LogPriority::StateChange, bootNow(), "links", "working={}",
+          isWorking);
+  NextHelloAt = bootNow();
+}
+
 /// Rebuilds the leader's VM list: itself, the VMs that sent a hello recently,
 /// and those that report to a reader.
 void Cluster::refreshVmList(Time now) {
   std::map<VmId, ReaderCandidate> vms;
+  std::map<VmId, VmInfo> infos;
   for (const auto &[vm, peer] : Peers)
     if (peer.Report)
-      for (const FollowerInfo &follower : peer.Report->Followers)
+      for (const VmInfo &follower : peer.Report->Followers) {
         vms[follower.Vm.Vm] = {follower.Vm, false, true};
+        infos[follower.Vm.Vm] = follower;
+      }
   for (const auto &[vm, peer] : Peers) {
     const bool isFresh =
         now < peer.LastMessageAt + ReaderSuspicionTimeout &&
         (!peer.Report || peer.Report->StoreAge < FeedFreshness::MaxAge);
     vms[vm] = {peer.CandidateInfo, peer.Report.has_value(), isFresh};
+    infos[vm] = describe(peer);
   }
   vms[Self.Vm] = {Self, false, true};
-  VmList list;
+  infos[Self.Vm] = describeSelf();
   std::vector<Candidate> candidates;
-  for (const auto &[vm, info] : vms) {
-    list.Vms.push_back(vm);
+  for (const auto &[vm, info] : infos)
     candidates.push_back(info.Vm);
-  }
   // VMs that the former leader knew have some time to report to this one.
   if (now < KeepFormerListUntil)
-    std::ranges::set_difference(std::vector(List.Vms), std::vector(list.Vms),
-                                std::back_inserter(list.Vms));
-  std::ranges::sort(list.Vms);
+    for (const VmInfo &vm : List.Vms)
+      infos.try_emplace(vm.Vm.Vm, vm);
+  VmList list;
+  for (const auto &[vm, info] : infos)
+    list.Vms.push_back(info);
   list.Successors =
       chooseSuccessors(std::move(candidates), Self.Vm, Leader.Term);
   if (list != List)
@@ -686,7 +706,7 @@
   for (const auto &[reader, peer] : Peers) {
     if (!peer.Report)
       continue;
-    for (const FollowerInfo &follower : peer.Report->Followers) {
+    for (const VmInfo &follower : peer.Report->Followers) {
       reply.Assignment = assignmentFor(follower.Vm);
       if (reply.Assignment->Reader != reader)
         sendTo(toUdp(follower.Address), reply);
--- a/src/node/cluster.h
+++ b/src/node/cluster.h
@@ -51,6 +51,8 @@
   void beginStoreEpoch();
   /// Ends this VM's leadership, if any, and its participation in elections.
   void resign();
+  /// Reports to the other VMs whether this one reaches upstreams.
+  void setLinksWorking(bool isWorking);
 
   bool isLeader() const { return OwnLeadership.isLeading(); }
   const LeaderInfo &leader() const { return Leader; }
@@ -67,7 +69,7 @@
   /// Called with the new range map of a service.
   std::function<void(const ServiceId &, const RangeMap &)> OnRangeMapUpdate;
   /// Called when the list of VMs has changed.
-  std::function<void(const std::vector<VmId> &)> OnVmListChanged;
+  std::function<void(const std::vector<VmInfo> &)> OnVmListChanged;
 
 private:
   /// A VM that sent a hello (a periodic datagram) to this VM, which is the
@@ -76,6 +78,7 @@
     boost::asio::ip::udp::endpoint Address;
     Time LastMessageAt;
     Candidate CandidateInfo;
+    bool HasLinks = true;               ///< as in VmInfo
     std::optional<ReaderReport> Report; ///< of a reader to the leader
   };
   struct MessageHandler;
@@ -113,6 +116,8 @@
                         const RangeMap &after);
   void dropSilentPeers(Time now);
   void refreshVmList(Time now);
+  VmInfo describe(const Peer &peer) const;
+  VmInfo describeSelf() const;
   void resignIfBetterLeader(Time now);
   void setVmList(VmList list);
   void onLeaderEnded(StoreRevision term);
@@ -160,6 +165,7 @@
   Time NextRangeMapFetchAt;
   bool IsReadingLeaderKey = false;  ///< a read of the leader key is in progress
   bool IsFetchingRangeMaps = false; ///< a read of the range maps is in progress
+  bool HasLinks = true;             ///< this VM reaches upstreams
   bool IsResigned = false;    ///< resign() was called; no further elections
   VmList List;                ///< VMs and successors as last sent by the leader
   std::map<VmId, Peer> Peers; ///< used on the leader and on readers only
--- a/src/node/gateway.cpp
+++ b/src/node/gateway.cpp
@@ -137,10 +137,15 @@
   sendQueued(service);
 }
 
-void Gateway::setVms(std::vector<VmId> vms) {
-  if (std::ranges::find(vms, Context.Self) == vms.end())
-    vms.push_back(Context.Self);
-  Context.Vms = std::move(vms);
+void Gateway::setVms(std::vector<VmInfo> vms) {
+  std::vector<VmId> names;
+  std::ranges::transform(vms, std::back_inserter(names),
+                         [](const VmInfo &vm) { return vm.Vm.Vm; });
+  if (std::ranges::find(names, Context.Self) == names.end())
+    names.push_back(Context.Self);
+  if (names == Context.Vms)
+    return;
+  Context.Vms = std::move(names);
   ++Context.VmsVersion;
 }
 
--- a/src/node/gateway.h
+++ b/src/node/gateway.h
@@ -13,6 +13,7 @@
 #include "node/caller_connection.h"
 #include "node/connection_pool.h"
 #include "node/node_clock.h"
+#include "peers/peer_message_type.h"
 #include "ranges/range_type.h"
 #include "routing/admission.h"
 #include "routing/retry_decision.h"
@@ -59,7 +60,7 @@
   // Changes of the routing state; each function applies to one part of it.
   void setConfig(std::shared_ptr<const RouteTable> config);
   void setRangeMap(const ServiceId &service, RangeMap map);
-  void setVms(std::vector<VmId> vms);
+  void setVms(std::vector<VmInfo> vms);
   void onUpstreamsChanged();
   UpstreamTable &upstreams() { return Upstreams; }
   const RouteTable *config() const { return Config.get(); }
--- a/src/node/node_process.cpp
+++ b/src/node/node_process.cpp
@@ -77,7 +77,7 @@
                                       const RangeMap &map) {
     RequestGateway.setRangeMap(service, map);
   };
-  VmCluster.OnVmListChanged = [this](const std::vector<VmId> &vms) {
+  VmCluster.OnVmListChanged = [this](const std::vector<VmInfo> &vms) {
     RequestGateway.setVms(vms);
     UpstreamFeed.setBatchDelay(
         UpstreamBatchDelay +
--- a/src/peers/peer_message.cpp
+++ b/src/peers/peer_message.cpp
@@ -40,6 +40,22 @@
   return parseEndpoint(json.get<std::string>());
 }
 
+Json encodeVmInfos(const std::vector<VmInfo> &vms) {
+  Json result = Json::array();
+  for (const VmInfo &vm : vms)
+    result.push_back(
+        {encodeCandidate(vm.Vm), formatEndpoint(vm.Address), vm.HasLinks});
+  return result;
+}
+
+std::vector<VmInfo> decodeVmInfos(const Json &json) {
+  std::vector<VmInfo> vms;
+  for (const Json &vm : json)
+    vms.push_back({decodeCandidate(vm.at(0)), decodeEndpoint(vm.at(1)),
+                   vm.at(2).get<bool>()});
+  return vms;
+}
+
 Json encodeVmIds(const std::vector<VmId> &vms) {
   Json result = Json::array();
   for (const VmId &vm : vms)
@@ -65,19 +81,18 @@
       keys[service.Value] = list;
     Json report;
     if (hello.Report) {
-      Json followers = Json::array();
-      for (const FollowerInfo &follower : hello.Report->Followers)
-        followers.push_back(
-            {encodeCandidate(follower.Vm), formatEndpoint(follower.Address)});
-      report = {encodeDuration(hello.Report->StoreAge), followers};
+      report = {encodeDuration(hello.Report->StoreAge),
+                encodeVmInfos(hello.Report->Followers)};
     }
-    return {HelloTag, encodeCandidate(hello.Sender), hello.ListHash, revisions,
-            keys,     hello.StoreRevisions,          report};
+    return {HelloTag,       encodeCandidate(hello.Sender),
+            hello.ListHash, revisions,
+            keys,           hello.StoreRevisions,
+            report,         hello.HasLinks};
   }
   Json operator()(const PeerReply &reply) const {
     Json list;
     if (reply.List)
-      list = {encodeVmIds(reply.List->Vms),
+      list = {encodeVmInfos(reply.List->Vms),
               encodeVmIds(reply.List->Successors)};
     Json assignment;
     if (reply.Assignment)
@@ -134,10 +149,9 @@
   if (const Json &report = json.at(6); !report.is_null()) {
     hello.Report.emplace();
     hello.Report->StoreAge = decodeDuration(report.at(0));
-    for (const Json &follower : report.at(1))
-      hello.Report->Followers.push_back(
-          {decodeCandidate(follower.at(0)), decodeEndpoint(follower.at(1))});
+    hello.Report->Followers = decodeVmInfos(report.at(1));
   }
+  hello.HasLinks = json.at(7).get<bool>();
   return hello;
 }
 
@@ -146,7 +160,7 @@
   reply.Leader = {VmId(json.at(2).get<std::string>()),
                   decodeEndpoint(json.at(3)), json.at(1).get<std::uint64_t>()};
   if (const Json &list = json.at(4); !list.is_null())
-    reply.List = VmList{decodeVmIds(list.at(0)), decodeVmIds(list.at(1))};
+    reply.List = VmList{decodeVmInfos(list.at(0)), decodeVmIds(list.at(1))};
   reply.IsLeaving = json.at(5).get<bool>();
   if (const Json &assignment = json.at(6); !assignment.is_null())
     reply.Assignment = {assignment.at(0).get<bool>(),
@@ -223,8 +237,11 @@
 
 std::uint64_t hashVmList(const VmList &list) {
   std::uint64_t hash = 1;
-  for (const VmId &vm : list.Vms)
-    hash = hashText(vm.Value, hash);
+  for (const VmInfo &vm : list.Vms) {
+    hash = hashText(vm.Vm.Vm.Value, hash);
+    hash = hashText(formatEndpoint(vm.Address), hash);
+    hash = hashText(vm.HasLinks ? "links" : "", hash);
+  }
   for (const VmId &vm : list.Successors)
     hash = hashText(vm.Value, hash);
   return hash;
--- a/src/peers/peer_message_type.h
+++ b/src/peers/peer_message_type.h
@@ -31,23 +31,27 @@
 /// Store revision of each feed's state, indexed by FeedId; 0: not loaded.
 using FeedRevisions = std::array<std::uint64_t, FeedCount>;
 
-/// A VM that reports to a reader.
-struct FollowerInfo {
+/// A VM as it describes itself to others.
+struct VmInfo {
   Candidate Vm;
+  /// Address for datagrams; the same TCP port accepts relayed requests.
   Endpoint Address;
+  /// The VM can open connections to upstreams.
+  bool HasLinks = true;
 
-  bool operator==(const FollowerInfo &) const = default;
+  bool operator==(const VmInfo &) const = default;
 };
 
 /// Additional report of a reader to the leader.
 struct ReaderReport {
   Duration StoreAge{}; ///< time since the store last answered the reader
-  std::vector<FollowerInfo> Followers; ///< VMs that report to it, by name
+  std::vector<VmInfo> Followers; ///< VMs that report to it, by name
 };
 
 /// Report of a VM to its parent, sent a few times per second.
 struct PeerHello {
   Candidate Sender;
+  bool HasLinks = true;       ///< as in VmInfo
   std::uint64_t ListHash = 0; ///< hashVmList() of the sender's list of VMs
   /// Revision of the sender's range map of each service; 0: none.
   std::map<ServiceId, std::uint64_t> MapRevisions;
@@ -59,7 +63,7 @@
 
 /// The VMs known to the leader.
 struct VmList {
-  std::vector<VmId> Vms;        ///< sorted
+  std::vector<VmInfo> Vms;      ///< sorted by name
   std::vector<VmId> Successors; ///< successors of the leader, best first
 
   bool operator==(const VmList &) const = default;
--- a/src/standin/platform_base.h
+++ b/src/standin/platform_base.h
@@ -63,11 +63,19 @@
 std::string standinJsonResponse(int status, const nlohmann::json &body,
                                 const std::string &headers = "");
 
+/// Replaces the value of a key in the store's responses.
+using StandinValueRewriter = std::function<std::string(
+    const std::string &key, const std::string &value)>;
+
 /// Key-value store with leases, watches and transactions over HTTP.
 class StandinPlatformStore {
 public:
   StandinPlatformStore(boost::asio::io_context &loop, const Endpoint &address);
 
+  /// Serves the store at another address too, where values are replaced. A VM
+  /// that uses that address may so get its own addresses of the upstreams.
+  void addView(const Endpoint &address, StandinValueRewriter rewrite);
+
   void put(const std::string &key, const std::string &value,
            std::uint64_t lease = 0);
   void remove(const std::string &key);
@@ -117,11 +125,14 @@
     std::uint64_t After = 0; ///< only events of later revisions are sent
     Time TimeoutAt;          ///< time of the response if no event occurs
     StandinResponder Respond;
+    StandinValueRewriter Rewrite; ///< empty if values are not replaced
   };
 
-  void handle(const StandinRequest &request, const StandinResponder &respond);
+  void handle(const StandinRequest &request, const StandinResponder &respond,
+              const StandinValueRewriter &rewrite);
   void listItems(const std::map<std::string, std::string> &query,
-                 const StandinResponder &respond) const;
+                 const StandinResponder &respond,
+                 const StandinValueRewriter &rewrite) const;
   void runTransaction(const nlohmann::json &body,
                       const StandinResponder &respond);
   void tick();
@@ -129,8 +140,13 @@
   /// @return response with the store's epoch
   std::string makeResponse(int status, const nlohmann::json &body) const;
   static nlohmann::json describeItem(const std::string &key, const Item &item);
+  /// Replaces the value of the item or event @p json.
+  static void rewriteValue(nlohmann::json &json,
+                           const StandinValueRewriter &rewrite);
 
+  boost::asio::io_context &Loop;
   StandinServer Server;
+  std::vector<std::unique_ptr<StandinServer>> ViewServers;
   DeadlineTimer Tick;
   std::map<std::string, Item> Items;
   std::vector<Event> History;
--- a/src/standin/platform_store.cpp
+++ b/src/standin/platform_store.cpp
@@ -36,15 +36,35 @@
 
 StandinPlatformStore::StandinPlatformStore(boost::asio::io_context &loop,
                                            const Endpoint &address)
-    : Server(loop, address,
-             [this](const StandinRequest &request,
-                    const StandinResponder &respond) {
-               handle(request, respond);
-             }),
+    : Loop(loop), Server(loop, address,
+                         [this](const StandinRequest &request,
+                                const StandinResponder &respond) {
+                           handle(request, respond, nullptr);
+                         }),
       Tick(loop, [this] { tick(); }) {
   Tick.scheduleBy(bootNow() + TickPeriod);
 }
 
+void StandinPlatformStore::addView(const Endpoint &address,
+                                   StandinValueRewriter rewrite) {
+  ViewServers.push_back(std::make_unique<StandinServer>(
+      Loop, address,
+      [this, rewrite = std::move(rewrite)](const StandinRequest &request,
+                                           const StandinResponder &respond) {
+        handle(request, respond, rewrite);
+      }));
+}
+
+void StandinPlatformStore::rewriteValue(Json &json,
+                                        const StandinValueRewriter &rewrite) {
+  if (!rewrite || !json.contains("value"))
+    return;
+  std::string value;
+  absl::Base64Unescape(json["value"].get<std::string>(), &value);
+  json["value"] =
+      absl::Base64Escape(rewrite(json["key"].get<std::string>(), value));
+}
+
 Json StandinPlatformStore::describeItem(const std::string &key,
                                         const Item &item) {
   return {{"key", key},
@@ -80,7 +100,7 @@
   Json events = Json::array();
   for (const Event &event : History)
     if (event.Revision > watch.After && event.Key.starts_with(watch.Prefix))
-      events.push_back(event.Json);
+      rewriteValue(events.emplace_back(event.Json), watch.Rewrite);
   if (events.empty() && !hasTimedOut)
     return false;
   watch.Respond(
@@ -138,12 +158,13 @@
 
 void StandinPlatformStore::listItems(
     const std::map<std::string, std::string> &query,
-    const StandinResponder &respond) const {
+    const StandinResponder &respond,
+    const StandinValueRewriter &rewrite) const {
   const auto prefix = query.find("prefix");
   Json items = Json::array();
   for (const auto &[key, item] : Items)
     if (prefix != query.end() && key.starts_with(prefix->second))
-      items.push_back(describeItem(key, item));
+      rewriteValue(items.emplace_back(describeItem(key, item)), rewrite);
   respond(makeResponse(
       200,
       {{"items", items}, {"has_more", false}, {"store_revision", Revision}}));
@@ -173,7 +194,8 @@
 }
 
 void StandinPlatformStore::handle(const StandinRequest &request,
-                                  const StandinResponder &respond) {
+                                  const StandinResponder &respond,
+                                  const StandinValueRewriter &rewrite) {
   const Time now = bootNow();
   const std::string &target = request.Head.Target;
   const auto query = parseQuery(target);
@@ -185,7 +207,7 @@
   if (IsDown) {
     respond(makeResponse(503, Json::object()));
   } else if (target.starts_with("/v1/kv-range")) {
-    listItems(query, respond);
+    listItems(query, respond, rewrite);
   } else if (target.starts_with("/v1/kv-watch") &&
              (std::stoull(query.at("after")) > Revision ||
               std::stoull(query.at("after")) < FirstRevision)) {
@@ -193,7 +215,7 @@
   } else if (target.starts_with("/v1/kv-watch")) {
     Watches.push_back({query.at("prefix"), std::stoull(query.at("after")),
                        now + milliseconds(std::stoll(query.at("wait_ms"))),
-                       respond});
+                       respond, rewrite});
   } else if (target == "/v1/kv-txn") {
     runTransaction(Json::parse(request.Body), respond);
   } else if (target == "/v1/kv-lease") {
--- a/tests/node_fixture.h
+++ b/tests/node_fixture.h
@@ -58,6 +58,7 @@
     for (int n = 0; n < 6; ++n)
       addUpstream(n, n < 3 ? "divided" : "plain", n < 3);
     Store->put("op/config", NodeConfig);
+    prepareLinks();
     Thread = std::thread([this] { Loop.run(); });
     for (int n = 0; n < NodeCount; ++n)
       startNode(n);
@@ -79,6 +80,10 @@
   static Endpoint address(int offset) {
     return {"127.0.0.1", static_cast<std::uint16_t>(NodeBasePort + offset)};
   }
+  /// Called before the nodes start.
+  virtual void prepareLinks() {}
+  /// @return address at which node @p n reaches the store
+  virtual Endpoint storeAddress(int /*n*/) const { return address(0); }
   static int callerPort(int node) { return NodeBasePort + 30 + node * 10; }
   static int readyPort(int node) { return callerPort(node) + 1; }
 
@@ -102,7 +107,7 @@
         "127.0.0.1:{2}\nready = 127.0.0.1:{3}\nmetrics = 127.0.0.1:{4}\n"
         "peers = 127.0.0.1:{5}\n[store]\naddress = {6}\n",
         n, domain, callerPort(n), readyPort(n), callerPort(n) + 2,
-        callerPort(n) + 3, formatEndpoint(address(0)));
+        callerPort(n) + 3, formatEndpoint(storeAddress(n)));
     Nodes.resize(std::max<std::size_t>(Nodes.size(), n + 1));
     Nodes[n] = std::make_unique<ChildProcess>(
         std::vector<std::string>{"waxwing-node", "--settings", path},
--- a/tests/node_soak_proxy.h
+++ b/tests/node_soak_proxy.h
@@ -88,8 +88,32 @@
     Acceptor.close(ec); // the descriptor is released even on error
     reset();
   }
-  /// Listens again after close().
+  /// Refuses further connections; the present ones stay.
+  void refuse() {
+    boost::system::error_code ec;
+    Acceptor.close(ec); // the descriptor is released even on error
+  }
+  /// Lets further connections hang while they are opened, as if their packets
+  /// were lost; the present ones stay.
+  void hang() {
+    refuse();
+    Acceptor.open(Address.protocol());
+    Acceptor.set_option(tcp::acceptor::reuse_address(true));
+    Acceptor.bind(Address);
+    Acceptor.listen(0);
+    // The kernel drops opening packets while the queue of the acceptor is full.
+    for (int n = 0; n < FillerCount; ++n) {
+      Fillers.push_back(std::make_shared<tcp::socket>(Loop));
+      Fillers.back()->async_connect(
+          Address, [filler = Fillers.back()](const auto & /*ec*/) {});
+    }
+  }
+  /// Listens again after close(), refuse() or hang().
   void open() {
+    if (!Fillers.empty())
+      refuse();
+    for (const auto &filler : std::exchange(Fillers, {}))
+      resetSocket(*filler);
     if (Acceptor.is_open())
       return;
     Acceptor.open(Address.protocol());
@@ -101,6 +125,7 @@
 
 private:
   static constexpr Duration HoldCheckInterval = milliseconds(10);
+  static constexpr int FillerCount = 4; ///< more than fit into the queue
 
   /// A forwarded connection.
   struct Link {
@@ -172,6 +197,8 @@
   tcp::endpoint Target;
   tcp::acceptor Acceptor;
   std::vector<std::weak_ptr<Link>> Links;
+  /// Connections that fill the acceptor's queue while hang() applies.
+  std::vector<std::shared_ptr<tcp::socket>> Fillers;
 };
 
 } // namespace waxwing
--- a/tests/range_balance_test.cpp
+++ b/tests/range_balance_test.cpp
@@ -187,11 +187,14 @@
   ASSERT_TRUE(decoded.ok());
   EXPECT_EQ(std::get<PeerHello>(*decoded).Keys, hello.Keys);
   EXPECT_EQ(std::get<PeerHello>(*decoded).Sender, hello.Sender);
-  const PeerReply reply{{VmId("a"), {"10.0.0.1", 7}, 7},
-                        VmList{{VmId("a"), VmId("b")}, {VmId("b")}},
-                        true,
-                        {},
-                        {}};
+  const PeerReply reply{
+      {VmId("a"), {"10.0.0.1", 7}, 7},
+      VmList{{{{VmId("a"), DomainId("d"), 1}, {"127.0.0.1", 1}, true},
+              {{VmId("b"), DomainId("d"), 1}, {"127.0.0.1", 2}, false}},
+             {VmId("b")}},
+      true,
+      {},
+      {}};
   const auto back = decodePeerMessage(encodePeerMessage(reply));
   ASSERT_TRUE(back.ok());
   EXPECT_EQ(std::get<PeerReply>(*back).Leader.Term, 7U);
--- /dev/null
+++ b/tests/stranded_vm_fixture.h
@@ -0,0 +1,100 @@
+/**
+ * @file stranded_vm_fixture.h
+ * Test fixture with waxwing-node processes each of which has its own links to
+ * the upstreams, so that single VMs can be cut off from all upstreams while
+ * callers, the store and the other VMs reach them.
+ */
+#ifndef WAXWING_TESTS_STRANDED_VM_FIXTURE_H
+#define WAXWING_TESTS_STRANDED_VM_FIXTURE_H
+
+#include "node_fixture.h"
+#include "node_soak_proxy.h"
+
+namespace waxwing {
+
+/// How the links of a VM to the upstreams are cut.
+enum class LinkCut : std::uint8_t {
+  Silent,  ///< present and further connections hang
+  Reset,   ///< present connections are reset, further ones hang
+  Refused, ///< present connections live on, further ones are refused
+};
+
+/// Upstreams are reached through one proxy for each pair of VM and upstream.
+/// The VM's view of the store names the proxies as the upstreams' addresses.
+class StrandedVmTest : public NodeProcessTest {
+protected:
+  Endpoint storeAddress(int n) const override { return address(200 + n); }
+
+  void prepareLinks() override {
+    for (int n = 0; n < NodeCount; ++n) {
+      Links.emplace_back();
+      for (const auto &upstream : Upstreams)
+        addLink(n, upstream->settings().Address);
+      Store->addView(storeAddress(n), [n](const std::string &key,
+                                          const std::string &value) {
+        if (!key.starts_with("servers/"))
+          return value;
+        nlohmann::json entry = nlohmann::json::parse(value);
+        const Endpoint upstream =
+            parseEndpoint(entry["address"].get<std::string>());
+        entry["address"] = formatEndpoint(linkAddress(n, upstream));
+        return entry.dump();
+      });
+    }
+  }
+
+  void TearDown() override {
+    NodeProcessTest::TearDown();
+    Links.clear();
+  }
+
+  /// Cuts the links of node @p n to all upstreams.
+  void strand(int n, LinkCut cut) {
+    runOnPlatform([&] {
+      for (const auto &link : Links[n]) {
+        link->ToTarget.IsHolding = link->ToCaller.IsHolding =
+            cut == LinkCut::Silent;
+        if (cut == LinkCut::Reset)
+          link->reset();
+        if (cut == LinkCut::Refused)
+          link->refuse();
+        else
+          link->hang();
+      }
+    });
+  }
+  /// Restores the links of node @p n.
+  void heal(int n) {
+    runOnPlatform([&] {
+      for (const auto &link : Links[n]) {
+        link->ToTarget.IsHolding = link->ToCaller.IsHolding = false;
+        link->open();
+      }
+    });
+  }
+  /// @return the node that leads, or -1 if there is none
+  static int leader() {
+    for (int n = 0; n < NodeCount; ++n)
+      if (readMetric(n, "waxwing_leading") == 1)
+        return n;
+    return -1;
+  }
+  /// @return index of a node that does not lead
+  static int follower() { return leader() == 0 ? 1 : 0; }
+
+private:
+  /// @return address of the proxy between node @p n and @p upstream
+  static Endpoint linkAddress(int n, const Endpoint &upstream) {
+    return address(300 + n * 50 + upstream.Port - NodeBasePort);
+  }
+  void addLink(int n, const Endpoint &upstream) {
+    Links[n].push_back(
+        std::make_unique<FaultProxy>(Loop, linkAddress(n, upstream), upstream));
+  }
+
+  std::vector<std::vector<std::unique_ptr<FaultProxy>>> Links; ///< by node
+};
+
+} // namespace waxwing
+
+#endif
