Fix: [Node] Refused connections of the leader end no ownership

After such a cut the leader gave no keys to upstreams that it had taken for ended, for the rest of its term.

Cause: Leadership took refusals of its own connections to an upstream over 0.25 s for the end of the upstream's process, and so of its grants. What one VM sees of an upstream is the state of its own links: further connections may be refused while the process runs and keeps its keys.

The test, on the unfixed code:

StrandedOwnerTest.RefusalsAtTheLeaderEndNoOwnership Violations: { "a key has the owners i-0 i-2" } StrandedOwnerTest.UpstreamsOwnKeysAgainAfterRefusals waitUntilKeysAreServed(0): false, expected true

Its three other cases (refused with kept connections, reset, silent) passed before.

Change: refusals end no ownership and no upstream's eligibility. What remains as proof: a new process of the upstream in the store, another process's answer at the address, an answered release, and the end of all grants. IsRefused of HttpCallResult served only this and is gone.

Why it works: each remaining proof comes from the upstream's side or from time; none rests on a connection that failed.

Conclusion: keys of a crashed upstream wait for the end of its grants (up to 4.4 s) unless its next process writes its entry before. No safe shorter proof is known.

--- a/src/node/call_client.cpp
+++ b/src/node/call_client.cpp
@@ -7,7 +7,6 @@
 #include "headers.h"
 #include "node/node_clock.h"
 
-#include <boost/asio/error.hpp>
 #include <fmt/format.h>
 #include <iterator>
 
@@ -50,11 +49,6 @@
     Result.Status = 0;
     Result.Error = why;
     Result.IsDelivered = isSent;
-    static const std::string refused =
-        "connect: " +
-        boost::system::error_code(boost::asio::error::connection_refused)
-            .message();
-    Result.IsRefused = why == refused;
     finish();
   }
 
--- a/src/node/call_client.h
+++ b/src/node/call_client.h
@@ -19,7 +19,6 @@
   http::Fields Headers;
   std::string Body;
   bool IsDelivered = true; ///< false: no byte of the request was sent
-  bool IsRefused = false;  ///< connection refused: no process listens there
   std::string Error;       ///< reason if there was no response
 };
 
--- a/src/node/leadership.cpp
+++ b/src/node/leadership.cpp
@@ -33,8 +33,6 @@
 /// Outcomes of orders to upstreams are collected for this time before the
 /// range maps are processed again, so that one write to the store covers them.
 constexpr Duration OrderBatchDelay = milliseconds(20);
-/// A process counts as ended when connections to it are refused for this time.
-constexpr Duration ConnectionRefusalTimeout = milliseconds(250);
 constexpr double MicrosPerSecond = 1e6;
 /// Processing time in s, assumed while no upstream of the service has a
 /// measured one.
@@ -499,19 +497,6 @@
              });
 }
 
-/// Marks the upstream's process as ended if connections have been refused for
-/// long enough.
-void Leadership::onConnectionRefused(const RangeOrder &order, Time now) {
-  const Upstream *upstream = Upstreams.find(order.Upstream);
-  if (upstream == nullptr)
-    return;
-  const std::pair process{order.Upstream, upstream->Entry.StartedAtMs};
-  const Time since =
-      ConnectionRefusedSince.try_emplace(process, now).first->second;
-  if (now >= since + ConnectionRefusalTimeout)
-    markUpstreamDead(order, now, "connections_refused");
-}
-
 /// Marks the process that the order was sent to as ended, so that it no longer
 /// holds any keys.
 void Leadership::markUpstreamDead(const RangeOrder &order, Time now,
@@ -546,10 +531,6 @@
       result.Status == StatusMisdirected || result.Status == StatusBadRequest;
   if (isDifferentProcess)
     markUpstreamDead(order, now, "address_in_use_by_another");
-  else if (result.IsRefused)
-    onConnectionRefused(order, now);
-  else if (const Upstream *upstream = Upstreams.find(order.Upstream))
-    ConnectionRefusedSince.erase({order.Upstream, upstream->Entry.StartedAtMs});
   const bool isRoutine =
       outcome == OrderOutcome::Accepted && order.Kind == OrderKind::Grant;
   logLine(isRoutine ? LogPriority::Routine : LogPriority::StateChange, now,
--- a/src/node/leadership.h
+++ b/src/node/leadership.h
@@ -103,7 +103,6 @@
                const HttpCallResult &result);
   std::vector<RangeUpstream> rangeUpstreams(const ServiceId &service,
                                             const RangeMap &map, Time now);
-  void onConnectionRefused(const RangeOrder &order, Time now);
   void markUpstreamDead(const RangeOrder &order, Time now,
                         std::string_view why);
 
@@ -132,9 +131,6 @@
   /// than the stored maps.
   std::map<ServiceId, RangeLeader> FormerRangeLeaders;
   std::set<ServiceId> ServicesDividedByKey; ///< services divided by key
-  /// Time since which an upstream process refuses connections, by upstream and
-  /// the process's start time.
-  std::map<std::pair<UpstreamId, std::int64_t>, Time> ConnectionRefusedSince;
   /// Upstream processes known to have ended, by upstream and start time.
   std::set<std::pair<UpstreamId, std::int64_t>> EndedUpstreamProcesses;
   LeadershipCounters Counters;
--- a/tests/stranded_vm_fixture.h
+++ b/tests/stranded_vm_fixture.h
@@ -14,9 +14,10 @@
 
 /// How the links of a VM to the upstreams are cut.
 enum class LinkCut : std::uint8_t {
-  Silent,  ///< present and further connections hang
-  Reset,   ///< present connections are reset, further ones hang
-  Refused, ///< present connections live on, further ones are refused
+  Silent,       ///< present and further connections hang
+  Reset,        ///< present connections are reset, further ones hang
+  Refused,      ///< present connections live on, further ones are refused
+  ResetRefused, ///< present connections are reset, further ones are refused
 };
 
 /// Upstreams are reached through one proxy for each pair of VM and upstream.
@@ -51,18 +52,14 @@
   /// Cuts the links of node @p n to all upstreams.
   void strand(int n, LinkCut cut) {
     runOnPlatform([&] {
-      for (const auto &link : Links[n]) {
-        link->ToTarget.IsHolding = link->ToCaller.IsHolding =
-            cut == LinkCut::Silent;
-        if (cut == LinkCut::Reset)
-          link->reset();
-        if (cut == LinkCut::Refused)
-          link->refuse();
-        else
-          link->hang();
-      }
+      for (const auto &link : Links[n])
+        cutLink(*link, cut);
     });
   }
+  /// Cuts the link of node @p n to the upstream @p upstream.
+  void cutLink(int n, std::size_t upstream, LinkCut cut) {
+    runOnPlatform([&] { cutLink(*Links[n][upstream], cut); });
+  }
   /// Restores the links of node @p n.
   void heal(int n) {
     runOnPlatform([&] {
@@ -87,6 +84,15 @@
   static Endpoint linkAddress(int n, const Endpoint &upstream) {
     return address(300 + n * 50 + upstream.Port - NodeBasePort);
   }
+  static void cutLink(FaultProxy &link, LinkCut cut) {
+    link.ToTarget.IsHolding = link.ToCaller.IsHolding = cut == LinkCut::Silent;
+    if (cut == LinkCut::Reset || cut == LinkCut::ResetRefused)
+      link.reset();
+    if (cut == LinkCut::Refused || cut == LinkCut::ResetRefused)
+      link.refuse();
+    else
+      link.hang();
+  }
   void addLink(int n, const Endpoint &upstream) {
     Links[n].push_back(
         std::make_unique<FaultProxy>(Loop, linkAddress(n, upstream), upstream));
