Fix: [Traffic] A router without links reports no crashed upstreams

What callers saw: a router whose links to the upstreams are reset and then refused reports every request in flight as crashing its upstream. The reports go to all routers; after the second cut, or with requests in flight at upstreams of two failure domains, all routers refuse these requests for 10 minutes (suspected_crasher), though no upstream has ended.

Cause: a refused probe counted as the upstream's crash.

Change: a refusal counts as a crash only between two observations: since the connection was lost, another upstream has answered on a new connection, and the refused connection was opened after that answer. The router probes two other upstreams, of other failure domains if there are any, after a first refusal, and the refusing one again after their answers. An upstream that answers on a connection opened after the loss has not crashed; its lost connections are dropped.

Why it works: the links are proven to work after the loss and before the refusal; a cut that ends and begins again makes new losses, which need an answer after them.

Conclusion: a single link that is reset and then refused is still taken for a crash of that upstream, and no crash is found while no other upstream answers (docs/REQUESTS.md). Not played with real daemons.

--- a/src/traffic/crasher_detector.cpp
+++ b/src/traffic/crasher_detector.cpp
@@ -6,6 +6,7 @@
 #include "traffic/crasher_detector_base.h"
 
 #include <algorithm>
+#include <ranges>
 
 namespace waxwing {
 
@@ -30,16 +31,46 @@
         {lost.Fingerprint, upstream, lost.Domain, now - lost.At});
 }
 
-void CrasherDetector::recordUpstreamCrash(const UpstreamId &upstream,
-                                          Time now) {
+bool CrasherDetector::recordRefusal(const UpstreamId &upstream, Time openedAt,
+                                    Time now) {
+  const Time refusedAt =
+      RefusedAt.try_emplace(upstream, openedAt).first->second;
   const auto [first, last] = LostConnections.equal_range(upstream);
+  Time since = first == last ? refusedAt : Time();
+  std::for_each(first, last, [&](const auto &entry) {
+    since = std::max(since, entry.second.At);
+  });
+  const bool areLinksWorking =
+      std::ranges::any_of(Answers, [&](const auto &entry) {
+        return entry.first != upstream && entry.second.OpenedAt > since &&
+               entry.second.AnsweredAt <= openedAt;
+      });
+  if (!areLinksWorking)
+    return false;
   std::for_each(first, last, [&](const auto &entry) {
     const LostConnection &lost = entry.second;
     if (now <= lost.At + CrashConfirmationSpan)
       attribute(lost, upstream, now);
   });
   LostConnections.erase(first, last);
+  RefusedAt.erase(upstream);
   CrashedAt[upstream] = now;
+  return true;
+}
+
+void CrasherDetector::recordAnswer(const UpstreamId &upstream, Time openedAt,
+                                   Time now) {
+  RefusedAt.erase(upstream);
+  Answers[upstream] = {openedAt, now};
+  // The process did not crash, or its next one is running already.
+  std::erase_if(LostConnections, [&](const auto &entry) {
+    return entry.first == upstream && entry.second.At <= openedAt;
+  });
+}
+
+std::vector<UpstreamId> CrasherDetector::refusingUpstreams() const {
+  const auto ids = RefusedAt | std::views::keys;
+  return {ids.begin(), ids.end()};
 }
 
 void CrasherDetector::recordCompleteResponse(RequestFingerprint fingerprint) {
@@ -139,6 +170,12 @@
   std::erase_if(LostConnections, [now](const auto &entry) {
     return now > entry.second.At + CrashConfirmationSpan;
   });
+  std::erase_if(RefusedAt, [now](const auto &entry) {
+    return now > entry.second + CrashConfirmationSpan;
+  });
+  std::erase_if(Answers, [now](const auto &entry) {
+    return now > entry.second.AnsweredAt + CrashConfirmationSpan;
+  });
   std::erase_if(CrashedAt, [now](const auto &entry) {
     return now > entry.second + SameCrashSpan;
   });
--- a/src/traffic/crasher_detector_base.h
+++ b/src/traffic/crasher_detector_base.h
@@ -37,6 +37,9 @@
 /// crashes. A complete response clears the reports of a request that is not
 /// suspected yet.
 ///
+/// What a router sees of an upstream is the state of its own links: refusals
+/// prove a crash only while the router can connect to other upstreams.
+///
 /// Invariant: two crashes in one failure domain within CommonCauseSpan make no
 /// request a suspect.
 class CrasherDetector {
@@ -46,8 +49,17 @@
   void recordConnectionLost(RequestFingerprint fingerprint,
                             const UpstreamId &upstream, const DomainId &domain,
                             Time now);
-  /// Records that the upstream refuses connections, that is, has crashed.
-  void recordUpstreamCrash(const UpstreamId &upstream, Time now);
+  /// Records that the upstream refused a connection that was opened at
+  /// @p openedAt. It counts as crashed if another upstream has answered on a
+  /// connection that was opened since requests were lost at this one, and
+  /// before @p openedAt; else this router may have lost its links.
+  /// @return whether the upstream counts as crashed
+  bool recordRefusal(const UpstreamId &upstream, Time openedAt, Time now);
+  /// Records that the upstream answered on a connection that was opened at
+  /// @p openedAt.
+  void recordAnswer(const UpstreamId &upstream, Time openedAt, Time now);
+  /// @return upstreams that refuse connections and do not count as crashed
+  std::vector<UpstreamId> refusingUpstreams() const;
   /// Records that an upstream sent a complete response to the request.
   void recordCompleteResponse(RequestFingerprint fingerprint);
   /// Adds reports of another router.
@@ -87,6 +99,11 @@
     DomainId Domain;
     Time At;
   };
+  /// A new connection on which an upstream answered.
+  struct AnsweredConnection {
+    Time OpenedAt;
+    Time AnsweredAt;
+  };
 
   /// @return whether the crash was not known yet and was added
   bool add(RequestFingerprint fingerprint, Crash crash, Time now);
@@ -107,6 +124,10 @@
   /// When each upstream was last found crashed. Further connections lost in
   /// the same crash may be reported after that.
   std::map<UpstreamId, Time> CrashedAt;
+  /// First refusal of each upstream that does not count as crashed.
+  std::map<UpstreamId, Time> RefusedAt;
+  /// Last connection of each upstream on which it answered.
+  std::map<UpstreamId, AnsweredConnection> Answers;
   /// Reports created here since the last takeNewReports(). Their Age is the
   /// time from the crash until they were created.
   std::vector<CrashReport> NewReports;
--- a/src/traffic/router_core_base.h
+++ b/src/traffic/router_core_base.h
@@ -147,6 +147,7 @@
   void checkHealth(Time now);
   /// Probes the upstream unless it was probed within ProbePeriod.
   void probe(const UpstreamId &upstream, Time now);
+  void probeOthers(const UpstreamId &upstream, Time now);
   /// Updates connection health and crash detection with an attempt's end.
   /// Changes the cause when the attempt was cancelled for a silent connection.
   void recordEnd(const AttemptState &attempt, AttemptEnded &event, Time now);
@@ -235,6 +236,7 @@
   CrasherDetector Crashers;
   ConnectionHealth Health;
   std::map<UpstreamId, Time> ProbedAt;
+  std::size_t NextControlProbe = 0; ///< rotates through the other upstreams
   std::atomic<std::uint64_t> SilentConnections{0};
   std::uint64_t NextKeyHomeAttempt = 1; ///< offset to FirstKeyHomeAttemptId
   /// Numbers of attempts started by this router, by service and key.
--- a/src/traffic/router_core_health.cpp
+++ b/src/traffic/router_core_health.cpp
@@ -7,12 +7,16 @@
 #include "traffic/router_core_base.h"
 
 #include <algorithm>
+#include <iterator>
+#include <ranges>
 
 namespace waxwing {
 namespace {
 
 /// Minimum time between two probes of one upstream.
 constexpr Duration ProbePeriod = milliseconds(100);
+/// Number of other upstreams that are probed when one refuses connections.
+constexpr std::size_t ControlProbes = 2;
 /// Pause of a request that may crash upstreams, while another such request
 /// runs at the same upstream or an identical one runs at any upstream.
 constexpr Duration PossibleCrasherPause = milliseconds(20);
@@ -20,10 +24,17 @@
 } // namespace
 
 void RouterCore::on(UpstreamProbed &event, Time now) {
-  if (event.IsAnswered)
+  if (event.IsAnswered) {
     Health.probeAnswered(event.Upstream, event.SentAt);
-  if (event.IsRefused)
-    Crashers.recordUpstreamCrash(event.Upstream, now);
+    Crashers.recordAnswer(event.Upstream, event.SentAt, now);
+    for (const UpstreamId &upstream : Crashers.refusingUpstreams()) {
+      ProbedAt.erase(upstream);
+      probe(upstream, now);
+    }
+  }
+  if (event.IsRefused &&
+      !Crashers.recordRefusal(event.Upstream, event.SentAt, now))
+    probeOthers(event.Upstream, now);
 }
 
 void RouterCore::on(LastConnectionClosed &event, Time) {
@@ -68,6 +79,24 @@
   Actions.emplace_back(ProbeUpstream{upstream, *address});
 }
 
+/// Probes upstreams of other failure domains than @p upstream, or of any if
+/// there are none, to find out whether this router's links work.
+void RouterCore::probeOthers(const UpstreamId &upstream, Time now) {
+  std::vector<UpstreamId> others;
+  for (const auto &[id, team] : Config->teams())
+    std::ranges::copy_if(team.Upstreams | std::views::keys,
+                         std::back_inserter(others),
+                         [&](const auto &it) { return it != upstream; });
+  const DomainId domain = domainOf(upstream);
+  std::ranges::stable_partition(
+      others, [&](const auto &it) { return domainOf(it) != domain; });
+  const auto apart = static_cast<std::size_t>(std::ranges::count_if(
+      others, [&](const auto &it) { return domainOf(it) != domain; }));
+  const std::size_t n = apart > 0 ? apart : others.size();
+  for (std::size_t it = 0; it < std::min(n, ControlProbes); ++it)
+    probe(others[NextControlProbe++ % n], now);
+}
+
 bool RouterCore::mayStartAttemptAt(RequestState &request,
                                    const UpstreamId &upstream, Time now) {
   if (Crashers.isSuspect(request.Fingerprint, now)) {
