Fix: [Routing] Upstreams that announce in a response that they leave get no new work

Cause: a leaving upstream says so in all its responses (Server-Leaving: 1). waxwing-node ignored that and went on sending until the entry in the store showed it, which takes up to a second or, when that VM reads old state, longer. The bound is drain_s after the VM has passed on the first such response, whether or not the VM is in touch with the store. Callers saw requests that a process cut or refused at its end.

Change: the response is read by platform/headers.*, with any status, if it belongs to the request, and in responses to grants and releases. The process (id and start time) counts as leaving in LeavingUpstreams, which no entry of the store undoes; a process that was started later is in service. Requests that another upstream can serve go there at once. An owner of keys, and the last upstreams of a service, get requests until 0.3 s before [bounds] drain has passed; a key that the owner rejects meanwhile waits for its next owner instead of being refused after 0.25 s. Hellos carry up to 256 leaving processes that the store still lists; a reader or leader that reads one treats it as its own notice, so readers pass it on and the leader moves the keys with the owner's consent. Gateway::noteLeaving() is there for other paths that learn of it. A counter waxwing_upstreams_leaving_total and a log line upstream_leaving show it.

Why it works: the time of the first notice is stored, and the window for keys ends before the bound that counts from a later moment (the forwarded response).

--- a/src/node/attempt.cpp
+++ b/src/node/attempt.cpp
@@ -152,6 +152,8 @@
   HasResponseHead = true;
   if (ResponseMetadata.Load)
     Handler.onLoadReport(Target.Id, *ResponseMetadata.Load);
+  if (ResponseMetadata.IsLeaving)
+    Handler.onLeavingAnnounced(Target);
   if (ResponseMetadata.KeepAliveS)
     Connection->IdleUntil = bootNow() + seconds(*ResponseMetadata.KeepAliveS);
   else
--- a/src/node/attempt.h
+++ b/src/node/attempt.h
@@ -35,6 +35,8 @@
   /// A response header reported the upstream's load.
   virtual void onLoadReport(const UpstreamId &upstream,
                             const platform::LoadReport &report) = 0;
+  /// A response of the upstream announced that it leaves.
+  virtual void onLeavingAnnounced(const UpstreamEntry &upstream) = 0;
   /// @return true if a failure response of the upstream would be retried
   ///   instead of forwarded
   virtual bool wouldRetry(const Exchange &exchange) const = 0;
--- a/src/node/cluster.cpp
+++ b/src/node/cluster.cpp
@@ -99,7 +99,7 @@
                  HttpCallClient &calls, NodeStoreClient &store,
                  StoreHealth &health, UpstreamTable &upstreams,
                  std::array<StoreFeed *, FeedCount> feeds)
-    : Store(store), Health(health),
+    : Store(store), Health(health), Upstreams(upstreams),
       Self{VmId(settings.Vm.text("name")), DomainId(settings.Vm.text("domain")),
            settings.Vm.decimal("processor_share")},
       PeerAddress(parseEndpoint(settings.Listen.text("peers"))),
@@ -111,6 +111,9 @@
                                            const RangeMap &after) {
     onRangeMapChange(service, before, after);
   };
+  OwnLeadership.OnLeavingAnnounced = [this](const UpstreamProcess &process) {
+    OnLeavingReported(process);
+  };
   OwnLeadership.OnLeading = [this](StoreRevision term) {
     setLeader({Self.Vm, PeerAddress, term});
     const Time now = bootNow();
@@ -392,6 +395,7 @@
   std::ranges::transform(
       Feeds, hello.StoreRevisions.begin(),
       [](const StoreFeed *feed) { return feed->revision(); });
+  hello.Leaving = Upstreams.newestLeaving(MaxReportedLeaving);
   if (Parent.isReader()) {
     hello.Report.emplace();
     hello.Report->StoreAge = now - Health.lastResponseAt();
@@ -465,6 +469,8 @@
   for (const auto &[service, keys] : hello.Keys)
     for (const std::uint16_t key : keys)
       reportKeyRequest(service, key);
+  for (const UpstreamProcess &process : hello.Leaving)
+    OnLeavingReported(process);
   // Before the report, so that the VM is complete when that arrives.
   if (Parent.isReader())
     sendMissingChanges(hello.StoreRevisions, sender);
@@ -747,6 +753,11 @@
   OwnLeadership.onRoutingStateChanged(config);
 }
 
+void Cluster::onUpstreamLeaving() {
+  OwnLeadership.onUpstreamLeaving();
+  NextHelloAt = bootNow();
+}
+
 void Cluster::resign() {
   IsResigned = true;
   OwnLeadership.resign("shutdown");
--- a/src/node/cluster.h
+++ b/src/node/cluster.h
@@ -39,6 +39,9 @@
   /// Called when services, upstreams or evacuations (failure domains that an
   /// operator has taken out) have changed.
   void onRoutingStateChanged(const RouteTable &config);
+  /// Called when an upstream of the table is found to leave. Its keys are moved
+  /// soon.
+  void onUpstreamLeaving();
   /// Reports that this VM received a request for @p key.
   void reportKeyRequest(const ServiceId &service, std::uint16_t key);
   /// Asks the leader immediately for range map changes.
@@ -68,6 +71,9 @@
 
   /// Called with the new range map of a service.
   std::function<void(const ServiceId &, const RangeMap &)> OnRangeMapUpdate;
+  /// Called when another VM, or the response to an order, reported that an
+  /// upstream process leaves.
+  std::function<void(const UpstreamProcess &)> OnLeavingReported;
   /// Called when the list of VMs has changed.
   std::function<void(const std::vector<VmInfo> &)> OnVmListChanged;
 
@@ -127,6 +133,7 @@
 
   NodeStoreClient &Store;
   StoreHealth &Health;
+  UpstreamTable &Upstreams;
   Candidate Self;
   Endpoint PeerAddress;
   boost::asio::ip::udp::socket UdpSocket;
--- a/src/node/gateway.cpp
+++ b/src/node/gateway.cpp
@@ -39,6 +39,10 @@
 /// deadline; an upstream in trouble may send bytes without end.
 constexpr Duration MaxResponseOvertime = seconds(5);
 
+/// A leaving owner of keys receives no requests from this long before the end
+/// of the drain bound.
+constexpr Duration LastRequestMargin = milliseconds(300);
+
 std::string makeLocalResponse(const Exchange &exchange, int status,
                               std::string_view phrase, Duration retryAfter,
                               std::string_view reason) {
@@ -89,6 +93,8 @@
   Context.OwnDomain = DomainId(settings.Vm.text("domain"));
   Context.Self = VmId(settings.Vm.text("name"));
   Context.Vms = {Context.Self};
+  Upstreams.leaving().setKeyServingTime(std::max<Duration>(
+      settings.Bounds.seconds("drain") - LastRequestMargin, Duration()));
   Context.Cold = {settings.WarmUp.decimal("overage"),
                   settings.WarmUp.decimal("slack")};
 }
--- a/src/node/gateway.h
+++ b/src/node/gateway.h
@@ -42,6 +42,8 @@
   std::uint64_t Queued = 0; ///< insertions of requests into a queue
   /// Requests whose caller disconnected before their response was determined.
   std::uint64_t CallersDisconnected = 0;
+  /// Upstream processes that announced in a response that they leave.
+  std::uint64_t LeavingUpstreams = 0;
   /// Requests that were read completely and ended without a complete response,
   /// for another reason than that their caller disconnected.
   EnumCounters<ConnectionEnd, ConnectionEndCount> Cuts;
@@ -62,6 +64,9 @@
   void setRangeMap(const ServiceId &service, RangeMap map);
   void setVms(std::vector<VmInfo> vms);
   void onUpstreamsChanged();
+  /// Records that a process of an upstream said in a response, to this VM or to
+  /// another one, that it leaves.
+  void noteLeaving(const UpstreamProcess &process, Time now);
   UpstreamTable &upstreams() { return Upstreams; }
   const RouteTable *config() const { return Config.get(); }
 
@@ -84,6 +89,8 @@
   /// Called when an upstream rejected a key, so the key's owner may have
   /// changed.
   std::function<void()> OnKeyRejected;
+  /// Called when noteLeaving() recorded something new.
+  std::function<void()> OnUpstreamLeaving;
 
   const GatewayCounters &counters() const { return Counters; }
   const std::map<std::string, LatencyStats> &latencies() const {
@@ -103,6 +110,7 @@
                     const AttemptResult &result) override;
   void onLoadReport(const UpstreamId &upstream,
                     const platform::LoadReport &report) override;
+  void onLeavingAnnounced(const UpstreamEntry &upstream) override;
   bool wouldRetry(const Exchange &exchange) const override;
 
 private:
--- a/src/node/gateway_send.cpp
+++ b/src/node/gateway_send.cpp
@@ -76,6 +76,21 @@
         bootNow());
 }
 
+void Gateway::onLeavingAnnounced(const UpstreamEntry &upstream) {
+  noteLeaving({upstream.Id, upstream.StartedAtMs}, bootNow());
+}
+
+void Gateway::noteLeaving(const UpstreamProcess &process, Time now) {
+  if (!Upstreams.leaving().note(process, now))
+    return;
+  ++Counters.LeavingUpstreams;
+  logLine(LogPriority::StateChange, now, "upstream_leaving",
+          "upstream={} born={}", sanitizeForLog(process.Id.Value),
+          process.StartedAtMs);
+  if (OnUpstreamLeaving)
+    OnUpstreamLeaving();
+}
+
 bool Gateway::wouldRetry(const Exchange &exchange) const {
   // The failed attempt is not counted in the exchange yet.
   return decideRetry(retryInput(exchange, 1, bootNow())) ==
@@ -144,7 +159,10 @@
   const Upstream *successor = Upstreams.findOtherAt(target.Address, target.Id);
   if (isDividedByKey(exchange->Service) && successor == nullptr) {
     exchange->FenceOfRejectedKey = exchange->SentFence;
-    exchange->WaitForOwnerUntil = now + MaxOwnerUpdateWait;
+    // The keys of a leaving owner get another one soon.
+    exchange->WaitForOwnerUntil = Upstreams.isLeaving(target.Id)
+                                      ? exchange->TimeoutAt
+                                      : now + MaxOwnerUpdateWait;
     exchange->TriedUpstreams.clear();
     if (OnKeyRejected)
       OnKeyRejected();
--- a/src/node/leadership.cpp
+++ b/src/node/leadership.cpp
@@ -3,6 +3,7 @@
  * Leader lease, range maps in the store, and orders to upstreams.
  */
 #include "node/leadership.h"
+#include "headers.h"
 #include "key_orders.h"
 
 #include "node/node_log.h"
@@ -328,6 +329,11 @@
   runServices();
 }
 
+void Leadership::onUpstreamLeaving() {
+  if (isLeading())
+    RunServicesTimer.scheduleBy(bootNow() + OrderBatchDelay);
+}
+
 std::vector<RangeUpstream> Leadership::rangeUpstreams(const ServiceId &service,
                                                       const RangeMap &map,
                                                       Time now) {
@@ -548,8 +554,12 @@
     markUpstreamDead(order, now, "address_in_use_by_another");
   else if (result.IsRefused)
     onConnectionRefused(order, now);
-  else if (const Upstream *upstream = Upstreams.find(order.Upstream))
-    ConnectionRefusedSince.erase({order.Upstream, upstream->Entry.StartedAtMs});
+  else if (const Upstream *upstream = Upstreams.find(order.Upstream)) {
+    const UpstreamProcess process{order.Upstream, upstream->Entry.StartedAtMs};
+    ConnectionRefusedSince.erase({process.Id, process.StartedAtMs});
+    if (platform::readResponseMetadata(result.Status, result.Headers).IsLeaving)
+      OnLeavingAnnounced(process);
+  }
   const bool isRoutine =
       outcome == OrderOutcome::Accepted && order.Kind == OrderKind::Grant;
   logLine(isRoutine ? LogPriority::Routine : LogPriority::StateChange, now,
--- a/src/node/leadership.h
+++ b/src/node/leadership.h
@@ -55,6 +55,8 @@
   void endForRestoredStore();
   /// Called when services, upstreams or evacuations have changed.
   void onRoutingStateChanged(const RouteTable &config);
+  /// Called when an upstream announced that it leaves.
+  void onUpstreamLeaving();
   /// Called when any VM received a request for @p key.
   void recordKeyRequest(const ServiceId &service, std::uint16_t key);
   /// Ends leadership and its lease immediately, so that another VM can lead.
@@ -71,6 +73,9 @@
   /// and the new map.
   std::function<void(const ServiceId &, const RangeMap &, const RangeMap &)>
       OnRangeMapChanged;
+  /// Called when an upstream announced in its response to an order that it
+  /// leaves.
+  std::function<void(const UpstreamProcess &)> OnLeavingAnnounced;
 
 private:
   /// Default timeout of calls to the store.
--- a/src/node/node_process.cpp
+++ b/src/node/node_process.cpp
@@ -73,6 +73,10 @@
     VmCluster.reportKeyRequest(service, key);
   };
   RequestGateway.OnKeyRejected = [this] { VmCluster.requestRangeMapUpdate(); };
+  RequestGateway.OnUpstreamLeaving = [this] { VmCluster.onUpstreamLeaving(); };
+  VmCluster.OnLeavingReported = [this](const UpstreamProcess &process) {
+    RequestGateway.noteLeaving(process, bootNow());
+  };
   VmCluster.OnRangeMapUpdate = [this](const ServiceId &service,
                                       const RangeMap &map) {
     RequestGateway.setRangeMap(service, map);
@@ -298,6 +302,9 @@
   page.addCounter("waxwing_callers_left_total",
                   "Requests whose caller left before the answer.",
                   data.CallersDisconnected);
+  page.addCounter("waxwing_upstreams_leaving_total",
+                  "Upstreams that announced in an answer that they leave.",
+                  data.LeavingUpstreams);
   page.addEndCounters("waxwing_requests_cut_total",
                       "Requests that this program ended without an answer.",
                       data.Cuts);
--- a/src/peers/peer_message.cpp
+++ b/src/peers/peer_message.cpp
@@ -84,10 +84,13 @@
       report = {encodeDuration(hello.Report->StoreAge),
                 encodeVmInfos(hello.Report->Followers)};
     }
-    return {HelloTag,       encodeCandidate(hello.Sender),
-            hello.ListHash, revisions,
-            keys,           hello.StoreRevisions,
-            report,         hello.HasLinks};
+    Json leaving = Json::array();
+    for (const UpstreamProcess &process : hello.Leaving)
+      leaving.push_back({process.Id.Value, process.StartedAtMs});
+    return {
+        HelloTag, encodeCandidate(hello.Sender), hello.ListHash, revisions,
+        keys,     hello.StoreRevisions,          report,         hello.HasLinks,
+        leaving};
   }
   Json operator()(const PeerReply &reply) const {
     Json list;
@@ -152,6 +155,9 @@
     hello.Report->Followers = decodeVmInfos(report.at(1));
   }
   hello.HasLinks = json.at(7).get<bool>();
+  for (const Json &process : json.at(8))
+    hello.Leaving.push_back({UpstreamId(process.at(0).get<std::string>()),
+                             process.at(1).get<std::int64_t>()});
   return hello;
 }
 
--- a/src/peers/peer_message_type.h
+++ b/src/peers/peer_message_type.h
@@ -12,6 +12,7 @@
 #include "distribution/change_history.h"
 #include "peers/candidacy.h"
 #include "ranges/range_type.h"
+#include "routing/leaving_upstreams.h"
 
 #include <array>
 #include <map>
@@ -48,6 +49,9 @@
   std::vector<VmInfo> Followers; ///< VMs that report to it, by name
 };
 
+/// Maximum number of leaving upstreams in a hello.
+inline constexpr std::size_t MaxReportedLeaving = 256;
+
 /// Report of a VM to its parent, sent a few times per second.
 struct PeerHello {
   Candidate Sender;
@@ -59,6 +63,9 @@
   std::map<ServiceId, std::vector<std::uint16_t>> Keys;
   FeedRevisions StoreRevisions{};
   std::optional<ReaderReport> Report; ///< nullopt if the sender is no reader
+  /// Upstream processes that announced that they leave; at most
+  /// MaxReportedLeaving.
+  std::vector<UpstreamProcess> Leaving;
 };
 
 /// The VMs known to the leader.
--- a/src/routing/upstream_table.cpp
+++ b/src/routing/upstream_table.cpp
@@ -120,7 +120,30 @@
   }
 }
 
-bool UpstreamTable::isUsable(const Upstream &upstream) const {
+bool UpstreamTable::isLeaving(const UpstreamId &id) const {
+  const Upstream *upstream = find(id);
+  return upstream != nullptr && isLeaving(*upstream);
+}
+
+std::vector<UpstreamProcess>
+UpstreamTable::newestLeaving(std::size_t maxCount) const {
+  std::vector<UpstreamProcess> result = Leaving.newest(maxCount);
+  std::erase_if(result, [this](const UpstreamProcess &process) {
+    const Upstream *upstream = find(process.Id);
+    return upstream != nullptr &&
+           (!upstream->IsListed ||
+            upstream->Entry.StartedAtMs > process.StartedAtMs);
+  });
+  return result;
+}
+
+bool UpstreamTable::mayServeLastRequests(const Upstream &upstream,
+                                         Time now) const {
+  return isLeaving(upstream) && isInService(upstream) &&
+         Leaving.mayServeLastRequests(upstream.Entry.Id, now);
+}
+
+bool UpstreamTable::isInService(const Upstream &upstream) const {
   return upstream.IsListed && !upstream.Entry.IsDraining &&
          !upstream.IsMisaddressed && !Evacuated.contains(upstream.Entry.Domain);
 }
@@ -174,8 +197,6 @@
   };
   std::vector<Candidate> candidates;
   const auto consider = [&](Upstream &upstream) {
-    if (!isUsable(upstream))
-      return;
     result.IsAnyUsable = true;
     if (!canReceiveRequest(upstream, context, rule->second, now))
       return;
@@ -188,12 +209,22 @@
   };
   if (request.RequiredUpstream) {
     if (Upstream *only = find(*request.RequiredUpstream);
-        only != nullptr && only->Entry.Service == request.Service)
+        only != nullptr && only->Entry.Service == request.Service &&
+        (isUsable(*only) || mayServeLastRequests(*only, now)))
       consider(*only);
   } else {
+    std::vector<Upstream *> untried;
     for (const UpstreamId &id : members->second)
       if (!request.TriedUpstreams.contains(id))
-        consider(*find(id));
+        untried.push_back(find(id));
+    const bool isAnyUsable =
+        std::ranges::any_of(untried, [this](const Upstream *upstream) {
+          return isUsable(*upstream);
+        });
+    for (Upstream *upstream : untried)
+      if (isAnyUsable ? isUsable(*upstream)
+                      : mayServeLastRequests(*upstream, now))
+        consider(*upstream);
   }
   if (candidates.empty())
     return result;
--- a/src/routing/upstream_table.h
+++ b/src/routing/upstream_table.h
@@ -6,6 +6,7 @@
 #define WAXWING_ROUTING_UPSTREAM_TABLE_H
 
 #include "routing/cold_share.h"
+#include "routing/leaving_upstreams.h"
 #include "routing/upstream_load_base.h"
 
 #include <functional>
@@ -79,6 +80,13 @@
   /// started anew since @p startedAtMs.
   /// @return true if that was not known
   bool markMisaddressed(const UpstreamId &id, std::int64_t startedAtMs);
+  /// Upstream processes that announced in a response that they leave.
+  LeavingUpstreams &leaving() { return Leaving; }
+  const LeavingUpstreams &leaving() const { return Leaving; }
+  /// @return true if the present process of @p id announced that
+  bool isLeaving(const UpstreamId &id) const;
+  /// @return the last leaving processes that may still run, up to @p maxCount
+  std::vector<UpstreamProcess> newestLeaving(std::size_t maxCount) const;
   /// @return a listed upstream other than @p id with this address, or nullptr
   const Upstream *findOtherAt(const Endpoint &address,
                               const UpstreamId &id) const;
@@ -98,7 +106,9 @@
                       const std::map<ServiceId, ServiceRules> &rules, Time now);
 
   /// @return true when new requests may go to @p upstream
-  bool isUsable(const Upstream &upstream) const;
+  bool isUsable(const Upstream &upstream) const {
+    return isInService(upstream) && !isLeaving(upstream);
+  }
   /// @return true if the keys of owner @p id, which is not usable, may get
   ///   another owner soon. An owner that has been gone for longer may hold its
   ///   keys until its grants expire.
@@ -118,6 +128,14 @@
   std::map<UpstreamId, Upstream> &all() { return Upstreams; }
 
 private:
+  /// @return isUsable() without regard to what the upstream said in responses
+  bool isInService(const Upstream &upstream) const;
+  bool isLeaving(const Upstream &upstream) const {
+    return Leaving.contains(upstream.Entry.Id, upstream.Entry.StartedAtMs);
+  }
+  /// @return true while @p upstream leaves and may receive requests that no
+  ///   usable upstream can serve
+  bool mayServeLastRequests(const Upstream &upstream, Time now) const;
   /// @return true when @p upstream may receive one more request now
   bool canReceiveRequest(Upstream &upstream,
                          const UpstreamChoiceContext &context,
@@ -126,6 +144,7 @@
   std::map<UpstreamId, Upstream> Upstreams;
   std::map<ServiceId, std::set<UpstreamId>> ByService;
   std::set<DomainId> Evacuated;
+  LeavingUpstreams Leaving;
 };
 
 } // namespace waxwing
