Fix: [Routing] Upstreams that ask for a pause in a refusal get no requests before its end

Cause: an upstream that refuses a request with 503 may add Retry-After: it wants nothing from this VM for so long. waxwing-node ignored the header: a refusal counted as Shed, which keeps requests away for 60 ms, and the next success of an earlier request lifted even that (Served resets BackoffUntil). Callers saw requests refused one after the other by an upstream that had said so before.

Upstream::PausedUntil is the end of the pause, 10 minutes at most (MaxUpstreamPause); neither a response nor an entry ends it, only a new process does. A choice among paused upstreams only names the first end of a pause: requests that any upstream could serve are refused at once with the rest of that time, since another VM may serve them; a request for a key of the paused owner waits if the pause fits into the time that it may queue, else it is refused at once with a Retry-After not before the end. Grants and releases go on. Counter waxwing_upstream_pauses_total, log line upstream_paused.

Why it works: the deadline is apart from the backoff, in boot time, and checked where every request chooses its upstream.

--- a/src/node/attempt.cpp
+++ b/src/node/attempt.cpp
@@ -22,6 +22,7 @@
 /// Bytes of a request that wait in the connection while the upstream does not
 /// read.
 constexpr std::size_t MaxUnwrittenRequestBytes = 65536;
+constexpr int StatusServiceUnavailable = 503;
 
 bool hasNoBody(const http::RequestHead &request, int status) {
   return request.Method == "HEAD" || status == 204 || status == 304;
@@ -154,6 +155,10 @@
     Handler.onLoadReport(Target.Id, *ResponseMetadata.Load);
   if (ResponseMetadata.IsLeaving)
     Handler.onLeavingAnnounced(Target);
+  if (ResponseStatus == StatusServiceUnavailable &&
+      ResponseMetadata.RetryAfterS)
+    Handler.onPauseAsked(
+        Target, std::chrono::duration<double>(*ResponseMetadata.RetryAfterS));
   if (ResponseMetadata.KeepAliveS)
     Connection->IdleUntil = bootNow() + seconds(*ResponseMetadata.KeepAliveS);
   else
--- a/src/node/attempt.h
+++ b/src/node/attempt.h
@@ -37,6 +37,9 @@
                             const platform::LoadReport &report) = 0;
   /// A response of the upstream announced that it leaves.
   virtual void onLeavingAnnounced(const UpstreamEntry &upstream) = 0;
+  /// The upstream refused the request and wants none for @p pause.
+  virtual void onPauseAsked(const UpstreamEntry &upstream,
+                            std::chrono::duration<double> pause) = 0;
   /// @return true if a failure response of the upstream would be retried
   ///   instead of forwarded
   virtual bool wouldRetry(const Exchange &exchange) const = 0;
--- a/src/node/exchange.h
+++ b/src/node/exchange.h
@@ -59,6 +59,9 @@
   Time WaitForOwnerUntil;
   /// Fence of the key's range when the last attempt was started.
   std::uint64_t SentFence = 0;
+  /// All upstreams for the request want none before this time, as found when
+  /// it was last tried to send it; Time() if some accept requests.
+  Time UpstreamsPausedUntil;
   Reason LastReason = Reason::None; ///< failure reason of the last attempt
   bool IsFinished = false;          ///< the final response is determined
   bool IsCallerDisconnected = false;
--- a/src/node/gateway.cpp
+++ b/src/node/gateway.cpp
@@ -427,6 +427,7 @@
   input.TargetLatency = exchange.MatchedRoute->TargetLatency;
   input.Waited = now - exchange.ArrivedAt;
   input.CanBeServedLater = canBeServedLater;
+  input.Pause = std::max(exchange.UpstreamsPausedUntil - now, Duration());
   const auto queue = Queues.find(exchange.Service);
   if (queue != Queues.end())
     input.QueuedAhead = static_cast<int>(std::ranges::count_if(
@@ -473,6 +474,7 @@
 bool Gateway::trySend(const std::shared_ptr<Exchange> &exchange, Time now,
                       bool &canBeServedLater) {
   canBeServedLater = true;
+  exchange->UpstreamsPausedUntil = Time();
   UpstreamChoiceRequest request;
   request.Service = exchange->Service;
   request.TriedUpstreams = exchange->TriedUpstreams;
@@ -502,6 +504,11 @@
   canBeServedLater = choice.IsAnyUsable ||
                      (request.RequiredUpstream &&
                       Upstreams.mayMoveSoon(*request.RequiredUpstream, now));
+  if (choice.PausedUntil != Time()) {
+    exchange->UpstreamsPausedUntil = choice.PausedUntil;
+    // Another VM may serve the request, while a key has one owner.
+    canBeServedLater &= request.RequiredUpstream.has_value();
+  }
   if (choice.Chosen == nullptr) {
     if (exchange->LastReason == Reason::None)
       exchange->LastReason =
--- a/src/node/gateway.h
+++ b/src/node/gateway.h
@@ -44,6 +44,8 @@
   std::uint64_t CallersDisconnected = 0;
   /// Upstream processes that announced in a response that they leave.
   std::uint64_t LeavingUpstreams = 0;
+  /// Pauses that upstreams asked for when they refused a request.
+  std::uint64_t UpstreamPauses = 0;
   /// Requests that were read completely and ended without a complete response,
   /// for another reason than that their caller disconnected.
   EnumCounters<ConnectionEnd, ConnectionEndCount> Cuts;
@@ -111,6 +113,8 @@
   void onLoadReport(const UpstreamId &upstream,
                     const platform::LoadReport &report) override;
   void onLeavingAnnounced(const UpstreamEntry &upstream) override;
+  void onPauseAsked(const UpstreamEntry &upstream,
+                    std::chrono::duration<double> pause) override;
   bool wouldRetry(const Exchange &exchange) const override;
 
 private:
--- a/src/node/gateway_send.cpp
+++ b/src/node/gateway_send.cpp
@@ -91,6 +91,19 @@
     OnUpstreamLeaving();
 }
 
+void Gateway::onPauseAsked(const UpstreamEntry &upstream,
+                           std::chrono::duration<double> pause) {
+  const Time now = bootNow();
+  const auto until =
+      Upstreams.pause(upstream.Id, upstream.StartedAtMs, pause, now);
+  if (!until)
+    return;
+  ++Counters.UpstreamPauses;
+  logLine(LogPriority::Failure, now, "upstream_paused",
+          "upstream={} service={} for_ms={}", sanitizeForLog(upstream.Id.Value),
+          sanitizeForLog(upstream.Service.Value), toMilliseconds(*until - now));
+}
+
 bool Gateway::wouldRetry(const Exchange &exchange) const {
   // The failed attempt is not counted in the exchange yet.
   return decideRetry(retryInput(exchange, 1, bootNow())) ==
--- a/src/node/node_process.cpp
+++ b/src/node/node_process.cpp
@@ -305,6 +305,9 @@
   page.addCounter("waxwing_upstreams_leaving_total",
                   "Upstreams that announced in an answer that they leave.",
                   data.LeavingUpstreams);
+  page.addCounter("waxwing_upstream_pauses_total",
+                  "Pauses that upstreams asked for when they refused.",
+                  data.UpstreamPauses);
   page.addEndCounters("waxwing_requests_cut_total",
                       "Requests that this program ended without an answer.",
                       data.Cuts);
--- a/src/routing/admission.cpp
+++ b/src/routing/admission.cpp
@@ -36,8 +36,9 @@
   const Duration work = input.TypicalProcessingTime > Duration()
                             ? input.TypicalProcessingTime
                             : DefaultProcessingTime;
-  const Duration queueingTime = scale(
-      work, (input.QueuedAhead + 1) / std::max(input.AvailableSlots, 0.1));
+  const Duration queueingTime =
+      input.Pause + scale(work, (input.QueuedAhead + 1) /
+                                    std::max(input.AvailableSlots, 0.1));
   const Duration spareTime =
       input.TimeLeft - scale(work, RequiredProcessingFraction);
   AdmissionDecision result;
@@ -46,12 +47,16 @@
       input.Waited;
   result.WaitLimit = std::max(std::min(spareTime, remainingWait), Duration());
   result.ShouldQueue = input.CanBeServedLater && queueingTime <= spareTime &&
-                       remainingWait > Duration();
+                       remainingWait > input.Pause;
   const Duration latest = scale(input.TimeLeft, MaxRetryDelayFraction);
   const Duration wanted =
-      std::max(MinRetryDelay, scale(queueingTime, 0.5 + draw)) +
+      std::max(MinRetryDelay, scale(queueingTime - input.Pause, 0.5 + draw)) +
       scale(MinRetryDelay, draw);
   result.RetryAfter = std::max(std::min(wanted, latest), Duration(1000));
+  // An earlier retry would be refused again.
+  if (input.Pause > Duration())
+    result.RetryAfter =
+        std::max(result.RetryAfter, input.Pause + scale(MinRetryDelay, draw));
   return result;
 }
 
--- a/src/routing/admission.h
+++ b/src/routing/admission.h
@@ -19,6 +19,7 @@
   Duration TypicalProcessingTime{};
   int QueuedAhead = 0;          ///< requests ahead of it in this VM's queue
   double AvailableSlots = 1;    ///< this VM's share of the upstreams' slots
+  Duration Pause{};             ///< until an upstream accepts requests again
   bool CanBeServedLater = true; ///< some upstream may be able to serve it later
 };
 
--- a/src/routing/upstream_table.cpp
+++ b/src/routing/upstream_table.cpp
@@ -47,6 +47,7 @@
     for (int n = 0; n < outstanding; ++n)
       upstream.Load.onRequestSent();
     upstream.ColdUntil = now + entry.WarmUpLeft;
+    upstream.PausedUntil = Time();
   } else if (entry.WarmUpLeft != upstream.Entry.WarmUpLeft ||
              entry.WarmUpLeft > Duration()) {
     upstream.ColdUntil = std::max(upstream.ColdUntil, now + entry.WarmUpLeft);
@@ -90,7 +91,7 @@
   std::vector<UpstreamId> removed;
   for (const auto &[id, upstream] : Upstreams)
     if (!upstream.IsListed && upstream.UnlistedAt < before &&
-        upstream.Load.outstanding() == 0)
+        upstream.PausedUntil < before && upstream.Load.outstanding() == 0)
       removed.push_back(id);
   for (const UpstreamId &id : removed) {
     ByService[Upstreams[id].Entry.Service].erase(id);
@@ -120,6 +121,22 @@
   }
 }
 
+std::optional<Time> UpstreamTable::pause(const UpstreamId &id,
+                                         std::int64_t startedAtMs,
+                                         std::chrono::duration<double> pause,
+                                         Time now) {
+  Upstream *upstream = find(id);
+  if (upstream == nullptr || upstream->Entry.StartedAtMs != startedAtMs)
+    return std::nullopt;
+  const Time until = now + std::chrono::duration_cast<Duration>(
+                               std::clamp<std::chrono::duration<double>>(
+                                   pause, Duration(), MaxUpstreamPause));
+  if (until <= std::max(upstream->PausedUntil, now))
+    return std::nullopt;
+  upstream->PausedUntil = until;
+  return until;
+}
+
 bool UpstreamTable::isLeaving(const UpstreamId &id) const {
   const Upstream *upstream = find(id);
   return upstream != nullptr && isLeaving(*upstream);
@@ -196,8 +213,12 @@
     double Cost;
   };
   std::vector<Candidate> candidates;
+  Time firstPauseEnd = Time::max();
   const auto consider = [&](Upstream &upstream) {
     result.IsAnyUsable = true;
+    firstPauseEnd = std::min(firstPauseEnd, upstream.PausedUntil);
+    if (now < upstream.PausedUntil)
+      return;
     if (!canReceiveRequest(upstream, context, rule->second, now))
       return;
     double cost = upstream.Load.cost(upstream.Entry.Slots, now);
@@ -226,6 +247,8 @@
                       : mayServeLastRequests(*upstream, now))
         consider(*upstream);
   }
+  if (result.IsAnyUsable && now < firstPauseEnd)
+    result.PausedUntil = firstPauseEnd;
   if (candidates.empty())
     return result;
   const double least = std::ranges::min(candidates, {}, &Candidate::Cost).Cost;
--- a/src/routing/upstream_table.h
+++ b/src/routing/upstream_table.h
@@ -26,6 +26,9 @@
   /// Another process answered at its address. Invariant: false after its entry
   /// has changed, since only the process itself writes that.
   bool IsMisaddressed = false;
+  /// The process asked for no requests before this time. Unlike the backoff of
+  /// Load, no response ends it.
+  Time PausedUntil;
   Time UnlistedAt; ///< when the entry was removed; valid while !IsListed
   Time ColdUntil;  ///< end of the warm-up; ColdShare applies until then
   /// Requests that this VM sent in the last second; limited to ColdShare while
@@ -36,6 +39,9 @@
   std::uint64_t ColdShareVersion = 0;
 };
 
+/// Longest pause that an upstream can ask for at a time.
+inline constexpr Duration MaxUpstreamPause = seconds(600);
+
 /// Inputs of the choice of an upstream that are the same for many requests.
 struct UpstreamChoiceContext {
   DomainId OwnDomain;
@@ -59,6 +65,8 @@
 struct UpstreamChoice {
   Upstream *Chosen = nullptr; ///< nullptr when no upstream can take the request
   bool IsAnyUsable = false;   ///< some upstream may be able to take it later
+  /// First end of a pause, if all usable upstreams are paused; else Time().
+  Time PausedUntil;
 };
 
 /// Totals over the usable upstreams of one service.
@@ -80,6 +88,12 @@
   /// started anew since @p startedAtMs.
   /// @return true if that was not known
   bool markMisaddressed(const UpstreamId &id, std::int64_t startedAtMs);
+  /// Records that the process of @p id that was started at @p startedAtMs wants
+  /// no requests for @p pause, which is limited to MaxUpstreamPause.
+  /// @return the end of the pause; nullopt if that process is not the present
+  ///   one or is paused for longer already
+  std::optional<Time> pause(const UpstreamId &id, std::int64_t startedAtMs,
+                            std::chrono::duration<double> pause, Time now);
   /// Upstream processes that announced in a response that they leave.
   LeavingUpstreams &leaving() { return Leaving; }
   const LeavingUpstreams &leaving() const { return Leaving; }
