--- a/src/standin/platform_base.h
+++ b/src/standin/platform_base.h
@@ -207,6 +207,13 @@
   void setServiceTime(Duration work) { Settings.ServiceTime = work; }
   /// While set, requests are refused as not executed.
   void setShedding(bool isShedding) { IsShedding = isShedding; }
+  /// Header lines, each with its line end, that responses to requests have from
+  /// now on.
+  void setRequestFields(std::string fields) {
+    RequestFields = std::move(fields);
+  }
+  /// The same for responses to orders.
+  void setOrderFields(std::string fields) { OrderFields = std::move(fields); }
   /// Orders are left unanswered and executed this much later; the time of a
   /// grant counts from the order's arrival. Zero: at once, with an answer.
   void setOrderDelay(Duration delay) { OrderDelay = delay; }
@@ -246,6 +253,8 @@
   std::vector<std::uint64_t> SeenFences;
   std::map<std::string, int> Executions;
   Duration OrderDelay{};
+  std::string RequestFields; ///< in responses to requests
+  std::string OrderFields;   ///< in responses to orders
   bool IsRunning = true;
   bool IsResetting = false;
   bool IsShedding = false;
--- a/src/standin/platform_server.cpp
+++ b/src/standin/platform_server.cpp
@@ -205,7 +205,7 @@
     const auto first = SeenFences.begin() + range.From;
     const auto last = SeenFences.begin() + range.To + 1;
     if (std::any_of(first, last, [&](auto seen) { return seen > fence; })) {
-      respond(formatResponse(409, "", ""));
+      respond(formatResponse(409, OrderFields, ""));
       return;
     }
     std::fill(first, last, fence);
@@ -236,7 +236,7 @@
     if (OnGrant)
       OnGrant(HeldGrants.back());
   }
-  respond(formatResponse(200, "Handover: h1\r\n", ""));
+  respond(formatResponse(200, OrderFields + "Handover: h1\r\n", ""));
 }
 
 void StandinUpstreamHost::handle(const StandinRequest &request,
@@ -263,11 +263,11 @@
       (key == nullptr ||
        !ownsKey(static_cast<std::uint16_t>(std::stoi(*key))))) {
     ++MisroutedRequests;
-    respond(formatResponse(421, "Not-Executed: 1\r\n", ""));
+    respond(formatResponse(421, RequestFields + "Not-Executed: 1\r\n", ""));
     return;
   }
   if (IsShedding) {
-    respond(formatResponse(503, "Not-Executed: 1\r\n", ""));
+    respond(formatResponse(503, RequestFields + "Not-Executed: 1\r\n", ""));
     return;
   }
   const std::string name = id == nullptr ? "" : *id;
@@ -286,9 +286,11 @@
     }
     respond(formatResponse(
         200,
-        fmt::format("Request-Id: {}\r\nBackend-Signature: {}\r\n"
-                    "Backend-Load: {},0,{},100\r\nKeep-Alive: timeout=10\r\n",
-                    name, Settings.Id, RunningRequests, Settings.Slots),
+        RequestFields +
+            fmt::format(
+                "Request-Id: {}\r\nBackend-Signature: {}\r\n"
+                "Backend-Load: {},0,{},100\r\nKeep-Alive: timeout=10\r\n",
+                name, Settings.Id, RunningRequests, Settings.Slots),
         body));
   });
 }
--- a/tests/upstream_pause_process_test.cpp
+++ b/tests/upstream_pause_process_test.cpp
@@ -97,5 +97,46 @@
   EXPECT_EQ(EarlyRequests, 0);
 }
 
+// Guards against requests to a paused owner of keys, and against an owner that
+// loses its keys because it gets no grants.
+TEST_F(NodeProcessTest, PausedOwnerGetsGrantsButNoRequests) {
+  ASSERT_TRUE(waitUntilKeysAreServed(0));
+  constexpr int key = 0;
+  int owner = -1;
+  int executions = 0;
+  runOnPlatform([&] {
+    for (int n = 0; n < 3; ++n)
+      if (Upstreams[n]->ownsKey(key))
+        owner = n;
+    ASSERT_GE(owner, 0);
+    // Longer than a grant lasts.
+    Upstreams[owner]->setRequestFields("Retry-After: 6\r\n");
+    Upstreams[owner]->setShedding(true);
+  });
+  EXPECT_EQ(sendKeyedRequest(0, key), 503);
+  const auto pausedAt = std::chrono::steady_clock::now();
+  runOnPlatform([&] {
+    Upstreams[owner]->setShedding(false);
+    Upstreams[owner]->OnExecution = [&](const StandinRequest &) {
+      ++executions;
+    };
+  });
+  while (std::chrono::steady_clock::now() < pausedAt + milliseconds(5500)) {
+    const auto sentAt = std::chrono::steady_clock::now();
+    EXPECT_EQ(sendKeyedRequest(0, key), 503);
+    EXPECT_LT(std::chrono::steady_clock::now() - sentAt, milliseconds(250));
+    std::this_thread::sleep_for(milliseconds(50));
+  }
+  runOnPlatform([&] {
+    EXPECT_EQ(executions, 0);
+    EXPECT_TRUE(Upstreams[owner]->ownsKey(key));
+  });
+  EXPECT_TRUE(waitFor([&] { return sendKeyedRequest(0, key) == 200; }));
+  runOnPlatform([&] {
+    EXPECT_GT(executions, 0);
+    Upstreams[owner]->OnExecution = nullptr;
+  });
+}
+
 } // namespace
 } // namespace waxwing
