--- a/src/node/cluster.cpp
+++ b/src/node/cluster.cpp
@@ -680,6 +680,7 @@
   vms[Self.Vm] = {Self, false, true};
   infos[Self.Vm] = describeSelf();
   std::vector<Candidate> candidates;
+  candidates.reserve(infos.size());
   for (const auto &[vm, info] : infos)
     candidates.push_back(info.Vm);
   // VMs that the former leader knew have some time to report to this one.
