--- a/src/node/gateway.cpp
+++ b/src/node/gateway.cpp
@@ -39,6 +39,10 @@
 /// deadline; an upstream in trouble may send bytes without end.
 constexpr Duration MaxResponseOvertime = seconds(5);
 
+/// A leaving owner of keys receives no requests from this long before the end
+/// of the drain bound.
+constexpr Duration LastRequestMargin = milliseconds(300);
+
 std::string makeLocalResponse(const Exchange &exchange, int status,
                               std::string_view phrase, Duration retryAfter,
                               std::string_view reason) {
@@ -89,6 +93,8 @@
   Context.OwnDomain = DomainId(settings.Vm.text("domain"));
   Context.Self = VmId(settings.Vm.text("name"));
   Context.Vms = {Context.Self};
+  Upstreams.leaving().setKeyServingTime(std::max<Duration>(
+      settings.Bounds.seconds("drain") - LastRequestMargin, Duration()));
   Context.Cold = {settings.WarmUp.decimal("overage"),
                   settings.WarmUp.decimal("slack")};
 }
@@ -421,6 +427,7 @@
   input.TargetLatency = exchange.MatchedRoute->TargetLatency;
   input.Waited = now - exchange.ArrivedAt;
   input.CanBeServedLater = canBeServedLater;
+  input.Pause = std::max(exchange.UpstreamsPausedUntil - now, Duration());
   const auto queue = Queues.find(exchange.Service);
   if (queue != Queues.end())
     input.QueuedAhead = static_cast<int>(std::ranges::count_if(
@@ -467,6 +474,7 @@
 bool Gateway::trySend(const std::shared_ptr<Exchange> &exchange, Time now,
                       bool &canBeServedLater) {
   canBeServedLater = true;
+  exchange->UpstreamsPausedUntil = Time();
   UpstreamChoiceRequest request;
   request.Service = exchange->Service;
   request.TriedUpstreams = exchange->TriedUpstreams;
@@ -496,6 +504,11 @@
   canBeServedLater = choice.IsAnyUsable ||
                      (request.RequiredUpstream &&
                       Upstreams.mayMoveSoon(*request.RequiredUpstream, now));
+  if (choice.PausedUntil != Time()) {
+    exchange->UpstreamsPausedUntil = choice.PausedUntil;
+    // Another VM may serve the request, while a key has one owner.
+    canBeServedLater &= request.RequiredUpstream.has_value();
+  }
   if (choice.Chosen == nullptr) {
     if (exchange->LastReason == Reason::None)
       exchange->LastReason =
--- a/src/node/leadership.cpp
+++ b/src/node/leadership.cpp
@@ -3,6 +3,7 @@
  * Leader lease, range maps in the store, and orders to upstreams.
  */
 #include "node/leadership.h"
+#include "headers.h"
 #include "key_orders.h"
 
 #include "node/node_log.h"
@@ -326,6 +327,11 @@
   runServices();
 }
 
+void Leadership::onUpstreamLeaving() {
+  if (isLeading())
+    RunServicesTimer.scheduleBy(bootNow() + OrderBatchDelay);
+}
+
 std::vector<RangeUpstream> Leadership::rangeUpstreams(const ServiceId &service,
                                                       const RangeMap &map,
                                                       Time now) {
@@ -531,6 +537,11 @@
       result.Status == StatusMisdirected || result.Status == StatusBadRequest;
   if (isDifferentProcess)
     markUpstreamDead(order, now, "address_in_use_by_another");
+  else if (const Upstream *upstream = Upstreams.find(order.Upstream);
+           upstream != nullptr &&
+           platform::readResponseMetadata(result.Status, result.Headers)
+               .IsLeaving)
+    OnLeavingAnnounced({order.Upstream, upstream->Entry.StartedAtMs});
   const bool isRoutine =
       outcome == OrderOutcome::Accepted && order.Kind == OrderKind::Grant;
   logLine(isRoutine ? LogPriority::Routine : LogPriority::StateChange, now,
--- a/src/routing/upstream_table.h
+++ b/src/routing/upstream_table.h
@@ -6,6 +6,7 @@
 #define WAXWING_ROUTING_UPSTREAM_TABLE_H
 
 #include "routing/cold_share.h"
+#include "routing/leaving_upstreams.h"
 #include "routing/upstream_load_base.h"
 
 #include <functional>
@@ -25,6 +26,9 @@
   /// Another process answered at its address. Invariant: false after its entry
   /// has changed, since only the process itself writes that.
   bool IsMisaddressed = false;
+  /// The process asked for no requests before this time. Unlike the backoff of
+  /// Load, no response ends it.
+  Time PausedUntil;
   Time UnlistedAt; ///< when the entry was removed; valid while !IsListed
   Time ColdUntil;  ///< end of the warm-up; ColdShare applies until then
   /// Requests that this VM sent in the last second; limited to ColdShare while
@@ -35,6 +39,9 @@
   std::uint64_t ColdShareVersion = 0;
 };
 
+/// Longest pause that an upstream can ask for at a time.
+inline constexpr Duration MaxUpstreamPause = seconds(600);
+
 /// Inputs of the choice of an upstream that are the same for many requests.
 struct UpstreamChoiceContext {
   DomainId OwnDomain;
@@ -58,6 +65,8 @@
 struct UpstreamChoice {
   Upstream *Chosen = nullptr; ///< nullptr when no upstream can take the request
   bool IsAnyUsable = false;   ///< some upstream may be able to take it later
+  /// First end of a pause, if all usable upstreams are paused; else Time().
+  Time PausedUntil;
 };
 
 /// Totals over the usable upstreams of one service.
@@ -79,6 +88,19 @@
   /// started anew since @p startedAtMs.
   /// @return true if that was not known
   bool markMisaddressed(const UpstreamId &id, std::int64_t startedAtMs);
+  /// Records that the process of @p id that was started at @p startedAtMs wants
+  /// no requests for @p pause, which is limited to MaxUpstreamPause.
+  /// @return the end of the pause; nullopt if that process is not the present
+  ///   one or is paused for longer already
+  std::optional<Time> pause(const UpstreamId &id, std::int64_t startedAtMs,
+                            std::chrono::duration<double> pause, Time now);
+  /// Upstream processes that announced in a response that they leave.
+  LeavingUpstreams &leaving() { return Leaving; }
+  const LeavingUpstreams &leaving() const { return Leaving; }
+  /// @return true if the present process of @p id announced that
+  bool isLeaving(const UpstreamId &id) const;
+  /// @return the last leaving processes that may still run, up to @p maxCount
+  std::vector<UpstreamProcess> newestLeaving(std::size_t maxCount) const;
   /// @return a listed upstream other than @p id with this address, or nullptr
   const Upstream *findOtherAt(const Endpoint &address,
                               const UpstreamId &id) const;
@@ -98,7 +120,9 @@
                       const std::map<ServiceId, ServiceRules> &rules, Time now);
 
   /// @return true when new requests may go to @p upstream
-  bool isUsable(const Upstream &upstream) const;
+  bool isUsable(const Upstream &upstream) const {
+    return isInService(upstream) && !isLeaving(upstream);
+  }
   /// @return true if the keys of owner @p id, which is not usable, may get
   ///   another owner soon. An owner that has been gone for longer may hold its
   ///   keys until its grants expire.
@@ -118,6 +142,14 @@
   std::map<UpstreamId, Upstream> &all() { return Upstreams; }
 
 private:
+  /// @return isUsable() without regard to what the upstream said in responses
+  bool isInService(const Upstream &upstream) const;
+  bool isLeaving(const Upstream &upstream) const {
+    return Leaving.contains(upstream.Entry.Id, upstream.Entry.StartedAtMs);
+  }
+  /// @return true while @p upstream leaves and may receive requests that no
+  ///   usable upstream can serve
+  bool mayServeLastRequests(const Upstream &upstream, Time now) const;
   /// @return true when @p upstream may receive one more request now
   bool canReceiveRequest(Upstream &upstream,
                          const UpstreamChoiceContext &context,
@@ -126,6 +158,7 @@
   std::map<UpstreamId, Upstream> Upstreams;
   std::map<ServiceId, std::set<UpstreamId>> ByService;
   std::set<DomainId> Evacuated;
+  LeavingUpstreams Leaving;
 };
 
 } // namespace waxwing
