Add: [Node] Each VM knows and reports whether its links to upstreams work

Nothing told a VM, or the others, that its links to the upstreams were cut.

A change goes to the other VMs with a hello at once. Log: event=links working=...; metrics waxwing_links_working and waxwing_link_tests_total.

Conclusion: ground for relayed requests and for leaders that resign.

--- a/src/node/call_client.cpp
+++ b/src/node/call_client.cpp
@@ -100,9 +100,13 @@
                    "Content-Type: application/json\r\nContent-Length: {}\r\n",
                    call.Body.size());
   request += "\r\n" + call.Body;
-  auto connection = Pool.acquire(peer, bootNow(), seconds(60));
+  const Time now = bootNow();
+  auto connection = Pool.acquire(peer, now, seconds(60));
   if (!connection)
-    connection = Pool.open(peer);
+    connection = Pool.open(peer, [this, target, now](bool isConnected) {
+      if (!target.empty() && OnTargetConnectEnd)
+        OnTargetConnectEnd(target, now, isConnected);
+    });
   std::make_shared<PendingCall>(
       Loop, Pool, std::move(connection),
       target.empty() ? MaxStoreResponse : MaxOrderResponse, std::move(callback))
--- a/src/node/client_connection.cpp
+++ b/src/node/client_connection.cpp
@@ -43,7 +43,8 @@
 
 ClientConnection::~ClientConnection() { close(); }
 
-void ClientConnection::open() {
+void ClientConnection::open(std::function<void(bool)> onConnectEnd) {
+  OnConnectEnd = std::move(onConnectEnd);
   error_code ec;
   const auto address = asio::ip::make_address(Peer.Address, ec);
   if (!ec)
@@ -76,7 +77,9 @@
     return;
   }
   IsOpen = true;
+  IdleSince = bootNow();
   ConnectTimer.cancel();
+  reportConnectEnd();
   scheduleRead();
   flush();
 }
@@ -272,10 +275,16 @@
   const auto self = shared_from_this();
   ResponseObserver *observer = std::exchange(Observer, nullptr);
   close();
+  reportConnectEnd();
   if (observer != nullptr)
     observer->onConnectionLost(why, IsSent);
 }
 
+void ClientConnection::reportConnectEnd() {
+  if (const auto callback = std::exchange(OnConnectEnd, nullptr))
+    callback(IsOpen);
+}
+
 void ClientConnection::close() {
   if (IsClosed)
     return;
--- a/src/node/client_connection.h
+++ b/src/node/client_connection.h
@@ -13,6 +13,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <functional>
 #include <memory>
 #include <string>
 
@@ -48,7 +49,9 @@
 
   /// Starts to connect; a request may be started before the connection is
   /// established.
-  void open();
+  /// @param onConnectEnd called with true when the connection is established,
+  ///   or with false if that failed; not called if it was closed before
+  void open(std::function<void(bool)> onConnectEnd = {});
   /// Starts a request.
   /// @param observer must stay valid until the request ends or close()
   /// @param bytes the request's head and the first part of its body
@@ -91,11 +94,13 @@
   bool parse(std::string_view bytes);
   void finishResponse();
   void fail(const std::string &why);
+  void reportConnectEnd();
 
   boost::asio::ip::tcp::socket Socket;
   boost::asio::steady_timer ConnectTimer;
   Endpoint Peer;
-  ResponseObserver *Observer = nullptr; ///< nullptr while idle
+  std::function<void(bool)> OnConnectEnd; ///< empty once it was called
+  ResponseObserver *Observer = nullptr;   ///< nullptr while idle
   std::unique_ptr<http::ResponseParser> Parser;
   std::string UnwrittenOutput; ///< request bytes that are not yet written
   std::string UnparsedInput;   ///< response bytes that are not yet parsed
--- a/src/node/cluster.cpp
+++ b/src/node/cluster.cpp
@@ -650,7 +650,8 @@
     return;
   logLine(LogPriority::StateChange, bootNow(), "links", "working={}",
           isWorking);
-  NextHelloAt = bootNow();
+  if (!IsResigned)
+    sendHello(bootNow());
 }
 
 /// Rebuilds the leader's VM list: itself, the VMs that sent a hello recently,
--- a/src/node/connection_pool.cpp
+++ b/src/node/connection_pool.cpp
@@ -55,9 +55,11 @@
   return found != Idle.end() && !found->second.empty();
 }
 
-std::shared_ptr<ClientConnection> ConnectionPool::open(const Endpoint &peer) {
+std::shared_ptr<ClientConnection>
+ConnectionPool::open(const Endpoint &peer,
+                     std::function<void(bool)> onConnectEnd) {
   auto connection = std::make_shared<ClientConnection>(Loop, peer);
-  connection->open();
+  connection->open(std::move(onConnectEnd));
   return connection;
 }
 
--- a/src/node/connection_pool.h
+++ b/src/node/connection_pool.h
@@ -22,8 +22,10 @@
   /// @return the most recently used idle connection to @p peer, or nullptr
   std::shared_ptr<ClientConnection> acquire(const Endpoint &peer, Time now,
                                             Duration maxIdle);
+  /// @param onConnectEnd as for ClientConnection::open()
   /// @return a new connection that is being established
-  std::shared_ptr<ClientConnection> open(const Endpoint &peer);
+  std::shared_ptr<ClientConnection>
+  open(const Endpoint &peer, std::function<void(bool)> onConnectEnd = {});
   /// @return true if there is an idle connection to @p peer, even one that
   ///   has been idle too long for acquire()
   bool hasIdle(const Endpoint &peer) const;
--- a/src/node/gateway.cpp
+++ b/src/node/gateway.cpp
@@ -78,6 +78,7 @@
 
 Gateway::Gateway(asio::io_context &loop, const NodeSettings &settings)
     : Loop(loop), Acceptor(loop), Random(randomNumber()), Pool(loop),
+      Links(loop, Pool, Upstreams),
       Bodies(static_cast<std::size_t>(settings.Vm.decimal("memory") *
                                       BodyMemoryFraction * BytesPerMegabyte)),
       TimeoutTimer(loop, [this] { checkTimeouts(); }),
@@ -86,6 +87,7 @@
   Retries = {settings.Retries.seconds("window"),
              settings.Retries.decimal("ratio"),
              settings.Retries.decimal("slack")};
+  Links.OnChange = [this](bool isWorking) { onLinksChanged(isWorking); };
   Context.OwnDomain = DomainId(settings.Vm.text("domain"));
   Context.Self = VmId(settings.Vm.text("name"));
   Context.Vms = {Context.Self};
@@ -149,6 +151,12 @@
   ++Context.VmsVersion;
 }
 
+void Gateway::onLinksChanged(bool isWorking) {
+  if (OnLinksChanged)
+    OnLinksChanged(isWorking);
+  QueueTimer.scheduleBy(bootNow());
+}
+
 void Gateway::onUpstreamsChanged() { sendAllQueued(); }
 
 std::size_t Gateway::queuedCount() const {
--- a/src/node/gateway.h
+++ b/src/node/gateway.h
@@ -12,6 +12,7 @@
 #include "node/attempt.h"
 #include "node/caller_connection.h"
 #include "node/connection_pool.h"
+#include "node/link_tester.h"
 #include "node/node_clock.h"
 #include "peers/peer_message_type.h"
 #include "ranges/range_type.h"
@@ -65,6 +66,17 @@
   UpstreamTable &upstreams() { return Upstreams; }
   const RouteTable *config() const { return Config.get(); }
 
+  /// @return false while this VM cannot open connections to upstreams
+  bool areLinksWorking() const { return Links.areLinksWorking(); }
+  /// @return number of test connections opened to judge the links
+  std::uint64_t linkTestCount() const { return Links.testCount(); }
+  /// Called when a new connection to @p upstream, of this gateway or not, was
+  /// established or failed.
+  void onConnectEnd(const UpstreamId &upstream, Time startedAt,
+                    bool isConnected) {
+    Links.onConnectEnd(upstream, startedAt, isConnected);
+  }
+
   /// From now on, a response closes the caller's connection unless a later
   /// request of the connection was accepted before the response began.
   void beginDraining();
@@ -84,6 +96,8 @@
   /// Called when an upstream rejected a key, so the key's owner may have
   /// changed.
   std::function<void()> OnKeyRejected;
+  /// Called with the new value when areLinksWorking() has changed.
+  std::function<void(bool)> OnLinksChanged;
 
   const GatewayCounters &counters() const { return Counters; }
   const std::map<std::string, LatencyStats> &latencies() const {
@@ -148,6 +162,7 @@
   void recordCut(const Exchange &exchange, ConnectionEnd why, Time now);
   void onExchangeFinished(const std::shared_ptr<Exchange> &exchange);
   ServiceRetryBudget &retryBudget(const ServiceId &service);
+  void onLinksChanged(bool isWorking);
   void sweep();
 
   boost::asio::io_context &Loop;
@@ -159,6 +174,7 @@
   std::map<ServiceId, RangeMap> Ranges;
   UpstreamTable Upstreams;
   ConnectionPool Pool;
+  LinkTester Links;
   std::map<ServiceId, ServiceRetryBudget> RetryBudgets;
   std::map<ServiceId, std::pair<ServiceSummary, Time>> ServiceSummaryCache;
   /// Queued requests of each service, ordered by Exchange::position().
--- a/src/node/gateway_send.cpp
+++ b/src/node/gateway_send.cpp
@@ -44,7 +44,10 @@
                                              : MaxIdleTimeForNonIdempotent);
   const bool isNew = connection == nullptr;
   if (isNew) {
-    connection = Pool.open(address);
+    connection = Pool.open(
+        address, [this, id = upstream.Entry.Id, now](bool isConnected) {
+          Links.onConnectEnd(id, now, isConnected);
+        });
     ++Counters.Connections;
   }
   ++Counters.Sent;
--- a/src/node/node_process.cpp
+++ b/src/node/node_process.cpp
@@ -73,6 +73,13 @@
     VmCluster.reportKeyRequest(service, key);
   };
   RequestGateway.OnKeyRejected = [this] { VmCluster.requestRangeMapUpdate(); };
+  RequestGateway.OnLinksChanged = [this](bool isWorking) {
+    VmCluster.setLinksWorking(isWorking);
+  };
+  Calls.OnTargetConnectEnd = [this](const std::string &target, Time startedAt,
+                                    bool isConnected) {
+    RequestGateway.onConnectEnd(UpstreamId(target), startedAt, isConnected);
+  };
   VmCluster.OnRangeMapUpdate = [this](const ServiceId &service,
                                       const RangeMap &map) {
     RequestGateway.setRangeMap(service, map);
@@ -324,6 +331,12 @@
                 VmCluster.isLeader() ? 1 : 0);
   page.addGauge("waxwing_reader", "1 on a VM that reads the store for others.",
                 VmCluster.isReader() ? 1 : 0);
+  page.addGauge("waxwing_links_working",
+                "0 while no connection to an upstream can be opened.",
+                RequestGateway.areLinksWorking() ? 1 : 0);
+  page.addCounter("waxwing_link_tests_total",
+                  "Connections opened to upstreams to test this VM's links.",
+                  RequestGateway.linkTestCount());
   page.addGauge("waxwing_vms", "VMs known.",
                 static_cast<double>(VmCluster.vmCount()));
   page.addCounter("waxwing_store_calls_total", "Calls to the store.",
--- a/src/routing/upstream_table.h
+++ b/src/routing/upstream_table.h
@@ -116,6 +116,7 @@
   Upstream *find(const UpstreamId &id);
   const Upstream *find(const UpstreamId &id) const;
   std::map<UpstreamId, Upstream> &all() { return Upstreams; }
+  const std::map<UpstreamId, Upstream> &all() const { return Upstreams; }
 
 private:
   /// @return true when @p upstream may receive one more request now
