Fix: [Routing] Connections that failed for lack of own links count against no upstream

While a VM had no links, each failed connection raised the failure rate and the backoff (up to 3.2 s) of the upstream behind it, so that the VM avoided sound upstreams when its links were back.

What callers saw: refusals and detours for seconds after a cut had ended.

Change: UpstreamLoad keeps its failure estimate a second time without the recent connection failures (less than 2 s between them); UpstreamTable takes that one when the links are known as lost. Until they are back, and for attempts begun before that, failed and broken connections do not count. Estimates from responses, and older connection failures, are kept.

Conclusion: what a VM learned about upstreams while its links were lost is forgotten; upstreams that fail by themselves stay known.

--- a/src/node/gateway.cpp
+++ b/src/node/gateway.cpp
@@ -152,6 +152,7 @@
 }
 
 void Gateway::onLinksChanged(bool isWorking) {
+  Upstreams.setLinksWorking(isWorking, bootNow());
   if (OnLinksChanged)
     OnLinksChanged(isWorking);
   QueueTimer.scheduleBy(bootNow());
--- a/src/node/gateway_send.cpp
+++ b/src/node/gateway_send.cpp
@@ -90,8 +90,7 @@
   const Time now = bootNow();
   const auto self = std::exchange(exchange->CurrentAttempt, nullptr);
   const Duration latency = now - attempt.startedAt();
-  if (Upstream *upstream = Upstreams.find(attempt.upstream().Id))
-    upstream->Load.onAttemptEnd(result.End, latency, now);
+  Upstreams.onAttemptEnd(attempt.upstream().Id, result.End, latency, now);
   if (result.End == AttemptOutcome::ConnectionBroken ||
       result.End == AttemptOutcome::NotConnected)
     Pool.closeIdle(attempt.upstream().Address);
--- a/src/routing/upstream_load.cpp
+++ b/src/routing/upstream_load.cpp
@@ -25,6 +25,8 @@
 /// Backoff after a connection error, doubled for each consecutive one.
 constexpr Duration InitialBackoff = milliseconds(200);
 constexpr int MaxBackoffDoublings = 4;
+/// Backoff after the upstream refused a request because it is overloaded.
+constexpr Duration ShedBackoff = milliseconds(60);
 /// Additional cost of an attempt that fails, relative to an attempt that
 /// succeeds.
 constexpr double FailureCost = 4;
@@ -36,6 +38,11 @@
 
 } // namespace
 
+bool isConnectionFailure(AttemptOutcome end) {
+  return end == AttemptOutcome::NotConnected ||
+         end == AttemptOutcome::ConnectionBroken;
+}
+
 void UpstreamLoad::onLoadReport(const ReportedLoad &report, Time now) {
   // The report includes this VM's own requests, except the one that was just
   // answered.
@@ -54,43 +61,53 @@
 void UpstreamLoad::onAttemptEnd(AttemptOutcome end, Duration latency,
                                 Time now) {
   Outstanding = std::max(0, Outstanding - 1);
-  const auto updateFailureRate = [&](double value) {
-    FailureRate += FailureWeight * (value - FailureRate);
-  };
-  const auto backOff = [&] {
-    BackoffUntil =
-        std::max(BackoffUntil,
-                 now + InitialBackoff * (1 << std::min(ConsecutiveFailures,
-                                                       MaxBackoffDoublings)));
-    ++ConsecutiveFailures;
+  if (isConnectionFailure(end)) {
+    if (LastConnectionFailureAt == Time::min() ||
+        now > LastConnectionFailureAt + LinkLossLookback)
+      SettledFailures = Failures;
+    LastConnectionFailureAt = now;
+  } else {
+    SettledFailures.update(end, now);
+  }
+  Failures.update(end, now);
+  if (end != AttemptOutcome::Served)
+    return;
+  const double slots = std::max(ReportedSlots, 1);
+  const double queueingRounds = std::max(0.0, busy(now) + 1 - slots) / slots;
+  const double work =
+      static_cast<double>(latency.count()) / (1 + queueingRounds) / Slowness;
+  ProcessingUs = ProcessingUs == 0 ? work
+                                   : ProcessingUs + ProcessingTimeWeight *
+                                                        (work - ProcessingUs);
+}
+
+void UpstreamLoad::FailureEstimate::update(AttemptOutcome end, Time now) {
+  const auto updateRate = [&](double value) {
+    Rate += FailureWeight * (value - Rate);
   };
   switch (end) {
-  case AttemptOutcome::Served: {
-    ConsecutiveFailures = 0;
+  case AttemptOutcome::Served:
+    Consecutive = 0;
     BackoffUntil = Time();
-    updateFailureRate(0);
-    const double slots = std::max(ReportedSlots, 1);
-    const double queueingRounds = std::max(0.0, busy(now) + 1 - slots) / slots;
-    const double work =
-        static_cast<double>(latency.count()) / (1 + queueingRounds) / Slowness;
-    ProcessingUs = ProcessingUs == 0 ? work
-                                     : ProcessingUs + ProcessingTimeWeight *
-                                                          (work - ProcessingUs);
+    updateRate(0);
     break;
-  }
   case AttemptOutcome::Failed:
-    ConsecutiveFailures = 0;
-    updateFailureRate(1);
+    Consecutive = 0;
+    updateRate(1);
     break;
   case AttemptOutcome::Shed:
-    ConsecutiveFailures = 0;
-    updateFailureRate(0.5);
-    BackoffUntil = std::max(BackoffUntil, now + milliseconds(60));
+    Consecutive = 0;
+    updateRate(0.5);
+    BackoffUntil = std::max(BackoffUntil, now + ShedBackoff);
     break;
   case AttemptOutcome::NotConnected:
   case AttemptOutcome::ConnectionBroken:
-    updateFailureRate(1);
-    backOff();
+    updateRate(1);
+    BackoffUntil =
+        std::max(BackoffUntil,
+                 now + InitialBackoff *
+                           (1 << std::min(Consecutive, MaxBackoffDoublings)));
+    ++Consecutive;
     break;
   case AttemptOutcome::WrongUpstream:
   case AttemptOutcome::Cancelled:
@@ -98,6 +115,11 @@
   }
 }
 
+void UpstreamLoad::forgetConnectionFailures(Time since) {
+  if (LastConnectionFailureAt >= since)
+    Failures = SettledFailures;
+}
+
 double UpstreamLoad::busy(Time now) const {
   return Outstanding +
          OtherVmsRequests * std::exp(-ageUs(ReportAt, now) / ReportDecayUs);
@@ -112,7 +134,8 @@
 double UpstreamLoad::cost(int slots, Time now) const {
   const double queueingRounds =
       std::max(0.0, busy(now) + 1 - slots) / std::max(slots, 1);
-  return slowness(now) * (1 + queueingRounds) * (1 + FailureCost * FailureRate);
+  return slowness(now) * (1 + queueingRounds) *
+         (1 + FailureCost * Failures.Rate);
 }
 
 } // namespace waxwing
--- a/src/routing/upstream_load_base.h
+++ b/src/routing/upstream_load_base.h
@@ -24,6 +24,13 @@
   Cancelled,     ///< the caller left or the deadline passed
 };
 
+/// @return true when the attempt failed without a complete response
+bool isConnectionFailure(AttemptOutcome end);
+
+/// Failed connections within this time before a VM's links to the upstreams are
+/// known as lost count as caused by that loss.
+inline constexpr Duration LinkLossLookback = seconds(2);
+
 /// Load that an upstream reported in a response.
 struct ReportedLoad {
   int Running = 0; ///< requests in processing
@@ -42,6 +49,9 @@
   /// @param latency from sending the request to the complete response
   void onAttemptEnd(AttemptOutcome end, Duration latency, Time now);
   void onLoadReport(const ReportedLoad &report, Time now);
+  /// Forgets the recent connection failures if the last of them was at
+  /// @p since or later, because this VM's links caused them.
+  void forgetConnectionFailures(Time since);
 
   /// @return estimated number of requests, from all VMs, that the upstream is
   ///   processing or has queued
@@ -51,7 +61,7 @@
   double cost(int slots, Time now) const;
   /// @return false during the backoff after errors, while the upstream gets no
   ///   requests
-  bool isOutOfBackoff(Time now) const { return now >= BackoffUntil; }
+  bool isOutOfBackoff(Time now) const { return now >= Failures.BackoffUntil; }
   int outstanding() const { return Outstanding; }
   /// @return expected processing time of a request that is sent now, relative
   ///   to an upstream of normal speed
@@ -63,6 +73,15 @@
   double processingUs() const { return ProcessingUs; }
 
 private:
+  /// What failed attempts say about the upstream.
+  struct FailureEstimate {
+    double Rate = 0;     ///< moving average of failed attempts, 0 to 1
+    int Consecutive = 0; ///< consecutive attempts without a response
+    Time BackoffUntil;   ///< the upstream gets no requests before this time
+
+    void update(AttemptOutcome end, Time now);
+  };
+
   int Outstanding = 0; ///< requests of this VM without an outcome yet
   /// Other VMs' requests at the upstream, from the last load report.
   double OtherVmsRequests = 0;
@@ -73,10 +92,12 @@
   double LastingSlowness = 1;
   bool HasReport = false;
   int ReportedSlots = 0;
-  double ProcessingUs = 0;     ///< mean processing time at normal speed, us
-  double FailureRate = 0;      ///< moving average of failed attempts, 0 to 1
-  int ConsecutiveFailures = 0; ///< consecutive attempts without a response
-  Time BackoffUntil; ///< the upstream gets no requests before this time
+  double ProcessingUs = 0; ///< mean processing time at normal speed, us
+  FailureEstimate Failures;
+  /// Failures without the recent connection failures, that is, the last ones
+  /// with less than LinkLossLookback between them.
+  FailureEstimate SettledFailures;
+  Time LastConnectionFailureAt = Time::min();
 };
 
 } // namespace waxwing
--- a/src/routing/upstream_table.cpp
+++ b/src/routing/upstream_table.cpp
@@ -233,4 +233,25 @@
   upstream.RecentSends.add(now);
 }
 
+void UpstreamTable::onAttemptEnd(const UpstreamId &id, AttemptOutcome end,
+                                 Duration latency, Time now) {
+  Upstream *upstream = find(id);
+  if (upstream == nullptr)
+    return;
+  const bool isOwnFailure = isConnectionFailure(end) &&
+                            (!AreLinksWorking || now - latency < LinksBackAt);
+  upstream->Load.onAttemptEnd(isOwnFailure ? AttemptOutcome::Cancelled : end,
+                              latency, now);
+}
+
+void UpstreamTable::setLinksWorking(bool isWorking, Time now) {
+  AreLinksWorking = isWorking;
+  if (isWorking) {
+    LinksBackAt = now;
+    return;
+  }
+  for (auto &[id, upstream] : Upstreams)
+    upstream.Load.forgetConnectionFailures(now - LinkLossLookback);
+}
+
 } // namespace waxwing
--- a/src/routing/upstream_table.h
+++ b/src/routing/upstream_table.h
@@ -112,6 +112,12 @@
   ServiceSummary summarizeService(const ServiceId &service);
   /// Counts a request that this VM is sending to @p upstream.
   void countSentRequest(Upstream &upstream, Time now);
+  /// Records the outcome of an attempt, which took @p latency. Connections that
+  /// failed while this VM had lost its links do not count.
+  void onAttemptEnd(const UpstreamId &id, AttemptOutcome end, Duration latency,
+                    Time now);
+  /// This VM has lost its links to all upstreams, or has them again.
+  void setLinksWorking(bool isWorking, Time now);
 
   Upstream *find(const UpstreamId &id);
   const Upstream *find(const UpstreamId &id) const;
@@ -127,6 +133,8 @@
   std::map<UpstreamId, Upstream> Upstreams;
   std::map<ServiceId, std::set<UpstreamId>> ByService;
   std::set<DomainId> Evacuated;
+  bool AreLinksWorking = true;
+  Time LinksBackAt; ///< end of the last loss of this VM's links
 };
 
 } // namespace waxwing
--- a/tests/routing_test.cpp
+++ b/tests/routing_test.cpp
@@ -118,6 +118,57 @@
   EXPECT_EQ(choose(), UpstreamId("u1"));
 }
 
+/// Guards against a VM that avoids sound upstreams for seconds after its own
+/// links were cut.
+TEST_F(ChoiceTest, FailuresOfOwnLinksDoNotCountAgainstUpstreams) {
+  Upstream &upstream = add("u1");
+  const double soundCost = upstream.Load.cost(4, Now);
+  const auto fail = [&](AttemptOutcome end, Duration latency) {
+    Table.countSentRequest(upstream, Now);
+    Table.onAttemptEnd(upstream.Entry.Id, end, latency, Now);
+  };
+  for (int n = 0; n < 5; ++n) {
+    fail(AttemptOutcome::NotConnected, milliseconds(400));
+    Now += milliseconds(300);
+  }
+  EXPECT_FALSE(upstream.Load.isOutOfBackoff(Now));
+  Table.setLinksWorking(false, Now);
+  EXPECT_TRUE(upstream.Load.isOutOfBackoff(Now));
+  for (int n = 0; n < 5; ++n) {
+    fail(AttemptOutcome::ConnectionBroken, milliseconds(400));
+    Now += milliseconds(800);
+  }
+  Table.setLinksWorking(true, Now);
+  // Sent while the links were lost.
+  Now += milliseconds(100);
+  fail(AttemptOutcome::ConnectionBroken, milliseconds(400));
+  EXPECT_TRUE(upstream.Load.isOutOfBackoff(Now));
+  EXPECT_EQ(upstream.Load.cost(4, Now), soundCost);
+  fail(AttemptOutcome::NotConnected, milliseconds(1));
+  EXPECT_FALSE(upstream.Load.isOutOfBackoff(Now));
+}
+
+/// Guards against forgetting that an upstream failed by itself before the links
+/// were cut.
+TEST_F(ChoiceTest, OwnFailuresOfUpstreamsOutlastALossOfLinks) {
+  Upstream &upstream = add("u1");
+  const double soundCost = upstream.Load.cost(4, Now);
+  const auto end = [&](AttemptOutcome outcome) {
+    Table.countSentRequest(upstream, Now);
+    Table.onAttemptEnd(upstream.Entry.Id, outcome, milliseconds(1), Now);
+  };
+  end(AttemptOutcome::NotConnected);
+  Now += LinkLossLookback + seconds(1);
+  end(AttemptOutcome::Failed);
+  const double failingCost = upstream.Load.cost(4, Now);
+  EXPECT_GT(failingCost, soundCost);
+  end(AttemptOutcome::NotConnected);
+  EXPECT_GT(upstream.Load.cost(4, Now), failingCost);
+  Table.setLinksWorking(false, Now);
+  Table.setLinksWorking(true, Now);
+  EXPECT_EQ(upstream.Load.cost(4, Now), failingCost);
+}
+
 TEST_F(ChoiceTest, FailingUpstreamIsNotChosenWhileOthersAreFree) {
   Upstream &failing = add("u1");
   add("u2");
