Fix: [Peers] A leader without links resigns, and VMs with links succeed it

A leader that was cut off from all upstreams kept its lease in the store, while its grants reached nobody. All grants ended after 4 s, so the other VMs had no owner for any key.

Change: a leader that knows that its links are lost, and has heard within 1.5 s of a VM with links, resigns ("no_links"). Successors are VMs with links first. A VM without links waits 2 s longer than in its place before it tries to lead, so it leads only if nobody else does. A leader yields only to stronger VMs that have links. If no VM has links, nobody resigns.

Why it works: a grant lasts 4 s and is renewed each 1.2 s, so the grants sent before a cut last at least 2.8 s; the loss is known after about 1 s, and a new leader renews all grants at once.

Conclusion: the keys stay served at VMs with links while the leader is cut off.

--- a/src/node/cluster.cpp
+++ b/src/node/cluster.cpp
@@ -322,7 +322,7 @@
                                   !LastLeader.Value.empty();
   if (isAfterRestoration && LastLeader == Self.Vm)
     return {};
-  return candidacyDelay(Self, List.Successors, LastEndedTerm) +
+  return candidacyDelay(Self, HasLinks, List.Successors, LastEndedTerm) +
          (isAfterRestoration ? LastLeaderHeadStart : Duration());
 }
 
@@ -337,15 +337,34 @@
   OwnLeadership.tryBecomeLeader(Self.Vm, PeerAddress, term);
 }
 
-/// Resigns if a VM with much more processor time is available.
+/// @return true if another VM, heard of recently, has links to the upstreams
+bool Cluster::isOtherVmLinked(Time now) const {
+  return std::ranges::any_of(Peers, [&](const auto &entry) {
+    const Peer &peer = entry.second;
+    return now < peer.LastMessageAt + ReaderSuspicionTimeout &&
+           (peer.HasLinks ||
+            (peer.Report &&
+             std::ranges::any_of(peer.Report->Followers, &VmInfo::HasLinks)));
+  });
+}
+
+/// Resigns if this VM has lost its links and another one has them, or if a VM
+/// with much more processor time is available.
 void Cluster::resignIfBetterLeader(Time now) {
-  if (now < NextHandoverCheckAt || Health.isUnavailable())
+  if (Health.isUnavailable())
+    return;
+  if (!HasLinks) {
+    if (isOtherVmLinked(now))
+      OwnLeadership.resign("no_links");
+    return;
+  }
+  if (now < NextHandoverCheckAt)
     return;
   NextHandoverCheckAt = now + HandoverCheckInterval;
   std::vector<Candidate> others;
-  std::ranges::transform(
-      Peers, std::back_inserter(others),
-      [](const auto &entry) { return entry.second.CandidateInfo; });
+  for (const auto &[vm, peer] : Peers)
+    if (peer.HasLinks)
+      others.push_back(peer.CandidateInfo);
   if (shouldYieldLeadership(Self, others))
     OwnLeadership.resign("stronger_vm");
 }
@@ -675,8 +694,12 @@
   vms[Self.Vm] = {Self, false, true};
   infos[Self.Vm] = describeSelf();
   std::vector<Candidate> candidates;
-  for (const auto &[vm, info] : infos)
+  std::set<VmId> withoutLinks;
+  for (const auto &[vm, info] : infos) {
     candidates.push_back(info.Vm);
+    if (!info.HasLinks)
+      withoutLinks.insert(vm);
+  }
   // VMs that the former leader knew have some time to report to this one.
   if (now < KeepFormerListUntil)
     for (const VmInfo &vm : List.Vms)
@@ -684,8 +707,8 @@
   VmList list;
   for (const auto &[vm, info] : infos)
     list.Vms.push_back(info);
-  list.Successors =
-      chooseSuccessors(std::move(candidates), Self.Vm, Leader.Term);
+  list.Successors = chooseSuccessors(std::move(candidates), withoutLinks,
+                                     Self.Vm, Leader.Term);
   if (list != List)
     setVmList(std::move(list));
   if (now < NextPlanAt)
--- a/src/node/cluster.h
+++ b/src/node/cluster.h
@@ -119,6 +119,7 @@
   VmInfo describe(const Peer &peer) const;
   VmInfo describeSelf() const;
   void resignIfBetterLeader(Time now);
+  bool isOtherVmLinked(Time now) const;
   void setVmList(VmList list);
   void onLeaderEnded(StoreRevision term);
   bool isSuccessor() const;
--- a/src/peers/candidacy.cpp
+++ b/src/peers/candidacy.cpp
@@ -31,12 +31,15 @@
 /// Upper bound of a pseudo-random delay, so that VMs that do not know each
 /// other do not all become candidates at the same time.
 constexpr Duration MaxRandomDelay = milliseconds(300);
+/// Additional delay of a VM without links, after the attempts of all others.
+constexpr Duration NoLinksDelay = milliseconds(2000);
 /// A leader yields only to VMs with at least this many times its CPU cores.
 constexpr double YieldCoreRatio = 2;
 
 } // namespace
 
 std::vector<VmId> chooseSuccessors(std::vector<Candidate> candidates,
+                                   const std::set<VmId> &withoutLinks,
                                    const VmId &leader, std::uint64_t term) {
   const auto leaderEntry =
       std::ranges::find(candidates, leader, &Candidate::Vm);
@@ -50,7 +53,8 @@
     const auto next = std::ranges::min_element(
         candidates, {}, [&](const Candidate &candidate) {
           const auto chosen = chosenInDomain.find(candidate.Domain);
-          return std::tuple(-candidate.CpuCores,
+          return std::tuple(withoutLinks.contains(candidate.Vm),
+                            -candidate.CpuCores,
                             chosen == chosenInDomain.end() ? 0 : chosen->second,
                             hashText(candidate.Vm.Value, term));
         });
@@ -61,19 +65,21 @@
   return result;
 }
 
-Duration candidacyDelay(const Candidate &self,
+Duration candidacyDelay(const Candidate &self, bool hasLinks,
                         const std::vector<VmId> &successors,
                         std::uint64_t term) {
+  const Duration linksDelay = hasLinks ? Duration() : NoLinksDelay;
   const auto position = std::ranges::find(successors, self.Vm);
   if (position != successors.end())
-    return SuccessorDelayStep * (position - successors.begin());
+    return linksDelay + SuccessorDelayStep * (position - successors.begin());
   const auto coresDelay = std::chrono::duration_cast<Duration>(
       OneCoreDelay / std::max(self.CpuCores, MinCpuCores));
   const auto spread = Duration(static_cast<Duration::rep>(
       hashText(self.Vm.Value, term) %
       static_cast<std::uint64_t>(MaxRandomDelay.count())));
-  return (successors.empty() ? Duration() : NonSuccessorDelay) + coresDelay +
-         (self.CpuCores < WeakVmCores ? WeakVmDelay : Duration()) + spread;
+  return linksDelay + (successors.empty() ? Duration() : NonSuccessorDelay) +
+         coresDelay + (self.CpuCores < WeakVmCores ? WeakVmDelay : Duration()) +
+         spread;
 }
 
 bool shouldYieldLeadership(const Candidate &leader,
--- a/tests/candidacy_test.cpp
+++ b/tests/candidacy_test.cpp
@@ -8,6 +8,7 @@
 #include <algorithm>
 #include <gtest/gtest.h>
 #include <set>
+#include <vector>
 
 namespace waxwing {
 namespace {
@@ -32,7 +33,7 @@
   const auto vms = createVms(4, 2, 18);
   for (std::uint64_t term = 1; term < 50; ++term) {
     const VmId leader = vms[(term * 7) % vms.size()].Vm;
-    const auto successors = chooseSuccessors(vms, leader, term);
+    const auto successors = chooseSuccessors(vms, {}, leader, term);
     ASSERT_EQ(successors.size(), MaxSuccessors);
     for (const VmId &vm : successors) {
       EXPECT_NE(vm, leader);
@@ -44,7 +45,7 @@
 TEST(Candidacy, FirstSuccessorsAreOutsideOfTheLeadersDomain) {
   const auto vms = createVms(3, 2, 3);
   for (std::uint64_t term = 1; term < 50; ++term) {
-    const auto successors = chooseSuccessors(vms, vms.front().Vm, term);
+    const auto successors = chooseSuccessors(vms, {}, vms.front().Vm, term);
     std::set<DomainId> domains;
     for (std::size_t n = 0; n < 2; ++n)
       domains.insert(find(vms, successors[n]).Domain);
@@ -55,10 +56,10 @@
 
 TEST(Candidacy, SuccessorsTryOneAfterTheOtherBeforeAllOthers) {
   const auto vms = createVms(4, 2, 18);
-  const auto successors = chooseSuccessors(vms, vms.front().Vm, 9);
+  const auto successors = chooseSuccessors(vms, {}, vms.front().Vm, 9);
   Duration last = Duration(-1);
   for (const VmId &vm : successors) {
-    const Duration delay = candidacyDelay(find(vms, vm), successors, 9);
+    const Duration delay = candidacyDelay(find(vms, vm), true, successors, 9);
     EXPECT_GT(delay, last);
     last = delay;
   }
@@ -66,7 +67,7 @@
     const bool isSuccessor =
         std::ranges::find(successors, vm.Vm) != successors.end();
     if (!isSuccessor) {
-      EXPECT_GT(candidacyDelay(vm, successors, 9), last);
+      EXPECT_GT(candidacyDelay(vm, true, successors, 9), last);
     }
   }
 }
@@ -76,7 +77,7 @@
   Duration slowestStrong{};
   Duration fastestWeak = Duration::max();
   for (const Candidate &vm : vms) {
-    const Duration delay = candidacyDelay(vm, {}, 0);
+    const Duration delay = candidacyDelay(vm, true, {}, 0);
     if (vm.CpuCores > 0.4)
       slowestStrong = std::max(slowestStrong, delay);
     else
@@ -85,6 +86,48 @@
   EXPECT_LT(slowestStrong, fastestWeak);
 }
 
+/// Guards against a chain of leaders whose grants reach no upstream.
+TEST(Candidacy, VmsWithLinksSucceedBeforeThoseWithout) {
+  const auto vms = createVms(4, 2, 18);
+  std::set<VmId> withoutLinks; // all strong VMs, and a weak one
+  for (const Candidate &vm : vms)
+    if (vm.CpuCores > 0.4)
+      withoutLinks.insert(vm.Vm);
+  withoutLinks.insert(vms.back().Vm);
+  for (std::uint64_t term = 1; term < 50; ++term) {
+    const auto successors =
+        chooseSuccessors(vms, withoutLinks, vms.front().Vm, term);
+    ASSERT_EQ(successors.size(), MaxSuccessors);
+    for (const VmId &vm : successors)
+      EXPECT_FALSE(withoutLinks.contains(vm));
+  }
+}
+
+/// Guards against a candidate without links that is faster than one with links,
+/// also where it was named a successor before it lost them.
+TEST(Candidacy, VmsWithoutLinksWaitForAllOthers) {
+  const auto vms = createVms(4, 2, 18);
+  const auto successors = chooseSuccessors(vms, {}, vms.front().Vm, 9);
+  for (const auto &known : {successors, std::vector<VmId>()}) {
+    Duration slowest{};
+    Duration fastestWithout = Duration::max();
+    for (const Candidate &vm : vms) {
+      slowest = std::max(slowest, candidacyDelay(vm, true, known, 9));
+      fastestWithout =
+          std::min(fastestWithout, candidacyDelay(vm, false, known, 9));
+    }
+    EXPECT_GT(fastestWithout, slowest);
+  }
+}
+
+/// Guards against keys without grants when no VM has links for a while: one of
+/// them leads, so that its grants go on as soon as its links are back.
+TEST(Candidacy, AVmWithoutLinksLeadsIfNobodyElseDoes) {
+  const auto vms = createVms(2, 1, 3);
+  for (const Candidate &vm : vms)
+    EXPECT_LT(candidacyDelay(vm, false, {}, 0), seconds(4));
+}
+
 TEST(Candidacy, WeakLeaderYieldsOnlyToMuchStrongerVms) {
   const Candidate weak{VmId("a"), DomainId("d"), 0.1};
   const Candidate similar{VmId("b"), DomainId("d"), 0.15};
@@ -102,7 +145,7 @@
     const bool isStrong = n < 18;
     const Duration delay = candidacyDelay(
         {VmId("vm" + std::to_string(n)), DomainId("d"), isStrong ? 0.5 : 0.1},
-        {}, 0);
+        true, {}, 0);
     if (isStrong)
       lastStrong = std::max(lastStrong, delay);
     else
