Fix: [Admission] Slots of a service are shared among the VMs that have links

Admission gives each VM an equal part of a service's slots. While half of the VMs have no links, the others serve their callers too, and refused requests that the upstreams had room for.

Change: the slots are divided by the number of listed VMs with links, at least 1.

Conclusion: suspected to help, not measured alone.

--- a/src/node/gateway.cpp
+++ b/src/node/gateway.cpp
@@ -140,6 +140,8 @@
 }
 
 void Gateway::setVms(std::vector<VmInfo> vms) {
+  LinkedVmCount =
+      std::max<std::size_t>(1, std::ranges::count_if(vms, &VmInfo::HasLinks));
   std::vector<VmId> names;
   std::ranges::transform(vms, std::back_inserter(names),
                          [](const VmInfo &vm) { return vm.Vm.Vm; });
@@ -437,8 +439,7 @@
           return other->position() <= exchange.position();
         }));
   const ServiceSummary &service = serviceSummary(exchange.Service, now);
-  input.AvailableSlots =
-      service.Slots / static_cast<double>(Context.Vms.size());
+  input.AvailableSlots = service.Slots / static_cast<double>(LinkedVmCount);
   input.TypicalProcessingTime = service.TypicalProcessingTime;
   const RangeRow *row = findRangeRow(exchange);
   const Upstream *owner = row == nullptr ? nullptr : Upstreams.find(row->Owner);
--- a/src/node/gateway.h
+++ b/src/node/gateway.h
@@ -189,6 +189,9 @@
   DeadlineTimer SweepTimer;
   GatewayCounters Counters;
   std::map<std::string, LatencyStats> Latencies; ///< by route name
+  /// VMs that can open connections to upstreams; the requests of the others are
+  /// sent by these. At least 1.
+  std::size_t LinkedVmCount = 1;
   int ActiveExchanges = 0;
   bool IsDraining = false;
   bool IsRefusing = false;
