--- a/src/node/gateway.cpp
+++ b/src/node/gateway.cpp
@@ -82,6 +82,7 @@
 
 Gateway::Gateway(asio::io_context &loop, const NodeSettings &settings)
     : Loop(loop), Acceptor(loop), Random(randomNumber()), Pool(loop),
+      Links(loop, Pool, Upstreams),
       Bodies(static_cast<std::size_t>(settings.Vm.decimal("memory") *
                                       BodyMemoryFraction * BytesPerMegabyte)),
       TimeoutTimer(loop, [this] { checkTimeouts(); }),
@@ -90,6 +91,7 @@
   Retries = {settings.Retries.seconds("window"),
              settings.Retries.decimal("ratio"),
              settings.Retries.decimal("slack")};
+  Links.OnChange = [this](bool isWorking) { onLinksChanged(isWorking); };
   Context.OwnDomain = DomainId(settings.Vm.text("domain"));
   Context.Self = VmId(settings.Vm.text("name"));
   Context.Vms = {Context.Self};
@@ -144,6 +146,8 @@
 }
 
 void Gateway::setVms(std::vector<VmInfo> vms) {
+  LinkedVmCount =
+      std::max<std::size_t>(1, std::ranges::count_if(vms, &VmInfo::HasLinks));
   std::vector<VmId> names;
   std::ranges::transform(vms, std::back_inserter(names),
                          [](const VmInfo &vm) { return vm.Vm.Vm; });
@@ -155,6 +159,13 @@
   ++Context.VmsVersion;
 }
 
+void Gateway::onLinksChanged(bool isWorking) {
+  Upstreams.setLinksWorking(isWorking, bootNow());
+  if (OnLinksChanged)
+    OnLinksChanged(isWorking);
+  QueueTimer.scheduleBy(bootNow());
+}
+
 void Gateway::onUpstreamsChanged() { sendAllQueued(); }
 
 std::size_t Gateway::queuedCount() const {
@@ -435,8 +446,7 @@
           return other->position() <= exchange.position();
         }));
   const ServiceSummary &service = serviceSummary(exchange.Service, now);
-  input.AvailableSlots =
-      service.Slots / static_cast<double>(Context.Vms.size());
+  input.AvailableSlots = service.Slots / static_cast<double>(LinkedVmCount);
   input.TypicalProcessingTime = service.TypicalProcessingTime;
   const RangeRow *row = findRangeRow(exchange);
   const Upstream *owner = row == nullptr ? nullptr : Upstreams.find(row->Owner);
--- a/src/routing/upstream_table.h
+++ b/src/routing/upstream_table.h
@@ -136,10 +136,17 @@
   ServiceSummary summarizeService(const ServiceId &service);
   /// Counts a request that this VM is sending to @p upstream.
   void countSentRequest(Upstream &upstream, Time now);
+  /// Records the outcome of an attempt, which took @p latency. Connections that
+  /// failed while this VM had lost its links do not count.
+  void onAttemptEnd(const UpstreamId &id, AttemptOutcome end, Duration latency,
+                    Time now);
+  /// This VM has lost its links to all upstreams, or has them again.
+  void setLinksWorking(bool isWorking, Time now);
 
   Upstream *find(const UpstreamId &id);
   const Upstream *find(const UpstreamId &id) const;
   std::map<UpstreamId, Upstream> &all() { return Upstreams; }
+  const std::map<UpstreamId, Upstream> &all() const { return Upstreams; }
 
 private:
   /// @return isUsable() without regard to what the upstream said in responses
@@ -159,6 +166,8 @@
   std::map<ServiceId, std::set<UpstreamId>> ByService;
   std::set<DomainId> Evacuated;
   LeavingUpstreams Leaving;
+  bool AreLinksWorking = true;
+  Time LinksBackAt; ///< end of the last loss of this VM's links
 };
 
 } // namespace waxwing
