Fix: [Node] A VM without links to the upstreams passes requests to another VM

Callers saw: connect timeouts, then 503 from a VM that had lost its links to all upstreams, though other VMs reached the upstreams and it reached these VMs.

Change: while LinkMonitor says that the links are lost, requests go to a VM that has links, over TCP at its [listen] peers address. The first VM keeps the caller, the route, the service, timeouts, retry decision and retry budget; the second one chooses upstreams with its own list, range map, loads and queue, allows one delivery that may have run, and returns the upstream's response or the verdict. A relayed request is not passed on again; a VM without links, without the service's configuration or in its shutdown refuses it at once as not run. A relay connection that is lost after the first byte counts as "may have run". Attempt's target is an upstream or another VM. Without any VM to pass to, a kept connection is used, else the caller is refused at once. Counters waxwing_relayed_sent_total, waxwing_relayed_served_total; reason no_links.

Why it works: whatever a VM without links needs for a request, it has or gets from the store and the other VMs; only the connections to upstreams are missing.

--- a/src/core/verdict_type.h
+++ b/src/core/verdict_type.h
@@ -61,7 +61,8 @@
   UpstreamFailed,       ///< the upstream responded with a failure status
   UnsignedAnswer,       ///< a success response without the upstream's signature
   Overloaded,           ///< the expected queueing time exceeds the time left
-  LastReason = Overloaded
+  NoLinks,              ///< this VM cannot open connections to upstreams
+  LastReason = NoLinks
 };
 
 /// Number of values of Reason; the size of arrays indexed by it.
--- a/src/node/attempt.cpp
+++ b/src/node/attempt.cpp
@@ -23,6 +23,19 @@
 /// read.
 constexpr std::size_t MaxUnwrittenRequestBytes = 65536;
 
+/// Appends the fields by which the target knows what to do with the request.
+struct TargetFieldWriter {
+  std::string &Head;
+  std::int64_t RemainingMs;
+
+  void operator()(const UpstreamEntry &upstream) const {
+    platform::appendAttemptHeaders(Head, upstream.Id.Value, RemainingMs);
+  }
+  void operator()(const RelayHop &hop) const {
+    appendRelayRequest(Head, hop.Request);
+  }
+};
+
 bool hasNoBody(const http::RequestHead &request, int status) {
   return request.Method == "HEAD" || status == 204 || status == 304;
 }
@@ -31,10 +44,10 @@
 
 Attempt::Attempt(AttemptHandler &handler,
                  const std::shared_ptr<Exchange> &exchange,
-                 const UpstreamEntry &upstream,
+                 AttemptTarget target,
                  std::shared_ptr<ClientConnection> connection,
                  bool isNewConnection)
-    : Handler(handler), ParentExchange(exchange), Target(upstream),
+    : Handler(handler), ParentExchange(exchange), Target(std::move(target)),
       Connection(std::move(connection)), IsNewConnection(isNewConnection) {}
 
 Attempt::~Attempt() {
@@ -42,6 +55,18 @@
     Connection->close();
 }
 
+const UpstreamId &Attempt::upstreamId() const {
+  static const UpstreamId unknown;
+  if (const UpstreamEntry *entry = upstream())
+    return entry->Id;
+  return Relay ? Relay->Upstream : unknown;
+}
+
+std::string_view Attempt::peerName() const {
+  const auto *hop = std::get_if<RelayHop>(&Target);
+  return hop == nullptr ? "-" : std::string_view(hop->Peer.Vm.Value);
+}
+
 std::string Attempt::requestHead(Time now) const {
   const auto exchange = ParentExchange.lock();
   const http::RequestHead &request = exchange->Head;
@@ -52,7 +77,8 @@
   for (const auto &[name, value] : request.Headers) {
     const bool isReplaced = http::isHopByHop(request.Headers, name) ||
                             platform::isRewrittenPerAttempt(name) ||
-                            name == "Expect" || name == "expect" ||
+                            isRelayField(name) || name == "Expect" ||
+                            name == "expect" ||
                             (request.IsChunked && name == "Content-Length");
     if (!isReplaced)
       fmt::format_to(std::back_inserter(head), "{}: {}\r\n", name, value);
@@ -61,8 +87,8 @@
     head += "Transfer-Encoding: chunked\r\n";
   const auto left =
       std::chrono::duration_cast<milliseconds>(exchange->TimeoutAt - now);
-  platform::appendAttemptHeaders(head, Target.Id.Value,
-                                 std::max<std::int64_t>(left.count(), 1));
+  std::visit(TargetFieldWriter{head, std::max<std::int64_t>(left.count(), 1)},
+             Target);
   head += "\r\n";
   return head;
 }
@@ -146,12 +172,19 @@
                               meta.RequestId != exchange->Meta.Id;
   if (isOtherRequest)
     return false;
+  if (const auto *hop = std::get_if<RelayHop>(&Target)) {
+    Relay = readRelayResult(head.Headers);
+    if (!Relay || Relay->Number != hop->Request.Number) {
+      Relay.reset();
+      return false;
+    }
+  }
   ResponseHead = std::move(head);
   ResponseMetadata = std::move(meta);
   ResponseStatus = ResponseHead.Status;
   HasResponseHead = true;
   if (ResponseMetadata.Load)
-    Handler.onLoadReport(Target.Id, *ResponseMetadata.Load);
+    Handler.onLoadReport(upstreamId(), *ResponseMetadata.Load);
   if (ResponseMetadata.KeepAliveS)
     Connection->IdleUntil = bootNow() + seconds(*ResponseMetadata.KeepAliveS);
   else
@@ -161,6 +194,18 @@
 
 /// Classifies a response by its status and headers, before it is forwarded.
 AttemptResult Attempt::classifyResponse() const {
+  if (!Relay || Relay->Execution == Verdict::Ran)
+    return classifyUpstreamResponse();
+  const bool isNotExecuted = Relay->Execution == Verdict::NotRun;
+  return {isNotExecuted ? AttemptOutcome::Shed : AttemptOutcome::Failed,
+          Relay->Cause,
+          isNotExecuted,
+          !isNotExecuted || Relay->Deliveries > 0,
+          fmt::format("deliveries {}", Relay->Deliveries),
+          Relay->RetryAfter};
+}
+
+AttemptResult Attempt::classifyUpstreamResponse() const {
   if (ResponseMetadata.IsNotExecuted) {
     const bool isWrongUpstream = ResponseStatus == 421;
     return {isWrongUpstream ? AttemptOutcome::WrongUpstream
@@ -180,6 +225,8 @@
 
 bool Attempt::isForCaller(const Exchange &exchange,
                           const AttemptResult &result) const {
+  if (Relay && Relay->Execution != Verdict::Ran)
+    return false;
   return result.End == AttemptOutcome::Served ||
          (result.Cause == Reason::UpstreamFailed &&
           !Handler.wouldRetry(exchange));
@@ -219,10 +266,15 @@
                    ResponseStatus, ResponseHead.ReasonPhrase);
     for (const auto &[name, value] : ResponseHead.Headers) {
       if (!http::isHopByHop(ResponseHead.Headers, name) &&
+          !isRelayField(name) &&
           (isBodyless ||
            (name != "Content-Length" && name != "content-length")))
         fmt::format_to(std::back_inserter(out), "{}: {}\r\n", name, value);
     }
+    if (exchange->Relayed)
+      appendRelayResult(out, {exchange->Relayed->Request.Number, Verdict::Ran,
+                              Reason::None, exchange->DeliveryCount + 1,
+                              Duration(), upstreamId()});
     if (IsChunkedResponse)
       out += "Transfer-Encoding: chunked\r\n";
     else if (!isBodyless && isLengthKnown)
--- a/src/node/attempt.h
+++ b/src/node/attempt.h
@@ -1,19 +1,30 @@
 /**
  * @file attempt.h
- * One attempt to send a request to one upstream.
+ * One attempt to send a request to one upstream, or to another VM that sends it
+ * to an upstream.
  */
 #ifndef WAXWING_NODE_ATTEMPT_H
 #define WAXWING_NODE_ATTEMPT_H
 
 #include "node/client_connection.h"
 #include "node/exchange.h"
+#include "routing/relay_choice.h"
 #include "routing/upstream_load_base.h"
 
 #include <boost/asio/steady_timer.hpp>
 #include <optional>
+#include <variant>
 
 namespace waxwing {
 
+/// Another VM to which a request is passed.
+struct RelayHop {
+  RelayTarget Peer;
+  RelayRequest Request;
+};
+
+using AttemptTarget = std::variant<UpstreamEntry, RelayHop>;
+
 /// Outcome of an attempt; decides whether the request is retried.
 struct AttemptResult {
   AttemptOutcome End = AttemptOutcome::Served;
@@ -22,6 +33,8 @@
   bool IsNotExecuted = false;
   bool IsDelivered = true; ///< the upstream received the request
   std::string Detail;      ///< description for the log
+  /// Delay that the other VM proposes to the caller; 0: none.
+  Duration RetryAfter{};
 };
 
 /// Callbacks of an attempt.
@@ -42,13 +55,13 @@
   virtual bool isDraining() const = 0;
 };
 
-/// Sends one request to one upstream and forwards the response to the caller.
+/// Sends one request to its target and forwards the response to the caller.
 class Attempt : public ResponseObserver,
                 public std::enable_shared_from_this<Attempt> {
 public:
   Attempt(AttemptHandler &handler, const std::shared_ptr<Exchange> &exchange,
-          const UpstreamEntry &upstream,
-          std::shared_ptr<ClientConnection> connection, bool isNewConnection);
+          AttemptTarget target, std::shared_ptr<ClientConnection> connection,
+          bool isNewConnection);
   ~Attempt() override;
 
   void start(Time now);
@@ -63,13 +76,22 @@
   /// reading the upstream's response if that was paused.
   void onResponseConsumed();
 
-  const UpstreamEntry &upstream() const { return Target; }
+  const AttemptTarget &target() const { return Target; }
+  /// @return nullptr if the request was passed to another VM
+  const UpstreamEntry *upstream() const {
+    return std::get_if<UpstreamEntry>(&Target);
+  }
+  /// @return the upstream that got the request; empty if that is not known
+  const UpstreamId &upstreamId() const;
+  /// @return name of the VM to which the request was passed, or "-"
+  std::string_view peerName() const;
   const std::shared_ptr<ClientConnection> &connection() const {
     return Connection;
   }
   Time startedAt() const { return StartedAt; }
   bool isNewConnection() const { return IsNewConnection; }
   int responseStatus() const { return ResponseStatus; }
+  bool hasResponseHead() const { return HasResponseHead; }
   /// @return load that the upstream reported in its response, if any
   const std::optional<platform::LoadReport> &load() const {
     return ResponseMetadata.Load;
@@ -94,13 +116,14 @@
   void appendBody(std::string &out, std::string_view bytes) const;
   void finish(const AttemptResult &result);
   AttemptResult classifyResponse() const;
+  AttemptResult classifyUpstreamResponse() const;
   /// @return true if the response is for the caller, rather than a reason to
   ///   send the request again
   bool isForCaller(const Exchange &exchange, const AttemptResult &result) const;
 
   AttemptHandler &Handler;
   std::weak_ptr<Exchange> ParentExchange;
-  UpstreamEntry Target;
+  AttemptTarget Target;
   std::shared_ptr<ClientConnection> Connection;
   bool IsNewConnection;
   Time StartedAt;
@@ -110,7 +133,8 @@
 
   http::ResponseHead ResponseHead;
   platform::ResponseMetadata ResponseMetadata;
-  std::string ResponseBody; ///< bytes received and not yet forwarded
+  std::optional<RelayResult> Relay; ///< set if another VM responded
+  std::string ResponseBody;         ///< bytes received and not yet forwarded
   int ResponseStatus = 0;
   bool HasResponseHead = false;
   bool IsForwarding = false;      ///< the response head was forwarded
--- a/src/node/exchange.h
+++ b/src/node/exchange.h
@@ -8,6 +8,7 @@
 #include "core/verdict_type.h"
 #include "headers.h"
 #include "node/request_body.h"
+#include "peers/relay_message.h"
 #include "routing/request_order.h"
 #include "routing/route_table.h"
 
@@ -30,6 +31,14 @@
   bool MustClose = false; ///< the connection is closed after the response
 };
 
+/// What another VM said about a request that it passed to this one.
+struct RelayedRequest {
+  RelayRequest Request;
+  /// The terms of Request as a route. It allows one delivery that may have been
+  /// executed; the other VM decides whether a further one follows.
+  Route Terms;
+};
+
 /// One caller request and its response.
 struct Exchange {
   http::RequestHead Head;
@@ -45,9 +54,14 @@
   std::shared_ptr<const RouteTable> Config;
   const Route *MatchedRoute = nullptr; ///< nullptr if none matches
   ServiceId Service;
+  /// Set if the request was passed to this VM by another one, which is then the
+  /// caller; MatchedRoute is RelayedRequest::Terms. It is not passed on again.
+  std::optional<RelayedRequest> Relayed;
 
   std::set<UpstreamId> TriedUpstreams;
-  int DeliveryCount = 0;          ///< attempts that reached an upstream
+  std::set<VmId> TriedPeers; ///< VMs to which the request was passed
+  UpstreamId LastUpstream;   ///< upstream of the last attempt; empty if none
+  int DeliveryCount = 0;     ///< attempts that reached an upstream
   int PossibleExecutionCount = 0; ///< deliveries that may have been executed
   bool IsQueued = false;          ///< in the queue of its service
   Time QueuedSince;               ///< valid if IsQueued
--- a/src/node/gateway.cpp
+++ b/src/node/gateway.cpp
@@ -41,7 +41,8 @@
 
 std::string makeLocalResponse(const Exchange &exchange, int status,
                               std::string_view phrase, Duration retryAfter,
-                              std::string_view reason) {
+                              std::string_view reason,
+                              const std::string &relayFields) {
   std::string out;
   const std::string body = fmt::format("{}\n", reason);
   fmt::format_to(std::back_inserter(out), "HTTP/1.1 {} {}\r\n", status, phrase);
@@ -49,6 +50,7 @@
     platform::appendRequestId(out, exchange.Meta.Id);
   if (retryAfter > Duration())
     platform::appendRetryAfter(out, toMilliseconds(retryAfter));
+  out += relayFields;
   fmt::format_to(std::back_inserter(out),
                  "Content-Type: text/plain\r\nContent-Length: {}\r\n{}\r\n{}",
                  body.size(),
@@ -78,7 +80,9 @@
 
 Gateway::Gateway(asio::io_context &loop, const NodeSettings &settings)
     : Loop(loop), Acceptor(loop), Random(randomNumber()), Pool(loop),
-      Links(loop, Pool, Upstreams),
+      Links(loop, Pool, Upstreams), Peers(VmId(settings.Vm.text("name")),
+                                          DomainId(settings.Vm.text("domain"))),
+      PeerPool(loop), Relays(loop, *this),
       Bodies(static_cast<std::size_t>(settings.Vm.decimal("memory") *
                                       BodyMemoryFraction * BytesPerMegabyte)),
       TimeoutTimer(loop, [this] { checkTimeouts(); }),
@@ -140,6 +144,7 @@
 }
 
 void Gateway::setVms(std::vector<VmInfo> vms) {
+  Peers.setVms(vms);
   std::vector<VmId> names;
   std::ranges::transform(vms, std::back_inserter(names),
                          [](const VmInfo &vm) { return vm.Vm.Vm; });
@@ -191,6 +196,7 @@
       idle.push_back(connection);
   for (const auto &connection : idle)
     connection->endIfIdle();
+  Relays.closeIdle();
 }
 
 void Gateway::closeCallers() {
@@ -200,10 +206,11 @@
     open.push_back(connection);
   for (const auto &connection : open)
     connection->close(ConnectionEnd::ProcessEnd);
+  Relays.close();
 }
 
 bool Gateway::hasExchanges() const {
-  return ActiveExchanges > 0 ||
+  return ActiveExchanges > 0 || Relays.isResponding() ||
          std::ranges::any_of(Callers, [](const auto &entry) {
            return entry.second->isResponding();
          });
@@ -256,7 +263,7 @@
     dispatch(exchange);
     return;
   }
-  if (serviceSummary(part.Service, now).Slots == 0) {
+  if (serviceSummary(part.Service, now).Slots == 0 && Links.areLinksWorking()) {
     refuse(exchange, Reason::NoUpstream,
            admission(*exchange, now, false).RetryAfter);
     return;
@@ -302,9 +309,7 @@
   }
   const bool wasSent = exchange->CurrentAttempt != nullptr;
   if (const auto attempt = std::exchange(exchange->CurrentAttempt, nullptr)) {
-    if (Upstream *upstream = Upstreams.find(attempt->upstream().Id))
-      upstream->Load.onAttemptEnd(AttemptOutcome::Cancelled, {}, now);
-    attempt->cancel();
+    cancelAttempt(*attempt, now);
     ++exchange->PossibleExecutionCount;
   }
   removeFromQueue(exchange);
@@ -332,11 +337,8 @@
   if (exchange->IsFinished)
     return; // an attempt that is still there is about to end by itself
   removeFromQueue(exchange);
-  if (const auto attempt = std::exchange(exchange->CurrentAttempt, nullptr)) {
-    if (Upstream *upstream = Upstreams.find(attempt->upstream().Id))
-      upstream->Load.onAttemptEnd(AttemptOutcome::Cancelled, {}, now);
-    attempt->cancel();
-  }
+  if (const auto attempt = std::exchange(exchange->CurrentAttempt, nullptr))
+    cancelAttempt(*attempt, now);
   exchange->IsFinished = true;
   onExchangeFinished(exchange);
 }
@@ -345,7 +347,8 @@
   if (why == ConnectionEnd::CallerLeft) {
     if (exchange.IsFinished)
       return;
-    ++Counters.CallersDisconnected;
+    if (!exchange.Relayed)
+      ++Counters.CallersDisconnected;
     logLine(LogPriority::Failure, now, "caller_left",
             "request={} waited_ms={} sends={}",
             sanitizeForLog(exchange.Meta.Id),
@@ -384,7 +387,8 @@
   exchange->IsFinished = true;
   exchange->Response.Bytes =
       makeLocalResponse(*exchange, status, statusPhrase(status),
-                        status == 503 ? retryAfter : Duration(), info.Name);
+                        status == 503 ? retryAfter : Duration(), info.Name,
+                        relayFields(*exchange, reason, retryAfter));
   exchange->Response.IsStarted = exchange->Response.IsWhole = true;
   logLine(LogPriority::Failure, now, "refused",
           "request={} status={} reason={} last={} route={} service={} "
@@ -475,6 +479,9 @@
 bool Gateway::trySend(const std::shared_ptr<Exchange> &exchange, Time now,
                       bool &canBeServedLater) {
   canBeServedLater = true;
+  const bool hasLinks = Links.areLinksWorking();
+  if (!hasLinks && !exchange->Relayed && tryRelay(exchange, now))
+    return true;
   UpstreamChoiceRequest request;
   request.Service = exchange->Service;
   request.TriedUpstreams = exchange->TriedUpstreams;
@@ -504,6 +511,13 @@
   canBeServedLater = choice.IsAnyUsable ||
                      (request.RequiredUpstream &&
                       Upstreams.mayMoveSoon(*request.RequiredUpstream, now));
+  // Connections of before may live on without links; new ones fail.
+  if (!hasLinks && (exchange->Relayed || choice.Chosen == nullptr ||
+                    !Pool.hasIdle(choice.Chosen->Entry.Address))) {
+    exchange->LastReason = Reason::NoLinks;
+    canBeServedLater = false;
+    return false;
+  }
   if (choice.Chosen == nullptr) {
     if (exchange->LastReason == Reason::None)
       exchange->LastReason =
@@ -603,6 +617,8 @@
 void Gateway::sweep() {
   const Time now = bootNow();
   Pool.sweep(now);
+  PeerPool.sweep(now);
+  Relays.sweep(now);
   std::vector<std::shared_ptr<CallerConnection>> callers;
   callers.reserve(Callers.size());
   for (const auto &[key, connection] : Callers)
--- a/src/node/gateway.h
+++ b/src/node/gateway.h
@@ -14,9 +14,11 @@
 #include "node/connection_pool.h"
 #include "node/link_tester.h"
 #include "node/node_clock.h"
+#include "node/relay_server.h"
 #include "peers/peer_message_type.h"
 #include "ranges/range_type.h"
 #include "routing/admission.h"
+#include "routing/relay_choice.h"
 #include "routing/retry_decision.h"
 #include "routing/service_retry_budget.h"
 #include "routing/upstream_table.h"
@@ -46,6 +48,9 @@
   /// Requests that were read completely and ended without a complete response,
   /// for another reason than that their caller disconnected.
   EnumCounters<ConnectionEnd, ConnectionEndCount> Cuts;
+  std::uint64_t RelayedSent = 0; ///< requests passed to other VMs
+  /// Other VMs' requests answered by an upstream's response.
+  std::uint64_t RelayedServed = 0;
   ReasonCounters Refusals; ///< error responses made by this process
 };
 
@@ -57,6 +62,9 @@
   /// Starts to accept callers.
   /// @return Unavailable if the address cannot be listened on
   absl::Status listen(const Endpoint &address);
+  /// Starts to accept requests that other VMs pass to this one.
+  /// @return Unavailable if the address cannot be listened on
+  absl::Status listenForPeers(const Endpoint &address);
 
   // Changes of the routing state; each function applies to one part of it.
   void setConfig(std::shared_ptr<const RouteTable> config);
@@ -106,6 +114,8 @@
   std::size_t queuedCount() const;
 
   void beginExchange(const std::shared_ptr<Exchange> &exchange) override;
+  /// Handles a request that another VM passed to this one.
+  void beginRelayed(const std::shared_ptr<Exchange> &exchange);
   void continueExchange(const std::shared_ptr<Exchange> &exchange) override;
   void cancelExchange(const std::shared_ptr<Exchange> &exchange,
                       ConnectionEnd why) override;
@@ -135,6 +145,20 @@
                bool &canBeServedLater);
   void send(const std::shared_ptr<Exchange> &exchange, Upstream &upstream,
             Time now);
+  /// Passes the request to another VM.
+  /// @return false if there is none that can send it
+  bool tryRelay(const std::shared_ptr<Exchange> &exchange, Time now);
+  Reason whyNotRelaying(const RelayRequest &request) const;
+  /// @return the fields that tell another VM why its request has no response of
+  ///   an upstream; empty for callers' requests
+  static std::string relayFields(const Exchange &exchange, Reason reason,
+                                 Duration retryAfter);
+  /// Updates what is known of the target of @p attempt, and keeps the
+  /// connection if it can be reused.
+  void recordAttemptEnd(const Attempt &attempt, const AttemptResult &result,
+                        Time now);
+  /// Ends @p attempt without an outcome.
+  void cancelAttempt(Attempt &attempt, Time now);
   void enqueue(const std::shared_ptr<Exchange> &exchange, Time now,
                bool canBeServedLater);
   void sendQueued(const ServiceId &service);
@@ -173,8 +197,12 @@
   std::shared_ptr<const RouteTable> Config; ///< nullptr initially
   std::map<ServiceId, RangeMap> Ranges;
   UpstreamTable Upstreams;
-  ConnectionPool Pool;
+  ConnectionPool Pool; ///< connections to upstreams
   LinkTester Links;
+  RelayPeers Peers;
+  ConnectionPool PeerPool; ///< connections to other VMs
+  RelayServer Relays;
+  std::uint64_t LastRelayNumber = 0; ///< RelayRequest::Number
   std::map<ServiceId, ServiceRetryBudget> RetryBudgets;
   std::map<ServiceId, std::pair<ServiceSummary, Time>> ServiceSummaryCache;
   /// Queued requests of each service, ordered by Exchange::position().
--- a/src/node/gateway_send.cpp
+++ b/src/node/gateway_send.cpp
@@ -55,6 +55,7 @@
     ++Counters.Retried;
   Upstreams.countSentRequest(upstream, now);
   exchange->TriedUpstreams.insert(upstream.Entry.Id);
+  exchange->LastUpstream = upstream.Entry.Id;
   exchange->CurrentAttempt = std::make_shared<Attempt>(
       *this, exchange, upstream.Entry, std::move(connection), isNew);
   logLine(
@@ -90,28 +91,23 @@
   const Time now = bootNow();
   const auto self = std::exchange(exchange->CurrentAttempt, nullptr);
   const Duration latency = now - attempt.startedAt();
-  if (Upstream *upstream = Upstreams.find(attempt.upstream().Id))
-    upstream->Load.onAttemptEnd(result.End, latency, now);
-  if (result.End == AttemptOutcome::ConnectionBroken ||
-      result.End == AttemptOutcome::NotConnected)
-    Pool.closeIdle(attempt.upstream().Address);
-  else
-    Pool.release(attempt.connection());
+  recordAttemptEnd(attempt, result, now);
   if (result.IsDelivered) {
     ++exchange->DeliveryCount;
     if (!result.IsNotExecuted)
       ++exchange->PossibleExecutionCount;
   }
-  if (result.End == AttemptOutcome::NotConnected && attempt.isNewConnection())
-    ++Counters.FailedConnections;
   if (result.Cause != Reason::None)
     exchange->LastReason = result.Cause;
-  if (result.End == AttemptOutcome::WrongUpstream)
+  if (result.End == AttemptOutcome::WrongUpstream &&
+      attempt.upstream() != nullptr)
     onRejected(exchange, attempt, now);
   if (exchange->IsFinished) {
     const platform::LoadReport load =
         attempt.load().value_or(platform::LoadReport{});
-    if (exchange->Response.IsWhole) {
+    if (exchange->Response.IsWhole && exchange->Relayed) {
+      ++Counters.RelayedServed;
+    } else if (exchange->Response.IsWhole) {
       ++Counters.Answered;
       const std::string &route = exchange->MatchedRoute->Name;
       Latencies[route].add(now - exchange->ArrivedAt);
@@ -119,9 +115,10 @@
     logLine(result.End == AttemptOutcome::Served ? LogPriority::Routine
                                                  : LogPriority::Failure,
             now, exchange->Response.IsWhole ? "answered" : "answer_broken",
-            "request={} upstream={} status={} cause={} latency_ms={} "
+            "request={} upstream={} peer={} status={} cause={} latency_ms={} "
             "total_ms={} running={} waiting={} slowness={} detail={}",
-            sanitizeForLog(exchange->Meta.Id), attempt.upstream().Id.Value,
+            sanitizeForLog(exchange->Meta.Id), attempt.upstreamId().Value,
+            sanitizeForLog(std::string(attempt.peerName())),
             attempt.responseStatus(), reasonInfo(result.Cause).Name,
             toMilliseconds(latency), toMilliseconds(now - exchange->ArrivedAt),
             load.Running, load.Waiting, load.SlownessPercent,
@@ -130,9 +127,10 @@
     return;
   }
   logLine(LogPriority::Failure, now, "attempt_failed",
-          "request={} upstream={} cause={} not_run={} latency_ms={} "
+          "request={} upstream={} peer={} cause={} not_run={} latency_ms={} "
           "new_connection={} detail={}",
-          sanitizeForLog(exchange->Meta.Id), attempt.upstream().Id.Value,
+          sanitizeForLog(exchange->Meta.Id), attempt.upstreamId().Value,
+          sanitizeForLog(std::string(attempt.peerName())),
           reasonInfo(result.Cause).Name, result.IsNotExecuted,
           toMilliseconds(latency), attempt.isNewConnection(),
           sanitizeForLog(result.Detail));
@@ -143,7 +141,7 @@
 /// rejection means that the address is in use by another process.
 void Gateway::onRejected(const std::shared_ptr<Exchange> &exchange,
                          const Attempt &attempt, Time now) {
-  const UpstreamEntry &target = attempt.upstream();
+  const UpstreamEntry &target = *attempt.upstream();
   const Upstream *successor = Upstreams.findOtherAt(target.Address, target.Id);
   if (isDividedByKey(exchange->Service) && successor == nullptr) {
     exchange->FenceOfRejectedKey = exchange->SentFence;
@@ -174,7 +172,10 @@
        retryBudget(exchange->Service)
            .tryConsume(now, static_cast<int>(Context.Vms.size())));
   if (!isAllowed) {
-    refuse(exchange, result.Cause, admission(*exchange, now, true).RetryAfter);
+    refuse(exchange, result.Cause,
+           result.RetryAfter > Duration()
+               ? result.RetryAfter
+               : admission(*exchange, now, true).RetryAfter);
     return;
   }
   dispatch(exchange);
--- a/src/node/node_process.cpp
+++ b/src/node/node_process.cpp
@@ -101,6 +101,10 @@
           RequestGateway.listen(parseEndpoint(Settings.Listen.text("callers")));
       !status.ok())
     return status;
+  if (auto status = RequestGateway.listenForPeers(
+          parseEndpoint(Settings.Listen.text("peers")));
+      !status.ok())
+    return status;
   if (auto status =
           ReadyPort.listen(parseEndpoint(Settings.Listen.text("ready")));
       !status.ok())
@@ -301,6 +305,11 @@
   page.addCounter("waxwing_upstream_connections_failed_total",
                   "Connections to upstreams that did not open.",
                   data.FailedConnections);
+  page.addCounter("waxwing_relayed_sent_total", "Requests passed to other VMs.",
+                  data.RelayedSent);
+  page.addCounter("waxwing_relayed_served_total",
+                  "Other VMs' requests answered by an upstream's answer.",
+                  data.RelayedServed);
   page.addCounter("waxwing_queued_total", "Requests that waited.", data.Queued);
   page.addCounter("waxwing_callers_left_total",
                   "Requests whose caller left before the answer.",
--- a/src/table/node_settings.h
+++ b/src/table/node_settings.h
@@ -31,7 +31,7 @@
     {"listen", "metrics", SettingType::Address, "", "", 0, 64,
      "address of the metrics page; disabled if empty"},
     {"listen", "peers", SettingType::Address, "", "", 1, 64,
-     "UDP address for messages of other VMs"},
+     "UDP and TCP address for messages and requests of other VMs"},
     {"store", "address", SettingType::Address, "", "", 1, 64,
      "address of the platform's store"},
     {"store", "least_lease", SettingType::Decimal, "s", "1", 0, 600,
--- a/src/table/reasons.h
+++ b/src/table/reasons.h
@@ -64,6 +64,7 @@
     {Reason::UpstreamFailed, "upstream_failed", Verdict::MayHaveRun, 502},
     {Reason::UnsignedAnswer, "unsigned_answer", Verdict::MayHaveRun, 502},
     {Reason::Overloaded, "overloaded", Verdict::NotRun, 503},
+    {Reason::NoLinks, "no_links", Verdict::NotRun, 503},
 }};
 
 static_assert(
--- a/tests/stranded_vm_fixture.h
+++ b/tests/stranded_vm_fixture.h
@@ -82,15 +82,18 @@
   /// @return index of a node that does not lead
   static int follower() { return leader() == 0 ? 1 : 0; }
 
+  /// Adds the proxy between node @p n and @p upstream; called on the platform's
+  /// thread once that runs.
+  void addLink(int n, const Endpoint &upstream) {
+    Links[n].push_back(
+        std::make_unique<FaultProxy>(Loop, linkAddress(n, upstream), upstream));
+  }
+
 private:
   /// @return address of the proxy between node @p n and @p upstream
   static Endpoint linkAddress(int n, const Endpoint &upstream) {
     return address(300 + n * 50 + upstream.Port - NodeBasePort);
   }
-  void addLink(int n, const Endpoint &upstream) {
-    Links[n].push_back(
-        std::make_unique<FaultProxy>(Loop, linkAddress(n, upstream), upstream));
-  }
 
   std::vector<std::vector<std::unique_ptr<FaultProxy>>> Links; ///< by node
 };
