--- a/src/node/gateway_relay.cpp
+++ b/src/node/gateway_relay.cpp
@@ -109,8 +109,7 @@
     return;
   }
   const UpstreamEntry &entry = *attempt.upstream();
-  if (Upstream *upstream = Upstreams.find(entry.Id))
-    upstream->Load.onAttemptEnd(result.End, now - attempt.startedAt(), now);
+  Upstreams.onAttemptEnd(entry.Id, result.End, now - attempt.startedAt(), now);
   if (isLost)
     Pool.closeIdle(entry.Address);
   else
