Fix: [Test] Findings of the linter in the tests of the relay

Cause: three findings of clang-tidy (loops that grow vectors, an integer division). Change: reserve the vectors; divide as floating point. No check changed.

--- a/tests/relay_choice_test.cpp
+++ b/tests/relay_choice_test.cpp
@@ -87,7 +87,7 @@
 TEST_F(RelayChoiceTest, LoadFollowsProcessorCores) {
   Peers.setVms({makeVm("small", "b", 0.1), makeVm("big", "b", 0.5)});
   const auto counts = spread();
-  EXPECT_NEAR(counts.at("big"), 2000 * 5 / 6, 100);
+  EXPECT_NEAR(counts.at("big"), 2000 * 5 / 6.0, 100);
 }
 
 // Guards against all requests of a failure domain going to its one VM that has
--- a/tests/stranded_vm_process_test.cpp
+++ b/tests/stranded_vm_process_test.cpp
@@ -17,6 +17,8 @@
 constexpr std::array Cuts{LinkCut::Silent, LinkCut::Reset, LinkCut::Refused};
 /// Time after the cut from which on callers must be served.
 constexpr Duration ContactTime = seconds(3);
+/// Callers that send at the same time, so that new connections are needed.
+constexpr int CallerCount = 4;
 constexpr std::size_t UploadSize = 3U << 20;
 
 /// Connection to a node that sends whole requests as text.
@@ -81,7 +83,8 @@
     strand(n, cut);
     const auto end = std::chrono::steady_clock::now() + ContactTime;
     std::vector<std::jthread> callers;
-    for (int k = 0; k < 4; ++k)
+    callers.reserve(CallerCount);
+    for (int k = 0; k < CallerCount; ++k)
       callers.emplace_back([this, n, k, end] {
         for (int i = 0; std::chrono::steady_clock::now() < end; ++i) {
           sendRequest(callerPort(n), "POST", "/book/x",
@@ -220,6 +223,7 @@
   const int vm = follower();
   strandAndWait(vm, LinkCut::Refused);
   std::vector<double> before;
+  before.reserve(NodeCount);
   for (int n = 0; n < NodeCount; ++n)
     before.push_back(readMetric(n, "waxwing_attempts_total"));
   Connection caller(callerPort(vm));
