Fix: [Node] A refusal without the request's id proves nothing on a kept connection

Callers saw: "503, not run" for requests that an upstream was running (REFUSED), or the request ran at a second upstream, too (TWICE).

Cause: a response was compared with the request's id only if it had an id. An upstream that sent an earlier refusal without an id once more on a kept connection thus ended the next request.

Change: on a connection that has carried other requests, a response without an id is discarded like one with another id, and the true one is awaited; the connection is not used again. The first response of a connection counts without an id. If the caller's request has no id either, a refusal on a kept connection counts as a response that may have run.

Conclusion: an id, or the first place on the connection, ties a response to its request; nothing else does.

--- a/src/node/attempt.cpp
+++ b/src/node/attempt.cpp
@@ -142,10 +142,15 @@
   const auto exchange = ParentExchange.lock();
   platform::ResponseMetadata meta =
       platform::readResponseMetadata(head.Status, head.Headers);
-  const bool isOtherRequest = !meta.RequestId.empty() && exchange &&
-                              meta.RequestId != exchange->Meta.Id;
+  const std::string id = exchange ? exchange->Meta.Id : meta.RequestId;
+  const bool isWithoutId = meta.RequestId.empty();
+  // On a connection that has carried other requests, a response without an id
+  // may be an earlier one that was sent again.
+  const bool isOtherRequest =
+      meta.RequestId != id && (!isWithoutId || !IsNewConnection);
   if (isOtherRequest)
     return false;
+  IsResponseIdentified = !isWithoutId || IsNewConnection;
   ResponseHead = std::move(head);
   ResponseMetadata = std::move(meta);
   ResponseStatus = ResponseHead.Status;
@@ -161,6 +166,9 @@
 
 /// Classifies a response by its status and headers, before it is forwarded.
 AttemptResult Attempt::classifyResponse() const {
+  if (ResponseMetadata.IsNotExecuted && !IsResponseIdentified)
+    return {AttemptOutcome::Failed, Reason::CrossedAnswer, false, true,
+            fmt::format("status {} without the request's id", ResponseStatus)};
   if (ResponseMetadata.IsNotExecuted) {
     const bool isWrongUpstream = ResponseStatus == 421;
     return {isWrongUpstream ? AttemptOutcome::WrongUpstream
--- a/src/node/attempt.h
+++ b/src/node/attempt.h
@@ -113,6 +113,9 @@
   std::string ResponseBody; ///< bytes received and not yet forwarded
   int ResponseStatus = 0;
   bool HasResponseHead = false;
+  /// The response is that of this request: it has the request's id, or it is
+  /// the first one on its connection.
+  bool IsResponseIdentified = false;
   bool IsForwarding = false;      ///< the response head was forwarded
   bool IsChunkedResponse = false; ///< forwarded with chunked transfer encoding
   bool IsPaused = false;          ///< reading of the response is paused
--- a/tests/scripted_upstream_fixture.h
+++ b/tests/scripted_upstream_fixture.h
@@ -67,6 +67,12 @@
     boost::asio::write(Socket, boost::asio::buffer(bytes), ec);
     return !ec;
   }
+  /// Ends the sending direction, which does not drop what was written.
+  void end() {
+    boost::system::error_code ec;
+    Socket.shutdown(boost::asio::ip::tcp::socket::shutdown_send, ec);
+    readToEnd();
+  }
 
 private:
   boost::asio::ip::tcp::socket &Socket;
@@ -103,6 +109,11 @@
   /// Adds an upstream of service "media" that runs @p script on each
   /// connection.
   void addScripted(int n, Script script) {
+    serve(n, std::move(script));
+    addEntry(n);
+  }
+  /// Runs @p script on each connection to the address of upstream @p n.
+  void serve(int n, Script script) {
     const Endpoint where = address(60 + n);
     Servers.push_back(std::make_unique<ThreadedTcpServer>(
         where.Port,
@@ -113,12 +124,11 @@
           socket.set_option(boost::asio::socket_base::linger(true, 0), ec);
           socket.close(ec);
         }));
-    addEntry(n);
   }
-  void addEntry(int n) {
+  void addEntry(int n, const std::string &service = "media") {
     StandinUpstreamSettings settings;
     settings.Id = "i-media-" + std::to_string(n);
-    settings.Service = "media";
+    settings.Service = service;
     settings.Domain = "d0";
     settings.Address = address(60 + n);
     const std::string entry = makeStandinUpstreamEntry(settings, 1, false);
