Fix: [Node] A request is not sent again over a connection that carried it

Callers saw: a refusal for a request that its upstream was running (REFUSED).

Cause: when the owner of a key rejects a request, and gets the range again under a new fencing token, the request is sent to it once more, over the same pooled connection and with the same id. The rejection sent again by the upstream was then taken for the response to the second delivery.

Change: an exchange remembers its connections, and the pool excludes them.

Evidence: repeated_refusal_process_test RefusalOfTheFirstDeliveryDoesNotEndTheSecond.

Conclusion: within a VM, an id is used at most once on a connection, unless a caller uses an id twice.

--- a/src/node/connection_pool.cpp
+++ b/src/node/connection_pool.cpp
@@ -29,21 +29,30 @@
   return now < connection.IdleSince + allowed;
 }
 
+bool contains(const UsedConnections &connections,
+              const std::shared_ptr<ClientConnection> &connection) {
+  return std::ranges::any_of(
+      connections, [&](const auto &used) { return used.lock() == connection; });
+}
+
 } // namespace
 
 std::shared_ptr<ClientConnection>
-ConnectionPool::acquire(const Endpoint &peer, Time now, Duration maxIdle) {
+ConnectionPool::acquire(const Endpoint &peer, Time now, Duration maxIdle,
+                        const UsedConnections &excluded) {
   const auto found = Idle.find(peer);
   if (found == Idle.end())
     return nullptr;
   auto &connections = found->second;
-  while (!connections.empty()) {
-    if (isFresh(*connections.back(), now) &&
-        now > connections.back()->IdleSince + maxIdle)
+  for (std::size_t n = connections.size(); n-- > 0;) {
+    const auto connection = connections[n];
+    const bool isUsable = isFresh(*connection, now);
+    if (isUsable && now > connection->IdleSince + maxIdle)
       return nullptr; // the remaining connections have been idle for longer
-    const auto connection = std::move(connections.back());
-    connections.pop_back();
-    if (isFresh(*connection, now))
+    if (isUsable && contains(excluded, connection))
+      continue;
+    connections.erase(connections.begin() + static_cast<std::ptrdiff_t>(n));
+    if (isUsable)
       return connection;
     connection->close();
   }
--- a/src/node/connection_pool.h
+++ b/src/node/connection_pool.h
@@ -12,6 +12,9 @@
 
 namespace waxwing {
 
+/// Connections that have carried a request.
+using UsedConnections = std::vector<std::weak_ptr<ClientConnection>>;
+
 /// Keeps idle connections for reuse, grouped by peer address.
 class ConnectionPool {
 public:
@@ -19,9 +22,11 @@
 
   /// @param maxIdle maximum idle time of the connection; after more idle time
   ///   the peer may be closing it at this moment
+  /// @param excluded connections that must not be used
   /// @return the most recently used idle connection to @p peer, or nullptr
-  std::shared_ptr<ClientConnection> acquire(const Endpoint &peer, Time now,
-                                            Duration maxIdle);
+  std::shared_ptr<ClientConnection>
+  acquire(const Endpoint &peer, Time now, Duration maxIdle,
+          const UsedConnections &excluded = {});
   /// @return a new connection that is being established
   std::shared_ptr<ClientConnection> open(const Endpoint &peer);
   /// @return true if there is an idle connection to @p peer, even one that
--- a/src/node/exchange.h
+++ b/src/node/exchange.h
@@ -14,10 +14,12 @@
 #include <functional>
 #include <memory>
 #include <set>
+#include <vector>
 
 namespace waxwing {
 
 class Attempt;
+class ClientConnection;
 
 /// Response bytes on their way to the caller.
 struct ResponseBuffer {
@@ -47,6 +49,10 @@
   ServiceId Service;
 
   std::set<UpstreamId> TriedUpstreams;
+  /// Connections of earlier attempts. A second delivery on one of them would
+  /// have the same request id, so a repeated response to the first delivery
+  /// could not be told from the response to the second.
+  std::vector<std::weak_ptr<ClientConnection>> UsedConnections;
   int DeliveryCount = 0;          ///< attempts that reached an upstream
   int PossibleExecutionCount = 0; ///< deliveries that may have been executed
   bool IsQueued = false;          ///< in the queue of its service
--- a/src/node/gateway_send.cpp
+++ b/src/node/gateway_send.cpp
@@ -41,7 +41,8 @@
   const Endpoint &address = upstream.Entry.Address;
   auto connection = Pool.acquire(address, now,
                                  isRetryable ? Duration(seconds(60))
-                                             : MaxIdleTimeForNonIdempotent);
+                                             : MaxIdleTimeForNonIdempotent,
+                                 exchange->UsedConnections);
   const bool isNew = connection == nullptr;
   if (isNew) {
     connection = Pool.open(address);
@@ -52,6 +53,7 @@
     ++Counters.Retried;
   Upstreams.countSentRequest(upstream, now);
   exchange->TriedUpstreams.insert(upstream.Entry.Id);
+  exchange->UsedConnections.push_back(connection);
   exchange->CurrentAttempt = std::make_shared<Attempt>(
       *this, exchange, upstream.Entry, std::move(connection), isNew);
   logLine(
--- a/tests/repeated_refusal_process_test.cpp
+++ b/tests/repeated_refusal_process_test.cpp
@@ -6,6 +6,7 @@
 #include "scripted_upstream_fixture.h"
 
 #include <map>
+#include <nlohmann/json.hpp>
 
 namespace waxwing {
 namespace {
@@ -91,5 +92,69 @@
   EXPECT_GE(served, 10);
 }
 
+/// REFUSED, TWICE: the owner of a key rejected a request and got it again on
+/// the same connection; the rejection sent once more was taken for the response
+/// to the second delivery, since both have the request's id.
+TEST_F(RepeatedRefusalTest, RefusalOfTheFirstDeliveryDoesNotEndTheSecond) {
+  std::atomic<bool> isRejecting = false;
+  std::atomic<int> rejected = 0;
+  std::atomic<std::uint64_t> refusedFence = 0;
+  std::atomic<bool> isFenceRefused = false;
+  addEntry(0, "keyed");
+  serve(0, [&](Peer &peer) {
+    std::string refusal;
+    for (std::string head; !(head = peer.readHead()).empty();) {
+      const std::string length = fieldOf(head, "Content-Length");
+      const std::string body =
+          peer.readBytes(length.empty() ? 0 : std::stoul(length));
+      if (head.starts_with("POST /v1/")) {
+        const auto fence =
+            nlohmann::json::parse(body)["fence"].get<std::uint64_t>();
+        if (isFenceRefused.exchange(false)) {
+          refusedFence = fence;
+          isRejecting = true;
+        }
+        const bool isRefused = fence <= refusedFence;
+        if (!isRefused)
+          isRejecting = false;
+        peer.write(fmt::format("HTTP/1.1 {} X\r\nHandover: t\r\n"
+                               "Content-Length: 0\r\n\r\n",
+                               isRefused ? 409 : 200));
+        continue;
+      }
+      const std::string id = fieldOf(head, "Request-Id");
+      if (isRejecting) {
+        ++rejected;
+        refusal = makeRefusal(421, fmt::format("Request-Id: {}\r\n", id));
+        peer.write(refusal);
+        continue;
+      }
+      recordExecution(id);
+      if (refusal.find(id) != std::string::npos)
+        peer.write(refusal);
+      std::this_thread::sleep_for(ResponseDelay);
+      peer.write(makeSuccess(head, "x"));
+    }
+  });
+  useKeyedConfig();
+  ASSERT_TRUE(waitFor([&] {
+    return sendRequest(callerPort(0), "POST", "/keyed/x", "first", "7") == 200;
+  }));
+  int served = 0;
+  for (int round = 0; round < 6; ++round) {
+    isFenceRefused = true;
+    const auto end = Clock::now() + seconds(2);
+    for (int n = 0; Clock::now() < end; ++n) {
+      const std::string id = fmt::format("r{}-{}", round, n);
+      const int status =
+          sendRequest(callerPort(0), "POST", "/keyed/x", id, "7");
+      expectNoBrokenPromise(id, status);
+      served += status == 200 ? 1 : 0;
+    }
+  }
+  EXPECT_GT(rejected, 0);
+  EXPECT_GT(served, 20);
+}
+
 } // namespace
 } // namespace waxwing
