Fix: [Node] Bytes that arrive before a request are not its response

A request without an id would get the refusal of another one (REFUSED); the leader of keys, whose orders and calls to the store have no ids, would take an earlier response for that to the next call.

Cause: an upstream that sends a response once more on an idle connection ends it, but only when the bytes have been read. If a request was started before that, in the same turn of the event loop, the bytes were read as its response.

Change: before the first byte of a request is written, the connection reads what has arrived. Bytes or an end of the connection then end the attempt as not sent, so that it is sent on another connection even if it may run only once.

Conclusion: a response is read only after its request was begun. One that is sent again between a request and its response is told by the id only.

--- a/src/node/client_connection.cpp
+++ b/src/node/client_connection.cpp
@@ -109,10 +109,18 @@
   flush();
 }
 
+/// Reads what has arrived on the idle connection, its end included: it belongs
+/// to no request, and after the first byte is written it would be taken for the
+/// response.
+bool ClientConnection::mayStartRequest() {
+  readSome();
+  return Observer != nullptr && Observer->isStillNeeded();
+}
+
 void ClientConnection::flush() {
   if (!IsOpen || IsWriting || IsClosed || UnwrittenOutput.empty())
     return;
-  if (!IsSent && Observer != nullptr && !Observer->isStillNeeded())
+  if (!IsSent && Observer != nullptr && !mayStartRequest())
     return;
   if (!IsRequestWhole || UnwrittenOutput.size() > LargeRequestBytes)
     allowSlowPeer();
@@ -193,7 +201,7 @@
 
 bool ClientConnection::parse(std::string_view bytes) {
   while (!bytes.empty()) {
-    if (Observer == nullptr) {
+    if (Observer == nullptr || !IsSent) {
       // Unsolicited bytes: the connection state is unknown, so it is closed.
       fail("received bytes without a pending request");
       return false;
--- a/src/node/client_connection.h
+++ b/src/node/client_connection.h
@@ -84,6 +84,8 @@
   void onConnected(const boost::system::error_code &ec);
   void setOptions();
   void flush();
+  /// @return false if the connection failed or the request is not needed
+  bool mayStartRequest();
   void allowSlowPeer();
   void scheduleRead();
   void readSome();
