Fix: [Node] A connection that was paused at the end of its response is read again

Callers saw: a request without a response until its timeout, after a caller that reads slowly had used the same connection to the upstream.

Cause: reading pauses while much of a response waits for its caller. If the end of the response was in the same piece of input, the connection returned to the pool paused, and the response to the next request was never read.

Change: the end of a response ends the pause.

Evidence: client_connection_test ReadsTheNextResponseAfterAPause. After: passed.

Conclusion: state of a request must not outlive it on a kept connection.

--- a/src/node/client_connection.cpp
+++ b/src/node/client_connection.cpp
@@ -268,6 +268,7 @@
   ResponseObserver *observer = std::exchange(Observer, nullptr);
   Parser.reset();
   UnparsedInput.clear();
+  IsPaused = false;
   IdleSince = bootNow();
   if (IsReuseForbidden)
     close();
--- a/tests/client_connection_test.cpp
+++ b/tests/client_connection_test.cpp
@@ -221,5 +221,42 @@
   EXPECT_FALSE(second.WasSent);
 }
 
+/// Pauses reading when a body arrives, as for a caller that reads slowly.
+class PausingRecorder : public Recorder {
+public:
+  explicit PausingRecorder(ClientConnection &connection)
+      : Connection(connection) {}
+  void onResponseBody(std::string bytes) override {
+    Recorder::onResponseBody(std::move(bytes));
+    Connection.setPaused(true);
+  }
+
+private:
+  ClientConnection &Connection;
+};
+
+/// Timeouts: a connection that was paused when its response ended was reused
+/// and never read again.
+TEST(ClientConnection, ReadsTheNextResponseAfterAPause) {
+  const ThreadedTcpServer server(Port, [&](tcp::socket &socket) {
+    while (readRequest(socket))
+      write(socket, "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello");
+  });
+  asio::io_context loop;
+  const auto connection =
+      std::make_shared<ClientConnection>(loop, serverAddress());
+  PausingRecorder first(*connection);
+  connection->open();
+  connection->beginRequest(&first, Request, true, false);
+  runUntilEnd(loop, first);
+  ASSERT_TRUE(first.IsWhole);
+  ASSERT_TRUE(connection->isReusable());
+  Recorder second;
+  connection->beginRequest(&second, Request, true, false);
+  runUntilEnd(loop, second);
+  EXPECT_TRUE(second.IsWhole);
+  connection->close();
+}
+
 } // namespace
 } // namespace waxwing
