Fix: [Node] A response without a length that breaks off resets its connection

Cause: an HTTP/1.0 caller gets a response of unknown length up to the end of the connection. When the upstream broke off, or the process ended, that connection was closed in the orderly way, which marks the end of the body.

Change: a connection that is closed while such a response is incomplete is reset.

Conclusion: HTTP/1.1 callers see the cut by length or chunks.

--- a/src/node/attempt.cpp
+++ b/src/node/attempt.cpp
@@ -219,6 +219,7 @@
     if (IsChunkedResponse && exchange->Head.Version < 11) {
       IsChunkedResponse = false;
       exchange->Response.MustClose = true;
+      exchange->Response.EndsWithConnection = true;
     }
     if (!exchange->Body.isWhole() ||
         (Handler.isDraining() && !exchange->HasSuccessor))
--- a/src/node/caller_connection.cpp
+++ b/src/node/caller_connection.cpp
@@ -374,6 +374,8 @@
   IsClosed = true;
   const auto self = shared_from_this();
   error_code ec;
+  if (!Exchanges.empty() && Exchanges.front()->Response.EndsWithConnection)
+    Socket.set_option(asio::socket_base::linger(true, 0), ec);
   Socket.close(ec); // the descriptor is released even on error
   for (const auto &exchange : Exchanges)
     Handler.cancelExchange(exchange, why);
--- a/src/node/exchange.h
+++ b/src/node/exchange.h
@@ -30,6 +30,9 @@
   /// The response is truncated, so the caller's connection must be closed.
   bool IsBroken = false;
   bool MustClose = false; ///< the connection is closed after the response
+  /// Only the end of the connection marks the end of the response, so a
+  /// connection that ends earlier is reset.
+  bool EndsWithConnection = false;
 };
 
 /// One caller request and its response.
