Fix: [Node] An earlier response is not taken for that to the next order

With a faulty upstream two owners of the same keys (OWNER): the leader takes a release as done while its owner still works, or a grant as refused, or the process as ended, and gives the keys to another upstream.

Cause: orders and their responses carry no id, and all orders to an upstream shared kept connections, so that the response to an earlier order, sent once more after the next one was written, was taken for the response to that.

Change: a response to a release is known by its handover token; on a connection that has carried another order a success without one is discarded and logged (response_of_another_call). A connection carries another order only after an accepted grant, so no refusal and no response to a release precedes one. Renewals still share a connection.

Conclusion: what is left is the response to an accepted grant that is sent again between the next grant and its response: the leader then counts that grant as accepted. It never counts keys as free by this.

--- a/src/node/call_client.cpp
+++ b/src/node/call_client.cpp
@@ -6,6 +6,7 @@
 
 #include "headers.h"
 #include "node/node_clock.h"
+#include "node/node_log.h"
 
 #include <boost/asio/error.hpp>
 #include <fmt/format.h>
@@ -14,14 +15,38 @@
 namespace waxwing {
 namespace {
 
+/// How far responses tell which call they belong to. A peer may send an earlier
+/// response on the connection again.
+struct CallIdentity {
+  /// The call is an order to an upstream. Its connection carries another order
+  /// only after an accepted grant, so that no refusal and no response to a
+  /// release can be taken for a later one.
+  bool IsOrder = false;
+  /// Header of successful responses to the call; "" if there is none.
+  std::string ResponseHeader;
+  /// No other call preceded this one on the connection.
+  bool IsFirstCall = false;
+
+  bool mayShareConnection(int status) const {
+    return !IsOrder || (status == platform::StatusOk && ResponseHeader.empty());
+  }
+  bool isOwnResponse(const http::ResponseHead &head) const {
+    return IsFirstCall || head.Status != platform::StatusOk ||
+           ResponseHeader.empty() ||
+           http::findField(head.Headers, ResponseHeader) != nullptr;
+  }
+};
+
 /// One HTTP request with a deadline.
 class PendingCall : public ResponseObserver,
                     public std::enable_shared_from_this<PendingCall> {
 public:
   PendingCall(boost::asio::io_context &loop, ConnectionPool &pool,
               std::shared_ptr<ClientConnection> connection,
-              std::size_t maxResponse, HttpCallClient::Callback callback)
-      : Pool(pool), Connection(std::move(connection)), MaxResponse(maxResponse),
+              CallIdentity identity, std::size_t maxResponse,
+              HttpCallClient::Callback callback)
+      : Pool(pool), Connection(std::move(connection)),
+        Identity(std::move(identity)), MaxResponse(maxResponse),
         Callback(std::move(callback)),
         Timer(loop, [this] { abandon("no response before the deadline"); }) {}
 
@@ -32,6 +57,12 @@
   }
 
   bool onResponseHead(http::ResponseHead &head) override {
+    if (!Identity.isOwnResponse(head)) {
+      logLine(LogPriority::Failure, bootNow(), "response_of_another_call",
+              "peer={} status={}", formatEndpoint(Connection->peer()),
+              head.Status);
+      return false;
+    }
     Result.Status = head.Status;
     Result.Headers = std::move(head.Headers);
     return true;
@@ -43,7 +74,10 @@
       Result.Body += bytes;
   }
   void onResponseEnd() override {
-    Pool.release(Connection);
+    if (Identity.mayShareConnection(Result.Status))
+      Pool.release(Connection);
+    else
+      Connection->close();
     finish();
   }
   void onConnectionLost(const std::string &why, bool isSent) override {
@@ -76,6 +110,7 @@
 
   ConnectionPool &Pool;
   std::shared_ptr<ClientConnection> Connection;
+  CallIdentity Identity;
   std::size_t MaxResponse;
   HttpCallClient::Callback Callback;
   DeadlineTimer Timer;
@@ -101,10 +136,12 @@
                    call.Body.size());
   request += "\r\n" + call.Body;
   auto connection = Pool.acquire(peer, bootNow(), seconds(60));
-  if (!connection)
+  const bool isFirstCall = connection == nullptr;
+  if (isFirstCall)
     connection = Pool.open(peer);
   std::make_shared<PendingCall>(
       Loop, Pool, std::move(connection),
+      CallIdentity{!target.empty(), call.ResponseHeader, isFirstCall},
       target.empty() ? MaxStoreResponse : MaxOrderResponse, std::move(callback))
       ->start(request, deadline);
 }
