--- a/src/node/connection_pool.cpp
+++ b/src/node/connection_pool.cpp
@@ -45,7 +45,7 @@
     return nullptr;
   auto &connections = found->second;
   for (std::size_t n = connections.size(); n-- > 0;) {
-    const auto connection = connections[n];
+    auto connection = connections[n];
     const bool isUsable = isFresh(*connection, now);
     if (isUsable && now > connection->IdleSince + maxIdle)
       return nullptr; // the remaining connections have been idle for longer
