Fix: [Node] The end of acceptance in a stop is a time, not the run of a timer

Callers saw: requests, some of which may run only once, that were sent to an upstream late in the grace period of a stop and cut with no answer (LOST).

Cause: requests were refused once a timer of the shutdown had run. After a stall of the process, what had arrived meanwhile was read and sent before that timer.

Change: the gateway has the time from which it refuses, and compares it with each request's arrival.

Conclusion: the margin of 150 ms covers the delay of timers, not stalls.

--- a/src/node/gateway.cpp
+++ b/src/node/gateway.cpp
@@ -162,10 +162,12 @@
   return RetryBudgets.try_emplace(service, Retries).first->second;
 }
 
-void Gateway::beginDraining() { IsDraining = true; }
+void Gateway::beginDraining(Time refuseFrom) {
+  IsDraining = true;
+  RefuseFrom = refuseFrom;
+}
 
-void Gateway::beginRefusing() {
-  IsRefusing = true;
+void Gateway::refuseWaiting() {
   std::vector<std::shared_ptr<Exchange>> waiting(AwaitingBody.begin(),
                                                  AwaitingBody.end());
   for (const auto &[service, queue] : Queues)
@@ -208,7 +210,7 @@
   exchange->Response.MustClose = !exchange->Head.IsKeepAlive;
   exchange->Config = Config;
   exchange->CallerDeadlineAt = exchange->TimeoutAt = now + seconds(30);
-  if (IsRefusing) {
+  if (isRefusing(now)) {
     refuse(exchange, Reason::Draining, ShutdownRetryAfter);
     return;
   }
--- a/src/node/gateway.h
+++ b/src/node/gateway.h
@@ -67,10 +67,11 @@
 
   /// From now on, a response closes the caller's connection unless a later
   /// request of the connection was accepted before the response began.
-  void beginDraining();
-  /// From now on, requests are refused, since too little time is left to serve
-  /// them. Queued requests are refused too.
-  void beginRefusing();
+  /// @param refuseFrom time from which requests are refused, since too little
+  ///   time is left to serve them
+  void beginDraining(Time refuseFrom);
+  /// Refuses the requests that were not sent yet.
+  void refuseWaiting();
   /// Closes caller connections without a pending request.
   void closeIdleCallers();
   /// Closes all caller connections.
@@ -98,6 +99,7 @@
   const CallerLimits &callerLimits() const override;
   BodyMemory &bodyMemory() override { return Bodies; }
   bool isDraining() const override { return IsDraining; }
+  bool isRefusing(Time now) const { return now >= RefuseFrom; }
   void onCallerClosed(const void *connection) override;
   void onAttemptEnd(const std::shared_ptr<Exchange> &exchange, Attempt &attempt,
                     const AttemptResult &result) override;
@@ -175,7 +177,7 @@
   std::map<std::string, LatencyStats> Latencies; ///< by route name
   int ActiveExchanges = 0;
   bool IsDraining = false;
-  bool IsRefusing = false;
+  Time RefuseFrom = Time::max();
 };
 
 } // namespace waxwing
--- a/src/node/node_process.cpp
+++ b/src/node/node_process.cpp
@@ -381,7 +381,7 @@
           std::chrono::duration_cast<milliseconds>(ShutdownDeadline -
                                                    ShutdownStartedAt)
               .count());
-  RequestGateway.beginDraining();
+  RequestGateway.beginDraining(RefuseFrom);
   VmCluster.resign();
   ShutdownTimer.scheduleBy(ShutdownStartedAt + ShutdownCheckInterval);
 }
@@ -395,7 +395,7 @@
   if (hasBalancerReacted)
     RequestGateway.closeIdleCallers();
   if (now >= RefuseFrom)
-    RequestGateway.beginRefusing();
+    RequestGateway.refuseWaiting();
   if (now >= ShutdownDeadline ||
       (hasBalancerReacted && !RequestGateway.hasExchanges())) {
     RequestGateway.closeCallers();
