Fix: [Node] A request is not sent again if the end of the process may cut it

Callers saw: a request that an upstream had refused late in the grace period of a stop was sent to another upstream, and cut there with no answer at the end of the period (LOST). It might run, so a request that may run only once was lost, although its refusal had been certain.

Cause: after the end of acceptance, new and queued requests were refused, but retries were still sent.

Change: after that time a request is sent again only if its deadline is before the end of the process. Otherwise its caller gets the outcome at once; after a refusal it may try another VM.

Evidence: planned_retry_process_test RequestRefusedLateIsNotSentAgain. After: 503, passed. RequestWithAnEarlyDeadlineIsSentAgain passed before and after.

Conclusion: a retry is a request that is accepted anew.

--- a/src/node/gateway.cpp
+++ b/src/node/gateway.cpp
@@ -28,9 +28,6 @@
 constexpr Duration MaxSummaryAge = milliseconds(100);
 /// Interval of checks for idle connections and timed-out callers.
 constexpr Duration SweepInterval = milliseconds(500);
-/// A caller that is refused at shutdown may retry at once, since its next
-/// connection goes to another VM.
-constexpr Duration ShutdownRetryAfter = milliseconds(20);
 constexpr int ListenBacklog = 1024;
 /// Fraction of the VM's memory that callers' request bodies may use.
 constexpr double BodyMemoryFraction = 0.125;
@@ -162,9 +159,10 @@
   return RetryBudgets.try_emplace(service, Retries).first->second;
 }
 
-void Gateway::beginDraining(Time refuseFrom) {
+void Gateway::beginDraining(Time refuseFrom, Time endsAt) {
   IsDraining = true;
   RefuseFrom = refuseFrom;
+  EndsAt = endsAt;
 }
 
 void Gateway::refuseWaiting() {
--- a/src/node/gateway.h
+++ b/src/node/gateway.h
@@ -29,6 +29,10 @@
 
 namespace waxwing {
 
+/// A caller that is refused at shutdown may retry at once, since its next
+/// connection goes to another VM.
+inline constexpr Duration ShutdownRetryAfter = milliseconds(20);
+
 /// Counters of the data path.
 struct GatewayCounters {
   std::uint64_t Requests = 0;
@@ -69,7 +73,8 @@
   /// request of the connection was accepted before the response began.
   /// @param refuseFrom time from which requests are refused, since too little
   ///   time is left to serve them
-  void beginDraining(Time refuseFrom);
+  /// @param endsAt time at which the process ends
+  void beginDraining(Time refuseFrom, Time endsAt);
   /// Refuses the requests that were not sent yet.
   void refuseWaiting();
   /// Closes caller connections without a pending request.
@@ -100,6 +105,10 @@
   BodyMemory &bodyMemory() override { return Bodies; }
   bool isDraining() const override { return IsDraining; }
   bool isRefusing(Time now) const { return now >= RefuseFrom; }
+  /// @return true if the end of the process may cut a request that is sent now
+  bool mayBeCut(const Exchange &exchange, Time now) const {
+    return isRefusing(now) && exchange.TimeoutAt >= EndsAt;
+  }
   void onCallerClosed(const void *connection) override;
   void onAttemptEnd(const std::shared_ptr<Exchange> &exchange, Attempt &attempt,
                     const AttemptResult &result) override;
@@ -178,6 +187,7 @@
   int ActiveExchanges = 0;
   bool IsDraining = false;
   Time RefuseFrom = Time::max();
+  Time EndsAt = Time::max(); ///< not before RefuseFrom
 };
 
 } // namespace waxwing
--- a/src/node/gateway_send.cpp
+++ b/src/node/gateway_send.cpp
@@ -79,9 +79,10 @@
 }
 
 bool Gateway::wouldRetry(const Exchange &exchange) const {
+  const Time now = bootNow();
   // The failed attempt is not counted in the exchange yet.
-  return decideRetry(retryInput(exchange, 1, bootNow())) ==
-         RetryDecision::Retry;
+  return !mayBeCut(exchange, now) &&
+         decideRetry(retryInput(exchange, 1, now)) == RetryDecision::Retry;
 }
 
 void Gateway::onAttemptEnd(const std::shared_ptr<Exchange> &exchange,
@@ -168,12 +169,15 @@
 void Gateway::retryOrFinish(const std::shared_ptr<Exchange> &exchange,
                             const AttemptResult &result, Time now) {
   const bool isAllowed =
+      !mayBeCut(*exchange, now) &&
       decideRetry(retryInput(*exchange, 0, now)) == RetryDecision::Retry &&
       (!result.IsDelivered ||
        retryBudget(exchange->Service)
            .tryConsume(now, static_cast<int>(Context.Vms.size())));
   if (!isAllowed) {
-    refuse(exchange, result.Cause, admission(*exchange, now, true).RetryAfter);
+    refuse(exchange, result.Cause,
+           isRefusing(now) ? ShutdownRetryAfter
+                           : admission(*exchange, now, true).RetryAfter);
     return;
   }
   dispatch(exchange);
--- a/src/node/node_process.cpp
+++ b/src/node/node_process.cpp
@@ -381,7 +381,7 @@
           std::chrono::duration_cast<milliseconds>(ShutdownDeadline -
                                                    ShutdownStartedAt)
               .count());
-  RequestGateway.beginDraining(RefuseFrom);
+  RequestGateway.beginDraining(RefuseFrom, ShutdownDeadline);
   VmCluster.resign();
   ShutdownTimer.scheduleBy(ShutdownStartedAt + ShutdownCheckInterval);
 }
--- a/tests/planned_retry_process_test.cpp
+++ b/tests/planned_retry_process_test.cpp
@@ -28,8 +28,53 @@
                        "Deadline-Ms: {}\r\nContent-Length: 0\r\n\r\n",
                        id, toMilliseconds(deadline));
   }
+  /// Adds two upstreams that refuse the first delivery of a request after
+  /// @p refusalDelay and serve the second after @p delay.
+  void addRefusingUpstreams(Duration refusalDelay, Duration delay) {
+    for (const int n : {0, 1})
+      addScripted(n, [this, refusalDelay, delay](Peer &peer) {
+        for (std::string head; !(head = peer.readHead()).empty();) {
+          const bool isFirst = Deliveries++ == 0;
+          std::this_thread::sleep_for(isFirst ? refusalDelay : delay);
+          peer.write(isFirst
+                         ? makeResponse(head, 503, "Not-Executed: 1\r\n", "")
+                         : makeSuccess(head, "x"));
+        }
+      });
+    waitForUpstreams();
+  }
+
+  std::atomic<int> Deliveries = 0;
 };
 
+/// LOST at a planned stop: a request that an upstream had refused late in the
+/// grace period was sent to another one and cut at the end of the period.
+TEST_F(PlannedRetryTest, RequestRefusedLateIsNotSentAgain) {
+  addRefusingUpstreams(AcceptanceTime + milliseconds(400), AcceptanceTime);
+  boost::asio::io_context io;
+  const auto socket = connect(io);
+  Peer caller(*socket);
+  Nodes[0]->signal(SIGTERM);
+  caller.write(makeRequest("late", seconds(20)));
+  const std::string head = caller.readHead();
+  EXPECT_TRUE(head.starts_with("HTTP/1.1 503")) << head;
+  EXPECT_EQ(Deliveries, 1);
+}
+
+/// A request whose deadline is before the end of the grace period cannot be cut
+/// by it, so it is sent again.
+TEST_F(PlannedRetryTest, RequestWithAnEarlyDeadlineIsSentAgain) {
+  addRefusingUpstreams(AcceptanceTime + milliseconds(400), milliseconds(200));
+  boost::asio::io_context io;
+  const auto socket = connect(io);
+  Peer caller(*socket);
+  Nodes[0]->signal(SIGTERM);
+  caller.write(makeRequest("late", 2 * AcceptanceTime - milliseconds(600)));
+  const std::string head = caller.readHead();
+  EXPECT_TRUE(head.starts_with("HTTP/1.1 200")) << head;
+  EXPECT_EQ(Deliveries, 2);
+}
+
 /// LOST at a planned stop: requests that the node read after a stall, later
 /// than it accepts requests, were sent and cut at the end of the grace period.
 TEST_F(PlannedRetryTest, RequestsReadAfterTheEndOfAcceptanceAreRefused) {
