--- a/tests/upstream_client_test.cpp
+++ b/tests/upstream_client_test.cpp
@@ -6,8 +6,14 @@
  */
 #include "fake_tcp_upstream.h"
 #include "router/upstream_client.h"
+#include "support/threaded_tcp_server.h"
+#include "table/reasons.h"
+#include "upstream/upstream_protocol.h"
 
 #include <algorithm>
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/write.hpp>
+#include <fmt/format.h>
 #include <future>
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
@@ -189,6 +195,94 @@
   EXPECT_NE(end.ExecutionVerdict, Verdict::NotRun);
 }
 
+/// Reads one request without a body.
+/// @return its request id, or "" at the end of the stream
+std::string readRequestId(boost::asio::ip::tcp::socket &socket) {
+  std::string input;
+  boost::system::error_code ec;
+  boost::asio::read_until(socket, boost::asio::dynamic_buffer(input),
+                          "\r\n\r\n", ec);
+  if (ec)
+    return "";
+  const auto at = input.find(std::string(RequestIdHeader) + ": ") +
+                  RequestIdHeader.size() + 2;
+  return input.substr(at, input.find('\r', at) - at);
+}
+
+/// @return a field with the request id, or "" without one
+std::string idField(const std::string &id) {
+  return id.empty() ? "" : fmt::format("{}: {}\r\n", RequestIdHeader, id);
+}
+
+void writeBytes(boost::asio::ip::tcp::socket &socket,
+                const std::string &bytes) {
+  boost::system::error_code ec;
+  boost::asio::write(socket, boost::asio::buffer(bytes), ec);
+}
+
+/// REFUSED, TWICE: an upstream sent an earlier refusal once more, with or
+/// without an id, in front of the response to the next request.
+TEST(UpstreamClient, RepeatedRefusalIsNoProof) {
+  for (const bool hasId : {true, false}) {
+    const std::uint16_t port = FirstPort + (hasId ? 20 : 21);
+    const ThreadedTcpServer upstream(
+        port, [hasId](boost::asio::ip::tcp::socket &socket) {
+          std::string refusal;
+          for (std::string id; !(id = readRequestId(socket)).empty();) {
+            if (refusal.empty()) {
+              writeBytes(socket,
+                         fmt::format("HTTP/1.1 503 X\r\n{}{}: {}\r\n"
+                                     "Content-Length: 0\r\n\r\n",
+                                     idField(id), RefusalHeader,
+                                     reasonInfo(Reason::UpstreamShed).Name));
+              refusal = fmt::format("HTTP/1.1 503 X\r\n{}{}: {}\r\n"
+                                    "Content-Length: 0\r\n\r\n",
+                                    idField(hasId ? id : ""), RefusalHeader,
+                                    reasonInfo(Reason::UpstreamShed).Name);
+              continue;
+            }
+            writeBytes(socket, refusal);
+            std::this_thread::sleep_for(milliseconds(20));
+            writeBytes(socket, fmt::format("HTTP/1.1 200 OK\r\n{}Content-"
+                                           "Length: 0\r\n\r\n",
+                                           idField(id)));
+          }
+        });
+    ClientDriver client(port);
+    EXPECT_EQ(client.run("/1").ExecutionVerdict, Verdict::NotRun);
+    const AttemptEnded end = client.run("/2");
+    EXPECT_EQ(end.Cause, Reason::CrossedAnswer) << hasId;
+    EXPECT_EQ(end.ExecutionVerdict, Verdict::MayHaveRun) << hasId;
+  }
+}
+
+/// MIXED, ORDER: an upstream stopped at any byte of a response and closed.
+TEST(UpstreamClient, ResponseCutAtAnyByteIsNotComplete) {
+  constexpr std::size_t headAndBody = 60;
+  std::atomic<std::size_t> cut = 0;
+  std::atomic<std::size_t> size = headAndBody;
+  const ThreadedTcpServer upstream(
+      FirstPort + 22, [&](boost::asio::ip::tcp::socket &socket) {
+        const std::string response =
+            fmt::format("HTTP/1.1 200 OK\r\n{}Content-Length: 5\r\n\r\nhello",
+                        idField(readRequestId(socket)));
+        size = response.size();
+        writeBytes(socket, response.substr(0, cut));
+        boost::system::error_code ec;
+        socket.shutdown(boost::asio::ip::tcp::socket::shutdown_send, ec);
+      });
+  ClientDriver client(FirstPort + 22);
+  for (std::size_t n = 0; n < size; ++n) {
+    cut = n;
+    const AttemptEnded end = client.run("/1");
+    EXPECT_EQ(end.Cause, n == 0 ? Reason::ConnectionLost : Reason::CutOffAnswer)
+        << n;
+    EXPECT_EQ(end.ExecutionVerdict, Verdict::MayHaveRun) << n;
+  }
+  cut = size.load();
+  EXPECT_EQ(client.run("/1").Cause, Reason::None);
+}
+
 TEST(UpstreamClient, CancellationIsSentToTheUpstream) {
   FakeTcpUpstream upstream(FirstPort + 5);
   ClientDriver client(FirstPort + 5);
