Fix: [Node] A refusal by another upstream counts without the request's id

Cause: a process that is not the target may respond with 421 without the request's id. On a kept connection that response was discarded and the true one awaited.

Change: a 421 that names another upstream than the target holds for every request to the target on that connection, so it counts even if it was sent again.

Evidence: node_process_test AddressUsedByAnotherServiceIsTriedOnlyOnce, which is unchanged. Before: 504 instead of 200.

Conclusion: what proves that a request was not executed is either its own response or the identity of the peer.

--- a/src/node/attempt.cpp
+++ b/src/node/attempt.cpp
@@ -22,6 +22,9 @@
 /// Bytes of a request that wait in the connection while the upstream does not
 /// read.
 constexpr std::size_t MaxUnwrittenRequestBytes = 65536;
+/// The peer is not the upstream that the request names, or does not hold its
+/// key.
+constexpr int StatusMisdirected = 421;
 
 bool hasNoBody(const http::RequestHead &request, int status) {
   return request.Method == "HEAD" || status == 204 || status == 304;
@@ -144,13 +147,19 @@
       platform::readResponseMetadata(head.Status, head.Headers);
   const std::string id = exchange ? exchange->Meta.Id : meta.RequestId;
   const bool isWithoutId = meta.RequestId.empty();
+  // The peer is not the target, so it refuses this request as well, whichever
+  // request the response belongs to.
+  const bool isOtherUpstream = head.Status == StatusMisdirected &&
+                               isWithoutId && !meta.UpstreamId.empty() &&
+                               meta.UpstreamId != Target.Id.Value;
   // On a connection that has carried other requests, a response without an id
   // may be an earlier one that was sent again.
+  const bool mayBeRepeated = !IsNewConnection && !isOtherUpstream;
   const bool isOtherRequest =
-      meta.RequestId != id && (!isWithoutId || !IsNewConnection);
+      meta.RequestId != id && (!isWithoutId || mayBeRepeated);
   if (isOtherRequest)
     return false;
-  IsResponseIdentified = !isWithoutId || IsNewConnection;
+  IsResponseIdentified = !isWithoutId || !mayBeRepeated;
   ResponseHead = std::move(head);
   ResponseMetadata = std::move(meta);
   ResponseStatus = ResponseHead.Status;
@@ -170,7 +179,7 @@
     return {AttemptOutcome::Failed, Reason::CrossedAnswer, false, true,
             fmt::format("status {} without the request's id", ResponseStatus)};
   if (ResponseMetadata.IsNotExecuted) {
-    const bool isWrongUpstream = ResponseStatus == 421;
+    const bool isWrongUpstream = ResponseStatus == StatusMisdirected;
     return {isWrongUpstream ? AttemptOutcome::WrongUpstream
                             : AttemptOutcome::Shed,
             isWrongUpstream ? Reason::WrongToken : Reason::UpstreamShed, true,
--- a/src/node/attempt.h
+++ b/src/node/attempt.h
@@ -113,8 +113,8 @@
   std::string ResponseBody; ///< bytes received and not yet forwarded
   int ResponseStatus = 0;
   bool HasResponseHead = false;
-  /// The response is that of this request: it has the request's id, or it is
-  /// the first one on its connection.
+  /// The response holds for this request: it has the request's id, is the first
+  /// one on its connection, or is the refusal of another upstream.
   bool IsResponseIdentified = false;
   bool IsForwarding = false;      ///< the response head was forwarded
   bool IsChunkedResponse = false; ///< forwarded with chunked transfer encoding
--- a/src/standin/platform_server.cpp
+++ b/src/standin/platform_server.cpp
@@ -258,16 +258,18 @@
     return;
   }
   const std::string *id = http::findField(fields, "Request-Id");
+  const std::string refusalFields = fmt::format(
+      "Request-Id: {}\r\nNot-Executed: 1\r\n", id == nullptr ? "" : *id);
   const std::string *key = http::findField(fields, "Shard-Key");
   if (Settings.IsDividedByKey &&
       (key == nullptr ||
        !ownsKey(static_cast<std::uint16_t>(std::stoi(*key))))) {
     ++MisroutedRequests;
-    respond(formatResponse(421, "Not-Executed: 1\r\n", ""));
+    respond(formatResponse(421, refusalFields, ""));
     return;
   }
   if (IsShedding) {
-    respond(formatResponse(503, "Not-Executed: 1\r\n", ""));
+    respond(formatResponse(503, refusalFields, ""));
     return;
   }
   const std::string name = id == nullptr ? "" : *id;
