--- a/src/node/attempt.cpp
+++ b/src/node/attempt.cpp
@@ -23,6 +23,9 @@
 /// read.
 constexpr std::size_t MaxUnwrittenRequestBytes = 65536;
 constexpr int StatusServiceUnavailable = 503;
+/// The peer is not the upstream that the request names, or does not hold its
+/// key.
+constexpr int StatusMisdirected = 421;
 
 /// Appends the fields by which the target knows what to do with the request.
 struct TargetFieldWriter {
@@ -165,21 +168,37 @@
   return exchange && !exchange->IsCallerDisconnected && !HasEnded;
 }
 
+/// @return false if the response belongs to another request
+bool Attempt::isOwnResponse(const http::ResponseHead &head,
+                            const platform::ResponseMetadata &meta) {
+  if (const auto *hop = std::get_if<RelayHop>(&Target)) {
+    Relay = readRelayResult(head.Headers);
+    IsResponseIdentified = Relay && Relay->Number == hop->Request.Number;
+    if (!IsResponseIdentified)
+      Relay.reset();
+    return IsResponseIdentified;
+  }
+  const auto exchange = ParentExchange.lock();
+  const std::string id = exchange ? exchange->Meta.Id : meta.RequestId;
+  const bool isWithoutId = meta.RequestId.empty();
+  // The peer is not the target, so it refuses this request as well, whichever
+  // request the response belongs to.
+  const bool isOtherUpstream = head.Status == StatusMisdirected &&
+                               isWithoutId && !meta.UpstreamId.empty() &&
+                               meta.UpstreamId != upstreamId().Value;
+  // On a connection that has carried other requests, a response without an id
+  // may be an earlier one that was sent again.
+  const bool mayBeRepeated = !IsNewConnection && !isOtherUpstream;
+  IsResponseIdentified = !isWithoutId || !mayBeRepeated;
+  return meta.RequestId == id || (isWithoutId && !mayBeRepeated);
+}
+
 bool Attempt::onResponseHead(http::ResponseHead &head) {
   const auto exchange = ParentExchange.lock();
   platform::ResponseMetadata meta =
       platform::readResponseMetadata(head.Status, head.Headers);
-  const bool isOtherRequest = !meta.RequestId.empty() && exchange &&
-                              meta.RequestId != exchange->Meta.Id;
-  if (isOtherRequest)
+  if (!isOwnResponse(head, meta))
     return false;
-  if (const auto *hop = std::get_if<RelayHop>(&Target)) {
-    Relay = readRelayResult(head.Headers);
-    if (!Relay || Relay->Number != hop->Request.Number) {
-      Relay.reset();
-      return false;
-    }
-  }
   ResponseHead = std::move(head);
   ResponseMetadata = std::move(meta);
   ResponseStatus = ResponseHead.Status;
@@ -192,9 +211,8 @@
                             ResponseStatus == StatusServiceUnavailable &&
                             ResponseMetadata.RetryAfterS.has_value();
   if (isPauseAsked)
-    Handler.onPauseAsked(
-        *upstream(),
-        std::chrono::duration<double>(*ResponseMetadata.RetryAfterS));
+    Handler.onPauseAsked(*upstream(), std::chrono::duration<double>(
+                                          *ResponseMetadata.RetryAfterS));
   if (ResponseMetadata.KeepAliveS)
     Connection->IdleUntil = bootNow() + seconds(*ResponseMetadata.KeepAliveS);
   else
@@ -216,8 +234,11 @@
 }
 
 AttemptResult Attempt::classifyUpstreamResponse() const {
+  if (ResponseMetadata.IsNotExecuted && !IsResponseIdentified)
+    return {AttemptOutcome::Failed, Reason::CrossedAnswer, false, true,
+            fmt::format("status {} without the request's id", ResponseStatus)};
   if (ResponseMetadata.IsNotExecuted) {
-    const bool isWrongUpstream = ResponseStatus == 421;
+    const bool isWrongUpstream = ResponseStatus == StatusMisdirected;
     return {isWrongUpstream ? AttemptOutcome::WrongUpstream
                             : AttemptOutcome::Shed,
             isWrongUpstream ? Reason::WrongToken : Reason::UpstreamShed, true,
@@ -268,6 +289,7 @@
     if (IsChunkedResponse && exchange->Head.Version < 11) {
       IsChunkedResponse = false;
       exchange->Response.MustClose = true;
+      exchange->Response.EndsWithConnection = true;
     }
     if (!exchange->Body.isWhole() ||
         (Handler.isDraining() && !exchange->HasSuccessor))
--- a/src/node/attempt.h
+++ b/src/node/attempt.h
@@ -120,6 +120,8 @@
   void forwardToCaller(bool isWhole);
   void appendBody(std::string &out, std::string_view bytes) const;
   void finish(const AttemptResult &result);
+  bool isOwnResponse(const http::ResponseHead &head,
+                     const platform::ResponseMetadata &meta);
   AttemptResult classifyResponse() const;
   AttemptResult classifyUpstreamResponse() const;
   /// @return true if the response is for the caller, rather than a reason to
@@ -142,6 +144,9 @@
   std::string ResponseBody;         ///< bytes received and not yet forwarded
   int ResponseStatus = 0;
   bool HasResponseHead = false;
+  /// The response holds for this request: it has the request's id, is the first
+  /// one on its connection, or is the refusal of another upstream.
+  bool IsResponseIdentified = false;
   bool IsForwarding = false;      ///< the response head was forwarded
   bool IsChunkedResponse = false; ///< forwarded with chunked transfer encoding
   bool IsPaused = false;          ///< reading of the response is paused
--- a/src/node/exchange.h
+++ b/src/node/exchange.h
@@ -15,10 +15,12 @@
 #include <functional>
 #include <memory>
 #include <set>
+#include <vector>
 
 namespace waxwing {
 
 class Attempt;
+class ClientConnection;
 
 /// Response bytes on their way to the caller.
 struct ResponseBuffer {
@@ -29,6 +31,9 @@
   /// The response is truncated, so the caller's connection must be closed.
   bool IsBroken = false;
   bool MustClose = false; ///< the connection is closed after the response
+  /// Only the end of the connection marks the end of the response, so a
+  /// connection that ends earlier is reset.
+  bool EndsWithConnection = false;
 };
 
 /// What another VM said about a request that it passed to this one.
@@ -59,6 +64,10 @@
   std::optional<RelayedRequest> Relayed;
 
   std::set<UpstreamId> TriedUpstreams;
+  /// Connections of earlier attempts. A second delivery on one of them would
+  /// have the same request id, so a repeated response to the first delivery
+  /// could not be told from the response to the second.
+  std::vector<std::weak_ptr<ClientConnection>> UsedConnections;
   std::set<VmId> TriedPeers; ///< VMs to which the request was passed
   UpstreamId LastUpstream;   ///< upstream of the last attempt; empty if none
   int DeliveryCount = 0;     ///< attempts that reached an upstream
--- a/src/node/gateway_send.cpp
+++ b/src/node/gateway_send.cpp
@@ -41,7 +41,8 @@
   const Endpoint &address = upstream.Entry.Address;
   auto connection = Pool.acquire(address, now,
                                  isRetryable ? Duration(seconds(60))
-                                             : MaxIdleTimeForNonIdempotent);
+                                             : MaxIdleTimeForNonIdempotent,
+                                 exchange->UsedConnections);
   const bool isNew = connection == nullptr;
   if (isNew) {
     connection = Pool.open(
@@ -56,6 +57,7 @@
   Upstreams.countSentRequest(upstream, now);
   exchange->TriedUpstreams.insert(upstream.Entry.Id);
   exchange->LastUpstream = upstream.Entry.Id;
+  exchange->UsedConnections.push_back(connection);
   exchange->CurrentAttempt = std::make_shared<Attempt>(
       *this, exchange, upstream.Entry, std::move(connection), isNew);
   logLine(
@@ -112,9 +114,10 @@
 }
 
 bool Gateway::wouldRetry(const Exchange &exchange) const {
+  const Time now = bootNow();
   // The failed attempt is not counted in the exchange yet.
-  return decideRetry(retryInput(exchange, 1, bootNow())) ==
-         RetryDecision::Retry;
+  return !mayBeCut(exchange, now) &&
+         decideRetry(retryInput(exchange, 1, now)) == RetryDecision::Retry;
 }
 
 void Gateway::onAttemptEnd(const std::shared_ptr<Exchange> &exchange,
@@ -201,15 +204,16 @@
 void Gateway::retryOrFinish(const std::shared_ptr<Exchange> &exchange,
                             const AttemptResult &result, Time now) {
   const bool isAllowed =
+      !mayBeCut(*exchange, now) &&
       decideRetry(retryInput(*exchange, 0, now)) == RetryDecision::Retry &&
       (!result.IsDelivered ||
        retryBudget(exchange->Service)
            .tryConsume(now, static_cast<int>(Context.Vms.size())));
   if (!isAllowed) {
     refuse(exchange, result.Cause,
-           result.RetryAfter > Duration()
-               ? result.RetryAfter
-               : admission(*exchange, now, true).RetryAfter);
+           result.RetryAfter > Duration() ? result.RetryAfter
+           : isRefusing(now)              ? ShutdownRetryAfter
+                             : admission(*exchange, now, true).RetryAfter);
     return;
   }
   dispatch(exchange);
--- a/src/node/node_process.cpp
+++ b/src/node/node_process.cpp
@@ -413,7 +413,7 @@
           std::chrono::duration_cast<milliseconds>(ShutdownDeadline -
                                                    ShutdownStartedAt)
               .count());
-  RequestGateway.beginDraining();
+  RequestGateway.beginDraining(RefuseFrom, ShutdownDeadline);
   VmCluster.resign();
   ShutdownTimer.scheduleBy(ShutdownStartedAt + ShutdownCheckInterval);
 }
@@ -427,7 +427,7 @@
   if (hasBalancerReacted)
     RequestGateway.closeIdleCallers();
   if (now >= RefuseFrom)
-    RequestGateway.beginRefusing();
+    RequestGateway.refuseWaiting();
   if (now >= ShutdownDeadline ||
       (hasBalancerReacted && !RequestGateway.hasExchanges())) {
     RequestGateway.closeCallers();
