Fix: [Node] Keys behind a lost link of the leader move when they are free

What callers saw: since refusals end no ownership, keys of an upstream that the leader alone cannot reach had no owner from the end of their grants until the link was back: nobody renewed them and nobody else got them.

Cause: the leader renewed only; an upstream that is listed counted as able to own keys, whatever became of the orders to it.

Evidence: the leader's link to one of three upstreams is reset and then refused; 8 s later, on the code without this change:

StrandedOwnerTest.KeysBehindALostLinkMoveWhenTheirGrantsHaveEnded Expected: true, key 0 ... key 20937 (no owner)

Change: an upstream to which no order was delivered for 0.25 s gets no further keys for 2 s after the last such order.

Why it works: this chooses who gets free keys and ends no right. A range is given to another upstream only after a proof that its owner's grants have ended, as before; none rests on the links.

--- a/src/node/leadership.cpp
+++ b/src/node/leadership.cpp
@@ -33,6 +33,11 @@
 /// Outcomes of orders to upstreams are collected for this time before the
 /// range maps are processed again, so that one write to the store covers them.
 constexpr Duration OrderBatchDelay = milliseconds(20);
+/// An upstream gets no further keys when no order to it was delivered for this
+/// time.
+constexpr Duration UndeliveredConfirmTime = milliseconds(250);
+/// An unreachable upstream is tried again after this time without orders to it.
+constexpr Duration UnreachableRetryDelay = seconds(2);
 constexpr double MicrosPerSecond = 1e6;
 /// Processing time in s, assumed while no upstream of the service has a
 /// measured one.
@@ -357,7 +362,8 @@
     candidate.Slots = upstream.Entry.Slots;
     candidate.ProcessingSeconds =
         meanProcessingSeconds * upstream.Load.lastingSlowness();
-    candidate.IsEligible = Upstreams.isUsable(upstream) && !isDead && isWarm;
+    candidate.IsEligible = Upstreams.isUsable(upstream) && !isDead && isWarm &&
+                           !isUnreachable(upstream.Entry, now);
     isAnyWarm |= candidate.IsEligible;
     result.push_back(candidate);
   }
@@ -513,6 +519,35 @@
             upstream->Entry.StartedAtMs, upstream->EntryRevision, why);
 }
 
+void Leadership::recordDelivery(const RangeOrder &order, bool isDelivered,
+                                Time now) {
+  const Upstream *upstream = Upstreams.find(order.Upstream);
+  if (upstream == nullptr)
+    return;
+  std::erase_if(Undelivered, [now](const auto &entry) {
+    return now >= entry.second.ForgetAt;
+  });
+  const std::pair process{order.Upstream, upstream->Entry.StartedAtMs};
+  if (isDelivered) {
+    Undelivered.erase(process);
+    return;
+  }
+  UndeliveredOrders &orders =
+      Undelivered.try_emplace(process, now + UndeliveredConfirmTime)
+          .first->second;
+  orders.ForgetAt = now + UnreachableRetryDelay;
+  if (now >= orders.ConfirmAt && !std::exchange(orders.IsUnreachable, true))
+    logLine(LogPriority::StateChange, now, "upstream_unreachable",
+            "upstream={} born={} entry_rev={}", order.Upstream.Value,
+            upstream->Entry.StartedAtMs, upstream->EntryRevision);
+}
+
+bool Leadership::isUnreachable(const UpstreamEntry &entry, Time now) const {
+  const auto it = Undelivered.find({entry.Id, entry.StartedAtMs});
+  return it != Undelivered.end() && it->second.IsUnreachable &&
+         now < it->second.ForgetAt;
+}
+
 void Leadership::onOrder(const ServiceId &service, const RangeOrder &order,
                          const HttpCallResult &result) {
   const auto it = RangeLeaders.find(service);
@@ -529,6 +564,7 @@
   ++Counters.Outcomes[static_cast<std::size_t>(outcome)];
   const bool isDifferentProcess =
       result.Status == StatusMisdirected || result.Status == StatusBadRequest;
+  recordDelivery(order, result.IsDelivered, now);
   if (isDifferentProcess)
     markUpstreamDead(order, now, "address_in_use_by_another");
   const bool isRoutine =
--- a/src/node/leadership.h
+++ b/src/node/leadership.h
@@ -105,6 +105,11 @@
                                             const RangeMap &map, Time now);
   void markUpstreamDead(const RangeOrder &order, Time now,
                         std::string_view why);
+  /// Records whether an order to the upstream's process was delivered.
+  void recordDelivery(const RangeOrder &order, bool isDelivered, Time now);
+  /// @return true if this VM cannot deliver orders to the upstream, which may
+  ///   run on and keep its keys
+  bool isUnreachable(const UpstreamEntry &entry, Time now) const;
 
   boost::asio::io_context &Loop;
   HttpCallClient &Calls;
@@ -131,6 +136,14 @@
   /// than the stored maps.
   std::map<ServiceId, RangeLeader> FormerRangeLeaders;
   std::set<ServiceId> ServicesDividedByKey; ///< services divided by key
+  /// Orders to an upstream's process that were not delivered, since the last
+  /// one that was.
+  struct UndeliveredOrders {
+    Time ConfirmAt; ///< a failure after this time makes it unreachable
+    Time ForgetAt;  ///< the process is tried again from then on
+    bool IsUnreachable = false;
+  };
+  std::map<std::pair<UpstreamId, std::int64_t>, UndeliveredOrders> Undelivered;
   /// Upstream processes known to have ended, by upstream and start time.
   std::set<std::pair<UpstreamId, std::int64_t>> EndedUpstreamProcesses;
   LeadershipCounters Counters;
--- a/tests/stranded_owner_process_test.cpp
+++ b/tests/stranded_owner_process_test.cpp
@@ -5,6 +5,7 @@
  */
 #include "stranded_vm_fixture.h"
 
+#include <algorithm>
 #include <functional>
 #include <gmock/gmock.h>
 #include <map>
@@ -95,6 +96,25 @@
   watchLeaderDuring([&](int n) { cutLink(n, 0, LinkCut::ResetRefused); });
 }
 
+/// Guards against keys without an owner for as long as the leader's link to
+/// their owner is cut: their grants end, and others can be given the keys.
+TEST_F(StrandedOwnerTest, KeysBehindALostLinkMoveWhenTheirGrantsHaveEnded) {
+  ASSERT_TRUE(waitUntilKeysAreServed(0));
+  ASSERT_TRUE(waitFor([] { return leader() >= 0; }));
+  cutLink(leader(), 0, LinkCut::ResetRefused);
+  watchOwners(bootNow() + CutDuration);
+  runOnPlatform([&] {
+    for (int key = 0; key < 65536; key += KeyStep)
+      EXPECT_TRUE(std::ranges::any_of(Upstreams,
+                                      [&](const auto &it) {
+                                        return it->ownsKey(
+                                            static_cast<std::uint16_t>(key));
+                                      }))
+          << "key " << key;
+  });
+  EXPECT_THAT(Violations, testing::IsEmpty());
+}
+
 /// Guards against keys that nobody serves after the cut: a leader that met
 /// refusals everywhere took all upstreams for ended for the rest of its term.
 TEST_F(StrandedOwnerTest, UpstreamsOwnKeysAgainAfterRefusals) {
