Add: [Test] The soak cuts single VMs off from all upstreams

Cause: all VMs of the soak reached an upstream by one proxy, so no VM lost its own links while the others kept theirs; two owners after refusals were not found. Change: each VM has a link of its own to each upstream and its own view of the store. In series of its own numbers, one VM or three quarters of them are cut off in the four ways of LinkCut. The present checks apply; nothing is excused for these cuts. cutLink() is shared with StrandedVmTest.

--- a/tests/node_soak_test.cpp
+++ b/tests/node_soak_test.cpp
@@ -33,6 +33,7 @@
   /// Begins faults until @p end, then waits until all are over.
   Task run(Time end) {
     spawnTask(World.Loop, takeCopies());
+    spawnTask(World.Loop, strandVms(end));
     while (bootNow() < end) {
       co_await sleepFor(World.Loop, World.pickMs(30, 900));
       const FaultInfo &fault = pickFault();
@@ -53,7 +54,7 @@
     stopUpstream(n);
     co_await wait(50, 400);
     upstream.Host->start();
-    upstream.Path->open();
+    World.openPath(upstream);
     co_await wait(0, 300);
     World.putEntry(upstream);
     World.Ledger.UpstreamHarm[n].end();
@@ -105,6 +106,37 @@
       co_await wait(1500, 6000);
     }
   }
+  /// Cuts single VMs, or most of them, off from all upstreams at times, while
+  /// callers, the store and the other VMs reach them. Draws from numbers of its
+  /// own, so that the other faults of a seed stay the same.
+  Task strandVms(Time end) {
+    std::mt19937_64 random(~World.Plan.Seed);
+    const auto draw = [&](int from, int to) {
+      return from + static_cast<int>(random() % (to - from));
+    };
+    ++Active;
+    while (bootNow() < end) {
+      co_await sleepFor(World.Loop, milliseconds(draw(1000, 8000)));
+      const bool isMost = draw(0, 3) == 0;
+      std::vector<int> vms(World.Plan.VmCount);
+      std::iota(vms.begin(), vms.end(), 0);
+      std::ranges::shuffle(vms, random);
+      vms.resize(isMost ? std::max(1, World.Plan.VmCount * 3 / 4) : 1);
+      const auto cut =
+          static_cast<LinkCut>(draw(0, static_cast<int>(LinkCut::LastCut) + 1));
+      Trace.push_back(fmt::format(
+          "{:.3f} strand {} VMs, vm{} first, cut {}",
+          std::chrono::duration<double>(bootNow().time_since_epoch()).count(),
+          vms.size(), vms.front(), static_cast<int>(cut)));
+      for (const int n : vms)
+        World.setCut(n, cut);
+      co_await sleepFor(World.Loop, milliseconds(draw(200, 7000)));
+      for (const int n : vms)
+        World.setCut(n, std::nullopt);
+    }
+    --Active;
+  }
+
   Task awaitStore() {
     while (DownCount > 0)
       co_await sleepFor(World.Loop, milliseconds(10));
@@ -248,7 +280,7 @@
     return n;
   }
   void stopUpstream(int n) {
-    World.Upstreams[n].Path->close();
+    World.closePath(World.Upstreams[n]);
     World.Upstreams[n].Host->stop();
   }
 
@@ -298,7 +330,7 @@
     co_await wait(0, 500);
     co_await awaitStore();
     upstream.Host->start();
-    upstream.Path->open();
+    World.openPath(upstream);
     upstream.IsListed = true;
     World.putEntry(upstream);
     World.Ledger.UpstreamHarm[n].end();
--- a/tests/node_soak_world.h
+++ b/tests/node_soak_world.h
@@ -6,6 +6,7 @@
 #ifndef WAXWING_TESTS_NODE_SOAK_WORLD_H
 #define WAXWING_TESTS_NODE_SOAK_WORLD_H
 
+#include "link_cut.h"
 #include "node_soak_callers.h"
 
 #include "standin/platform_base.h"
@@ -31,6 +32,9 @@
 struct SoakVm {
   std::unique_ptr<ChildProcess> Process; ///< nullptr while none runs
   std::unique_ptr<FaultProxy> StorePath;
+  /// Links to the upstreams, by the port of the upstream's path.
+  std::map<std::uint16_t, std::unique_ptr<FaultProxy>> Links;
+  std::optional<LinkCut> Cut; ///< of all links
   int Incarnation = 0;
   bool IsRestarting = false;
   std::uint64_t SeenVersion = 0; ///< highest one in force in this process
@@ -69,8 +73,11 @@
       harm->resize(plan.VmCount);
     std::vector<std::uint16_t> ports;
     for (int n = 0; n < plan.VmCount; ++n) {
+      Store.addView(
+          linkAddress(n, Plan.BasePort),
+          [n](const auto &key, const auto &it) { return viewOf(n, key, it); });
       Vms.emplace_back().StorePath = std::make_unique<FaultProxy>(
-          Loop, address(FirstStorePathPort + n), address(0));
+          Loop, address(FirstStorePathPort + n), linkAddress(n, Plan.BasePort));
       ports.push_back(address(vmPort(n)).Port);
     }
     Callers = std::make_unique<SoakCallers>(Loop, Ledger, ports, Random());
@@ -126,6 +133,9 @@
                                         : Upstreams[reused].Entry.Address;
     upstream.Path = std::make_unique<FaultProxy>(Loop, upstream.Entry.Address,
                                                  settings.Address);
+    ClosedPorts.erase(upstream.Entry.Address.Port);
+    for (int vm = 0; vm < Plan.VmCount; ++vm)
+      addLink(vm, upstream.Entry.Address);
     upstream.Host->OnExecution = [this, n](const StandinRequest &request) {
       onExecution(n, request);
     };
@@ -148,6 +158,30 @@
     putEntry(upstream);
   }
 
+  /// Refuses connections to an upstream, which ends.
+  void closePath(SoakUpstream &upstream) {
+    upstream.Path->close();
+    ClosedPorts.insert(upstream.Entry.Address.Port);
+    for (int vm = 0; vm < Plan.VmCount; ++vm)
+      updateLink(vm, upstream.Entry.Address.Port);
+  }
+  void openPath(SoakUpstream &upstream) {
+    upstream.Path->open();
+    ClosedPorts.erase(upstream.Entry.Address.Port);
+    for (int vm = 0; vm < Plan.VmCount; ++vm)
+      updateLink(vm, upstream.Entry.Address.Port);
+  }
+  /// Cuts a VM off from all upstreams, or restores its links.
+  void setCut(int vm, std::optional<LinkCut> cut) {
+    Vms[vm].Cut = cut;
+    for (const auto &[port, link] : Vms[vm].Links) {
+      // What a silent cut has held must not arrive late.
+      if (link->ToTarget.IsHolding)
+        link->reset();
+      updateLink(vm, port);
+    }
+  }
+
   /// Writes the entry of an upstream, or removes it.
   void putEntry(const SoakUpstream &upstream) {
     const std::string key = "servers/" + upstream.Entry.Id;
@@ -377,6 +411,39 @@
     return {"127.0.0.1", static_cast<std::uint16_t>(Plan.BasePort + offset)};
   }
   static int vmPort(int n) { return FirstVmPort + n * 4; }
+  /// @return address of which only VM @p vm knows
+  static Endpoint linkAddress(int vm, std::uint16_t port) {
+    return {fmt::format("127.0.{}.1", vm + 1), port};
+  }
+  /// @return the value of a key of the store as VM @p vm sees it
+  static std::string viewOf(int vm, const std::string &key,
+                            const std::string &value) {
+    if (!key.starts_with("servers/"))
+      return value;
+    nlohmann::json entry = nlohmann::json::parse(value);
+    const Endpoint path = parseEndpoint(entry["address"].get<std::string>());
+    entry["address"] = formatEndpoint(linkAddress(vm, path.Port));
+    return entry.dump();
+  }
+  void addLink(int vm, const Endpoint &path) {
+    std::unique_ptr<FaultProxy> &link = Vms[vm].Links[path.Port];
+    if (link == nullptr)
+      link =
+          std::make_unique<FaultProxy>(Loop, linkAddress(vm, path.Port), path);
+    updateLink(vm, path.Port);
+  }
+  void updateLink(int vm, std::uint16_t port) {
+    FaultProxy &link = *Vms[vm].Links.at(port);
+    link.ToTarget.IsHolding = link.ToCaller.IsHolding = false;
+    if (ClosedPorts.contains(port))
+      link.close();
+    else if (Vms[vm].Cut)
+      cutLink(link, *Vms[vm].Cut);
+    else
+      link.open();
+  }
+
+  std::set<std::uint16_t> ClosedPorts; ///< paths of ended upstreams
 
   void onExecution(int n, const StandinRequest &request) {
     const std::string *id = http::findField(request.Head.Headers, "Request-Id");
--- a/tests/stranded_vm_fixture.h
+++ b/tests/stranded_vm_fixture.h
@@ -7,19 +7,11 @@
 #ifndef WAXWING_TESTS_STRANDED_VM_FIXTURE_H
 #define WAXWING_TESTS_STRANDED_VM_FIXTURE_H
 
+#include "link_cut.h"
 #include "node_fixture.h"
-#include "node_soak_proxy.h"
 
 namespace waxwing {
 
-/// How the links of a VM to the upstreams are cut.
-enum class LinkCut : std::uint8_t {
-  Silent,       ///< present and further connections hang
-  Reset,        ///< present connections are reset, further ones hang
-  Refused,      ///< present connections live on, further ones are refused
-  ResetRefused, ///< present connections are reset, further ones are refused
-};
-
 /// Upstreams are reached through one proxy for each pair of VM and upstream.
 /// The VM's view of the store names the proxies as the upstreams' addresses.
 class StrandedVmTest : public NodeProcessTest {
@@ -53,12 +45,12 @@
   void strand(int n, LinkCut cut) {
     runOnPlatform([&] {
       for (const auto &link : Links[n])
-        cutLink(*link, cut);
+        waxwing::cutLink(*link, cut);
     });
   }
   /// Cuts the link of node @p n to the upstream @p upstream.
   void cutLink(int n, std::size_t upstream, LinkCut cut) {
-    runOnPlatform([&] { cutLink(*Links[n][upstream], cut); });
+    runOnPlatform([&] { waxwing::cutLink(*Links[n][upstream], cut); });
   }
   /// Restores the links of node @p n.
   void heal(int n) {
@@ -84,15 +76,6 @@
   static Endpoint linkAddress(int n, const Endpoint &upstream) {
     return address(300 + n * 50 + upstream.Port - NodeBasePort);
   }
-  static void cutLink(FaultProxy &link, LinkCut cut) {
-    link.ToTarget.IsHolding = link.ToCaller.IsHolding = cut == LinkCut::Silent;
-    if (cut == LinkCut::Reset || cut == LinkCut::ResetRefused)
-      link.reset();
-    if (cut == LinkCut::Refused || cut == LinkCut::ResetRefused)
-      link.refuse();
-    else
-      link.hang();
-  }
   void addLink(int n, const Endpoint &upstream) {
     Links[n].push_back(
         std::make_unique<FaultProxy>(Loop, linkAddress(n, upstream), upstream));
