Fix: [Peers] A leaving notice names the process that gave it

Cause (found in review): a VM that had passed a request to another VM, and a leader that had sent an order, charged 'Server-Leaving' and a misdirected order to the process that its list showed when the response arrived. If the upstream had been restarted under its id meanwhile, the new process counted as leaving, or as ended, for the whole fleet.

Change: the result of a relayed request names the upstream's process (id and start time), and the leader keeps the process to which an order was sent.

Not seen in a play; the sequence follows from the code.

Conclusion: no VM judges a process by what its predecessor said.

--- a/src/node/attempt.cpp
+++ b/src/node/attempt.cpp
@@ -63,7 +63,13 @@
   static const UpstreamId unknown;
   if (const UpstreamEntry *entry = upstream())
     return entry->Id;
-  return Relay ? Relay->Upstream : unknown;
+  return Relay ? Relay->Upstream.Id : unknown;
+}
+
+UpstreamProcess Attempt::upstreamProcess() const {
+  if (const UpstreamEntry *entry = upstream())
+    return {entry->Id, entry->StartedAtMs};
+  return Relay ? Relay->Upstream : UpstreamProcess();
 }
 
 std::string_view Attempt::peerName() const {
@@ -205,8 +211,8 @@
   HasResponseHead = true;
   if (ResponseMetadata.Load)
     Handler.onLoadReport(upstreamId(), *ResponseMetadata.Load);
-  if (ResponseMetadata.IsLeaving)
-    Handler.onLeavingAnnounced(*this);
+  if (ResponseMetadata.IsLeaving && !upstreamId().Value.empty())
+    Handler.onLeavingAnnounced(upstreamProcess());
   const bool isPauseAsked = upstream() != nullptr &&
                             ResponseStatus == StatusServiceUnavailable &&
                             ResponseMetadata.RetryAfterS.has_value();
@@ -306,7 +312,7 @@
     if (exchange->Relayed)
       appendRelayResult(out, {exchange->Relayed->Request.Number, Verdict::Ran,
                               Reason::None, exchange->DeliveryCount + 1,
-                              Duration(), upstreamId()});
+                              Duration(), upstreamProcess()});
     if (IsChunkedResponse)
       out += "Transfer-Encoding: chunked\r\n";
     else if (!isBodyless && isLengthKnown)
--- a/src/node/attempt.h
+++ b/src/node/attempt.h
@@ -49,7 +49,7 @@
   virtual void onLoadReport(const UpstreamId &upstream,
                             const platform::LoadReport &report) = 0;
   /// A response of the upstream announced that it leaves.
-  virtual void onLeavingAnnounced(const Attempt &attempt) = 0;
+  virtual void onLeavingAnnounced(const UpstreamProcess &process) = 0;
   /// The upstream refused the request and wants none for @p pause.
   virtual void onPauseAsked(const UpstreamEntry &upstream,
                             std::chrono::duration<double> pause) = 0;
@@ -88,6 +88,9 @@
   }
   /// @return the upstream that got the request; empty if that is not known
   const UpstreamId &upstreamId() const;
+  /// @return the process that got the request; its id is empty if that is not
+  ///   known
+  UpstreamProcess upstreamProcess() const;
   /// @return name of the VM to which the request was passed, or "-"
   std::string_view peerName() const;
   const std::shared_ptr<ClientConnection> &connection() const {
--- a/src/node/exchange.h
+++ b/src/node/exchange.h
@@ -69,7 +69,8 @@
   /// could not be told from the response to the second.
   std::vector<std::weak_ptr<ClientConnection>> UsedConnections;
   std::set<VmId> TriedPeers; ///< VMs to which the request was passed
-  UpstreamId LastUpstream;   ///< upstream of the last attempt; empty if none
+  /// Upstream of the last attempt; its id is empty if there is none.
+  UpstreamProcess LastUpstream;
   int DeliveryCount = 0;     ///< attempts that reached an upstream
   int PossibleExecutionCount = 0; ///< deliveries that may have been executed
   bool IsQueued = false;          ///< in the queue of its service
--- a/src/node/gateway.h
+++ b/src/node/gateway.h
@@ -147,7 +147,7 @@
                     const AttemptResult &result) override;
   void onLoadReport(const UpstreamId &upstream,
                     const platform::LoadReport &report) override;
-  void onLeavingAnnounced(const Attempt &attempt) override;
+  void onLeavingAnnounced(const UpstreamProcess &process) override;
   void onPauseAsked(const UpstreamEntry &upstream,
                     std::chrono::duration<double> pause) override;
   bool wouldRetry(const Exchange &exchange) const override;
--- a/src/node/gateway_send.cpp
+++ b/src/node/gateway_send.cpp
@@ -56,7 +56,7 @@
     ++Counters.Retried;
   Upstreams.countSentRequest(upstream, now);
   exchange->TriedUpstreams.insert(upstream.Entry.Id);
-  exchange->LastUpstream = upstream.Entry.Id;
+  exchange->LastUpstream = {upstream.Entry.Id, upstream.Entry.StartedAtMs};
   exchange->UsedConnections.push_back(connection);
   exchange->CurrentAttempt = std::make_shared<Attempt>(
       *this, exchange, upstream.Entry, std::move(connection), isNew);
@@ -82,11 +82,8 @@
         bootNow());
 }
 
-void Gateway::onLeavingAnnounced(const Attempt &attempt) {
-  if (const UpstreamEntry *entry = attempt.upstream())
-    noteLeaving({entry->Id, entry->StartedAtMs}, bootNow());
-  else if (const Upstream *upstream = Upstreams.find(attempt.upstreamId()))
-    noteLeaving({upstream->Entry.Id, upstream->Entry.StartedAtMs}, bootNow());
+void Gateway::onLeavingAnnounced(const UpstreamProcess &process) {
+  noteLeaving(process, bootNow());
 }
 
 void Gateway::noteLeaving(const UpstreamProcess &process, Time now) {
--- a/src/node/leadership.cpp
+++ b/src/node/leadership.cpp
@@ -501,51 +501,49 @@
       isGrant ? platform::buildGrantRequest(order.Range, order.Fence,
                                             order.GrantDuration, order.Handover)
               : platform::buildReleaseRequest(order.Range, order.Fence);
+  const Upstream *upstream = Upstreams.find(order.Upstream);
+  const UpstreamProcess process{
+      order.Upstream, upstream == nullptr ? 0 : upstream->Entry.StartedAtMs};
   Calls.call(order.Address, call, order.Upstream.Value,
              bootNow() + (isGrant ? Timings.OrderDeadline : ReleaseTimeout),
-             [this, service, order, term = Term](const HttpCallResult &result) {
+             [this, service, order, process,
+              term = Term](const HttpCallResult &result) {
                if (Term == term)
-                 onOrder(service, order, result);
+                 onOrder(service, order, process, result);
              });
 }
 
-/// Marks the process that the order was sent to as ended, so that it no longer
+/// Marks the process that an order was sent to as ended, so that it no longer
 /// holds any keys.
-void Leadership::markUpstreamDead(const RangeOrder &order, Time now,
+void Leadership::markUpstreamDead(const UpstreamProcess &process, Time now,
                                   std::string_view why) {
-  const Upstream *upstream = Upstreams.find(order.Upstream);
-  if (upstream == nullptr || upstream->Entry.Address != order.Address ||
+  const Upstream *upstream = Upstreams.find(process.Id);
+  if (upstream == nullptr ||
+      upstream->Entry.StartedAtMs != process.StartedAtMs ||
       EndedUpstreamProcesses.size() > MaxEndedUpstreamProcesses)
     return;
-  if (EndedUpstreamProcesses
-          .insert({order.Upstream, upstream->Entry.StartedAtMs})
-          .second)
+  if (EndedUpstreamProcesses.insert({process.Id, process.StartedAtMs}).second)
     logLine(LogPriority::StateChange, now, "upstream_dead",
-            "upstream={} born={} entry_rev={} why={}", order.Upstream.Value,
-            upstream->Entry.StartedAtMs, upstream->EntryRevision, why);
+            "upstream={} born={} entry_rev={} why={}", process.Id.Value,
+            process.StartedAtMs, upstream->EntryRevision, why);
 }
 
-void Leadership::recordDelivery(const RangeOrder &order, bool isDelivered,
-                                Time now) {
-  const Upstream *upstream = Upstreams.find(order.Upstream);
-  if (upstream == nullptr)
-    return;
+void Leadership::recordDelivery(const UpstreamProcess &process,
+                                bool isDelivered, Time now) {
   std::erase_if(Undelivered, [now](const auto &entry) {
     return now >= entry.second.ForgetAt;
   });
-  const std::pair process{order.Upstream, upstream->Entry.StartedAtMs};
+  const std::pair key{process.Id, process.StartedAtMs};
   if (isDelivered) {
-    Undelivered.erase(process);
+    Undelivered.erase(key);
     return;
   }
   UndeliveredOrders &orders =
-      Undelivered.try_emplace(process, now + UndeliveredConfirmTime)
-          .first->second;
+      Undelivered.try_emplace(key, now + UndeliveredConfirmTime).first->second;
   orders.ForgetAt = now + UnreachableRetryDelay;
   if (now >= orders.ConfirmAt && !std::exchange(orders.IsUnreachable, true))
     logLine(LogPriority::StateChange, now, "upstream_unreachable",
-            "upstream={} born={} entry_rev={}", order.Upstream.Value,
-            upstream->Entry.StartedAtMs, upstream->EntryRevision);
+            "upstream={} born={}", process.Id.Value, process.StartedAtMs);
 }
 
 bool Leadership::isUnreachable(const UpstreamEntry &entry, Time now) const {
@@ -555,6 +553,7 @@
 }
 
 void Leadership::onOrder(const ServiceId &service, const RangeOrder &order,
+                         const UpstreamProcess &process,
                          const HttpCallResult &result) {
   const auto it = RangeLeaders.find(service);
   if (it == RangeLeaders.end())
@@ -570,14 +569,12 @@
   ++Counters.Outcomes[static_cast<std::size_t>(outcome)];
   const bool isDifferentProcess =
       result.Status == StatusMisdirected || result.Status == StatusBadRequest;
-  recordDelivery(order, result.IsDelivered, now);
+  recordDelivery(process, result.IsDelivered, now);
   if (isDifferentProcess)
-    markUpstreamDead(order, now, "address_in_use_by_another");
-  else if (const Upstream *upstream = Upstreams.find(order.Upstream);
-           upstream != nullptr &&
-           platform::readResponseMetadata(result.Status, result.Headers)
+    markUpstreamDead(process, now, "address_in_use_by_another");
+  else if (platform::readResponseMetadata(result.Status, result.Headers)
                .IsLeaving)
-    OnLeavingAnnounced({order.Upstream, upstream->Entry.StartedAtMs});
+    OnLeavingAnnounced(process);
   const bool isRoutine =
       outcome == OrderOutcome::Accepted && order.Kind == OrderKind::Grant;
   logLine(isRoutine ? LogPriority::Routine : LogPriority::StateChange, now,
--- a/src/node/leadership.h
+++ b/src/node/leadership.h
@@ -104,14 +104,16 @@
   void adoptStoredMap(const ServiceId &service, const RangeMap &map);
   void publish(const ServiceId &service, const RangeMap &map);
   void sendOrder(const ServiceId &service, const RangeOrder &order);
+  /// @param process the upstream's process when the order was sent
   void onOrder(const ServiceId &service, const RangeOrder &order,
-               const HttpCallResult &result);
+               const UpstreamProcess &process, const HttpCallResult &result);
   std::vector<RangeUpstream> rangeUpstreams(const ServiceId &service,
                                             const RangeMap &map, Time now);
-  void markUpstreamDead(const RangeOrder &order, Time now,
+  void markUpstreamDead(const UpstreamProcess &process, Time now,
                         std::string_view why);
   /// Records whether an order to the upstream's process was delivered.
-  void recordDelivery(const RangeOrder &order, bool isDelivered, Time now);
+  void recordDelivery(const UpstreamProcess &process, bool isDelivered,
+                      Time now);
   /// @return true if this VM cannot deliver orders to the upstream, which may
   ///   run on and keep its keys
   bool isUnreachable(const UpstreamEntry &entry, Time now) const;
--- a/src/peers/relay_message.cpp
+++ b/src/peers/relay_message.cpp
@@ -20,7 +20,7 @@
 constexpr std::string_view RequestName = "Waxwing-Relay-Request";
 constexpr std::string_view ResultName = "Waxwing-Relay-Result";
 constexpr std::size_t RequestNumbers = 6;
-constexpr std::size_t ResultNumbers = 5;
+constexpr std::size_t ResultNumbers = 6;
 /// Longer durations are malformed.
 constexpr Duration MaxDuration = std::chrono::hours(24);
 constexpr int MinServerError = 500;
@@ -84,11 +84,12 @@
 }
 
 void appendRelayResult(std::string &head, const RelayResult &result) {
-  fmt::format_to(std::back_inserter(head), "{}: {} {} {} {} {} {}\r\n",
+  fmt::format_to(std::back_inserter(head), "{}: {} {} {} {} {} {} {}\r\n",
                  ResultName, result.Number, static_cast<int>(result.Execution),
                  static_cast<int>(result.Cause),
                  std::clamp(result.Deliveries, 0, MaxCount),
-                 toNumber(result.RetryAfter), result.Upstream.Value);
+                 toNumber(result.RetryAfter), result.Upstream.StartedAtMs,
+                 result.Upstream.Id.Value);
 }
 
 std::optional<RelayRequest> readRelayRequest(const http::Fields &fields) {
@@ -117,7 +118,7 @@
   const auto parts = readField<ResultNumbers>(fields, ResultName);
   if (!parts)
     return std::nullopt;
-  const auto &[number, execution, cause, deliveries, retryAfter] =
+  const auto &[number, execution, cause, deliveries, retryAfter, startedAtMs] =
       parts->Numbers;
   const auto delay = toDuration(retryAfter);
   if (execution > static_cast<std::uint64_t>(Verdict::MayHaveRun) ||
@@ -132,7 +133,8 @@
                      static_cast<Reason>(cause),
                      static_cast<int>(deliveries),
                      *delay,
-                     UpstreamId(parts->Name)};
+                     {UpstreamId(parts->Name),
+                      static_cast<std::int64_t>(startedAtMs)}};
 }
 
 } // namespace waxwing
--- a/src/peers/relay_message.h
+++ b/src/peers/relay_message.h
@@ -9,6 +9,7 @@
 
 #include "core/verdict_type.h"
 #include "http/message_type.h"
+#include "routing/leaving_upstreams.h"
 #include "routing/route_type.h"
 
 #include <optional>
@@ -40,7 +41,8 @@
   Reason Cause = Reason::None; ///< why there is no response of an upstream
   int Deliveries = 0;          ///< attempts that reached an upstream
   Duration RetryAfter{};       ///< proposed delay of a retry; 0: none
-  UpstreamId Upstream;         ///< last one that got the request, or empty
+  /// Last process that got the request; its id is empty if there is none.
+  UpstreamProcess Upstream;
 
   bool operator==(const RelayResult &) const = default;
 };
--- a/tests/relay_message_test.cpp
+++ b/tests/relay_message_test.cpp
@@ -33,7 +33,7 @@
 
 RelayResult makeResult() {
   return {7, Verdict::NotRun,  Reason::Overloaded,
-          2, milliseconds(60), UpstreamId("i-1")};
+          2, milliseconds(60), {UpstreamId("i-1"), 1700000000123}};
 }
 
 TEST(RelayMessage, RequestAndResultSurviveRoundTrip) {
@@ -49,7 +49,7 @@
 // a request that has not run counts as one that may have run.
 TEST(RelayMessage, ResultMayHaveNoUpstream) {
   RelayResult result = makeResult();
-  result.Upstream = UpstreamId();
+  result.Upstream = {};
   std::string head;
   appendRelayResult(head, result);
   EXPECT_EQ(readRelayResult(parseField(head)), result);
