--- a/src/node/exchange.h
+++ b/src/node/exchange.h
@@ -71,7 +71,7 @@
   std::set<VmId> TriedPeers; ///< VMs to which the request was passed
   /// Upstream of the last attempt; its id is empty if there is none.
   UpstreamProcess LastUpstream;
-  int DeliveryCount = 0;     ///< attempts that reached an upstream
+  int DeliveryCount = 0;          ///< attempts that reached an upstream
   int PossibleExecutionCount = 0; ///< deliveries that may have been executed
   bool IsQueued = false;          ///< in the queue of its service
   Time QueuedSince;               ///< valid if IsQueued
--- a/src/peers/relay_message.cpp
+++ b/src/peers/relay_message.cpp
@@ -128,13 +128,13 @@
   if (static_cast<Verdict>(execution) != Verdict::Ran &&
       reasonInfo(static_cast<Reason>(cause)).HttpStatus < MinServerError)
     return std::nullopt;
-  return RelayResult{number,
-                     static_cast<Verdict>(execution),
-                     static_cast<Reason>(cause),
-                     static_cast<int>(deliveries),
-                     *delay,
-                     {UpstreamId(parts->Name),
-                      static_cast<std::int64_t>(startedAtMs)}};
+  return RelayResult{
+      number,
+      static_cast<Verdict>(execution),
+      static_cast<Reason>(cause),
+      static_cast<int>(deliveries),
+      *delay,
+      {UpstreamId(parts->Name), static_cast<std::int64_t>(startedAtMs)}};
 }
 
 } // namespace waxwing
