Fix: [Node] A VM that stopped responding gets no relayed requests

Cause (found in review): a request that was passed to a frozen VM, whose kernel still accepts and acknowledges, ended at its timeout, and nothing was held against the VM, so it was drawn again until the leader dropped it seconds later.

Change: RelayPeers::onTimeout() backs off from a VM that has responded to nothing since the request was sent. A refusal for lack of links or at shutdown proposes no delay to the caller. isAnyUsable() had no user; its assertion asks choose() instead.

--- a/src/node/gateway.cpp
+++ b/src/node/gateway.cpp
@@ -318,7 +318,12 @@
   }
   const bool wasSent = exchange->CurrentAttempt != nullptr;
   if (const auto attempt = std::exchange(exchange->CurrentAttempt, nullptr)) {
-    cancelAttempt(*attempt, now);
+    if (const auto *hop = std::get_if<RelayHop>(&attempt->target());
+        hop != nullptr && !attempt->hasResponseHead())
+      Peers.onTimeout(hop->Peer.Vm, attempt->startedAt(), now);
+    else
+      recordCancelled(*attempt, now);
+    attempt->cancel();
     ++exchange->PossibleExecutionCount;
   }
   removeFromQueue(exchange);
@@ -346,8 +351,10 @@
   if (exchange->IsFinished)
     return; // an attempt that is still there is about to end by itself
   removeFromQueue(exchange);
-  if (const auto attempt = std::exchange(exchange->CurrentAttempt, nullptr))
-    cancelAttempt(*attempt, now);
+  if (const auto attempt = std::exchange(exchange->CurrentAttempt, nullptr)) {
+    recordCancelled(*attempt, now);
+    attempt->cancel();
+  }
   exchange->IsFinished = true;
   onExchangeFinished(exchange);
 }
--- a/src/node/gateway.h
+++ b/src/node/gateway.h
@@ -180,8 +180,8 @@
   /// connection if it can be reused.
   void recordAttemptEnd(const Attempt &attempt, const AttemptResult &result,
                         Time now);
-  /// Ends @p attempt without an outcome.
-  void cancelAttempt(Attempt &attempt, Time now);
+  /// The same for an attempt that is withdrawn.
+  void recordCancelled(const Attempt &attempt, Time now);
   void enqueue(const std::shared_ptr<Exchange> &exchange, Time now,
                bool canBeServedLater);
   void sendQueued(const ServiceId &service);
--- a/src/node/gateway_relay.cpp
+++ b/src/node/gateway_relay.cpp
@@ -21,8 +21,6 @@
 /// not be executed twice, since the other VM may be closing them.
 constexpr Duration MaxIdleTimeForNonIdempotent = milliseconds(6000);
 constexpr Duration MaxIdleTime = seconds(60);
-/// A VM that is refused may pass the request to another one at once.
-constexpr Duration PeerRetryAfter = milliseconds(20);
 
 /// @return what the outcome of a relayed attempt says about the other VM
 RelayOutcome relayOutcome(const Attempt &attempt, const AttemptResult &result) {
@@ -118,12 +116,11 @@
     ++Counters.FailedConnections;
 }
 
-void Gateway::cancelAttempt(Attempt &attempt, Time now) {
+void Gateway::recordCancelled(const Attempt &attempt, Time now) {
   if (const auto *hop = std::get_if<RelayHop>(&attempt.target()))
     Peers.onEnd(hop->Peer.Vm, RelayOutcome::Cancelled, now);
   else if (Upstream *upstream = Upstreams.find(attempt.upstreamId()))
     upstream->Load.onAttemptEnd(AttemptOutcome::Cancelled, {}, now);
-  attempt.cancel();
 }
 
 void Gateway::beginRelayed(const std::shared_ptr<Exchange> &exchange) {
@@ -146,7 +143,7 @@
   exchange->TimeoutAt = exchange->ArrivedAt + request->TimeLeft;
   exchange->CallerDeadlineAt = exchange->ArrivedAt + request->CallerTimeLeft;
   if (const Reason why = whyNotRelaying(*request); why != Reason::None) {
-    refuse(exchange, why, PeerRetryAfter);
+    refuse(exchange, why, {});
     return;
   }
   const bool isKeyMissing =
--- a/src/routing/relay_choice.cpp
+++ b/src/routing/relay_choice.cpp
@@ -46,11 +46,6 @@
          (peer.Info.Vm.Domain == OwnDomain ? 1 : OtherDomainCost);
 }
 
-bool RelayPeers::isAnyUsable(Time now) const {
-  return std::ranges::any_of(
-      Peers, [&](const auto &entry) { return isUsable(entry.second, now); });
-}
-
 std::optional<RelayTarget> RelayPeers::choose(const std::set<VmId> &tried,
                                               double first, double second,
                                               Time now) const {
@@ -92,6 +87,8 @@
   peer.Outstanding = std::max(peer.Outstanding - 1, 0);
   switch (outcome) {
   case RelayOutcome::Working:
+    peer.LastResponseAt = now;
+    break;
   case RelayOutcome::Cancelled:
     break;
   case RelayOutcome::Unable:
@@ -103,4 +100,11 @@
   }
 }
 
+void RelayPeers::onTimeout(const VmId &vm, Time sentAt, Time now) {
+  const auto it = Peers.find(vm);
+  const bool isSilent = it != Peers.end() && it->second.LastResponseAt < sentAt;
+  onEnd(vm, isSilent ? RelayOutcome::Unreachable : RelayOutcome::Cancelled,
+        now);
+}
+
 } // namespace waxwing
--- a/src/routing/relay_choice.h
+++ b/src/routing/relay_choice.h
@@ -43,18 +43,20 @@
   ///   there is none. VMs with more processor cores are drawn more often.
   std::optional<RelayTarget> choose(const std::set<VmId> &tried, double first,
                                     double second, Time now) const;
-  /// @return true if choose() may find a VM for a new request
-  bool isAnyUsable(Time now) const;
   /// Counts a request that is passed to @p vm.
   void onSent(const VmId &vm);
   /// Each call of onSent() is followed by one call of this.
   void onEnd(const VmId &vm, RelayOutcome outcome, Time now);
+  /// The same for a request that was sent at @p sentAt and timed out. A VM that
+  /// has responded to no request since then is frozen or overloaded.
+  void onTimeout(const VmId &vm, Time sentAt, Time now);
 
 private:
   struct Peer {
     VmInfo Info;
     int Outstanding = 0; ///< requests passed to it that have no outcome yet
     Time BackoffUntil;   ///< it gets no requests before this time
+    Time LastResponseAt; ///< end of the last request that it dealt with
   };
 
   static bool isUsable(const Peer &peer, Time now);
--- a/tests/relay_choice_test.cpp
+++ b/tests/relay_choice_test.cpp
@@ -47,7 +47,7 @@
   Peers.setVms(
       {makeVm("self", "a"), makeVm("cut", "a", 1, false), unaddressed});
   EXPECT_EQ(choose(), "");
-  EXPECT_FALSE(Peers.isAnyUsable(Start));
+  EXPECT_FALSE(Peers.choose({}, 0.999, 0, Start));
   Peers.setVms({makeVm("self", "a"), makeVm("b", "b"), unaddressed});
   for (int n = 0; n < 50; ++n)
     EXPECT_EQ(choose(), "b");
@@ -72,6 +72,24 @@
   EXPECT_EQ(choose(), "b");
 }
 
+// Guards against a frozen VM, whose kernel still accepts connections, getting
+// one request after the other, each of which waits for its timeout.
+TEST_F(RelayChoiceTest, VmThatStoppedRespondingIsLeftAlone) {
+  Peers.setVms({makeVm("b", "b")});
+  const auto timeOut = [this](Time sentAt, Time now) {
+    Peers.onSent(VmId("b"));
+    Peers.onTimeout(VmId("b"), sentAt, now);
+  };
+  Peers.onSent(VmId("b"));
+  Peers.onEnd(VmId("b"), RelayOutcome::Working, Start + milliseconds(500));
+  // It responds to others: the upstream was slow.
+  timeOut(Start, Start + seconds(1));
+  EXPECT_EQ(choose(Start + seconds(1)), "b");
+  timeOut(Start + milliseconds(600), Start + seconds(2));
+  EXPECT_EQ(choose(Start + seconds(2)), "");
+  EXPECT_EQ(choose(Start + seconds(4)), "b");
+}
+
 // Guards against a backoff that outlives its cause: the list says that the VM
 // has links again.
 TEST_F(RelayChoiceTest, RecoveredLinksEndTheBackoff) {
