Fix: [Peers] Hellos carry no upstreams that left long ago

Change: a removed upstream's notice is kept, since its process may be listed again, but not reported; a report about an unknown upstream is left until it is known.

Conclusion: hellos stay short on fleets that replace their upstreams.

--- a/src/node/node_process.cpp
+++ b/src/node/node_process.cpp
@@ -75,7 +75,9 @@
   RequestGateway.OnKeyRejected = [this] { VmCluster.requestRangeMapUpdate(); };
   RequestGateway.OnUpstreamLeaving = [this] { VmCluster.onUpstreamLeaving(); };
   VmCluster.OnLeavingReported = [this](const UpstreamProcess &process) {
-    RequestGateway.noteLeaving(process, bootNow());
+    // It is reported again until this VM knows the upstream.
+    if (RequestGateway.upstreams().find(process.Id) != nullptr)
+      RequestGateway.noteLeaving(process, bootNow());
   };
   RequestGateway.OnLinksChanged = [this](bool isWorking) {
     VmCluster.setLinksWorking(isWorking);
--- a/src/routing/leaving_upstreams.cpp
+++ b/src/routing/leaving_upstreams.cpp
@@ -23,7 +23,7 @@
   if (known == Notices.end() && Notices.size() >= MaxLeavingUpstreams)
     Notices.erase(std::ranges::min_element(
         Notices, {}, [](const auto &entry) { return entry.second.NotedAt; }));
-  Notices[process.Id] = {process.StartedAtMs, now, now + KeyServingTime};
+  Notices[process.Id] = {process.StartedAtMs, now, now + KeyServingTime, false};
   return true;
 }
 
@@ -39,16 +39,18 @@
   return it != Notices.end() && now < it->second.ServesKeysUntil;
 }
 
+void LeavingUpstreams::retire(const UpstreamId &id) {
+  if (const auto it = Notices.find(id); it != Notices.end())
+    it->second.IsRetired = true;
+}
+
 std::vector<UpstreamProcess>
 LeavingUpstreams::newest(std::size_t maxCount) const {
   std::vector<std::pair<Time, UpstreamProcess>> notices;
-  notices.reserve(Notices.size());
-  std::ranges::transform(
-      Notices, std::back_inserter(notices), [](const auto &entry) {
-        const auto &[id, notice] = entry;
-        return std::pair{notice.NotedAt,
-                         UpstreamProcess{id, notice.StartedAtMs}};
-      });
+  for (const auto &[id, notice] : Notices)
+    if (!notice.IsRetired)
+      notices.emplace_back(notice.NotedAt,
+                           UpstreamProcess{id, notice.StartedAtMs});
   std::ranges::stable_sort(notices, std::ranges::greater(),
                            &std::pair<Time, UpstreamProcess>::first);
   notices.resize(std::min(notices.size(), maxCount));
--- a/src/routing/leaving_upstreams.h
+++ b/src/routing/leaving_upstreams.h
@@ -38,7 +38,10 @@
   /// @return true while the leaving process may receive requests that no other
   ///   upstream can serve
   bool mayServeLastRequests(const UpstreamId &id, Time now) const;
-  /// @return up to @p maxCount leaving processes, the last noted first
+  /// The upstream is not known any more, so its notice need not be passed on.
+  void retire(const UpstreamId &id);
+  /// @return up to @p maxCount leaving processes that are not retired, the last
+  ///   noted first
   std::vector<UpstreamProcess> newest(std::size_t maxCount) const;
 
 private:
@@ -46,6 +49,7 @@
     std::int64_t StartedAtMs = 0;
     Time NotedAt; ///< first notice of this process
     Time ServesKeysUntil;
+    bool IsRetired = false;
   };
 
   Duration KeyServingTime{};
--- a/src/routing/upstream_table.cpp
+++ b/src/routing/upstream_table.cpp
@@ -96,6 +96,7 @@
   for (const UpstreamId &id : removed) {
     ByService[Upstreams[id].Entry.Service].erase(id);
     Upstreams.erase(id);
+    Leaving.retire(id);
   }
   return removed;
 }
--- a/tests/upstream_leaving_test.cpp
+++ b/tests/upstream_leaving_test.cpp
@@ -168,5 +168,16 @@
   EXPECT_LE(Table.leaving().newest(100000).size(), 4096U);
 }
 
+// Guards against hellos that carry upstreams that left long ago, which every VM
+// would pass on for ever.
+TEST_F(UpstreamLeavingTest, RemovedUpstreamsAreNotReportedAnyMore) {
+  note("u1", Start);
+  Table.markUnlisted(UpstreamId("u1"), Start + seconds(1));
+  Table.removeUnlisted(Start + seconds(20));
+  EXPECT_TRUE(Table.newestLeaving(9).empty());
+  EXPECT_FALSE(note("u1", Start + seconds(21)));
+  EXPECT_TRUE(Table.newestLeaving(9).empty());
+}
+
 } // namespace
 } // namespace waxwing
