Fix: [Node] Deliveries of a relayed request are all counted

Cause (found in review): a second VM may deliver a request to several upstreams that did not run it, and the first one counted one delivery, so a request could reach three times as many upstreams as allowed.

Change: the result's number of deliveries is added.

Conclusion: the limit holds over the extra hop.

--- a/src/node/attempt.cpp
+++ b/src/node/attempt.cpp
@@ -228,15 +228,22 @@
 
 /// Classifies a response by its status and headers, before it is forwarded.
 AttemptResult Attempt::classifyResponse() const {
-  if (!Relay || Relay->Execution == Verdict::Ran)
+  if (!Relay)
     return classifyUpstreamResponse();
+  const int deliveries = std::max(Relay->Deliveries, 1);
+  if (Relay->Execution == Verdict::Ran) {
+    AttemptResult result = classifyUpstreamResponse();
+    result.Deliveries = deliveries;
+    return result;
+  }
   const bool isNotExecuted = Relay->Execution == Verdict::NotRun;
   return {isNotExecuted ? AttemptOutcome::Shed : AttemptOutcome::Failed,
           Relay->Cause,
           isNotExecuted,
           !isNotExecuted || Relay->Deliveries > 0,
           fmt::format("deliveries {}", Relay->Deliveries),
-          Relay->RetryAfter};
+          Relay->RetryAfter,
+          deliveries};
 }
 
 AttemptResult Attempt::classifyUpstreamResponse() const {
--- a/src/node/attempt.h
+++ b/src/node/attempt.h
@@ -35,6 +35,7 @@
   std::string Detail;      ///< description for the log
   /// Delay that the other VM proposes to the caller; 0: none.
   Duration RetryAfter{};
+  int Deliveries = 1; ///< upstreams that received the request, if IsDelivered
 };
 
 /// Callbacks of an attempt.
--- a/src/node/gateway_send.cpp
+++ b/src/node/gateway_send.cpp
@@ -124,7 +124,7 @@
   const Duration latency = now - attempt.startedAt();
   recordAttemptEnd(attempt, result, now);
   if (result.IsDelivered) {
-    ++exchange->DeliveryCount;
+    exchange->DeliveryCount += result.Deliveries;
     if (!result.IsNotExecuted)
       ++exchange->PossibleExecutionCount;
   }
