Fix: [Peers] A leader that resigns sends its list with the notice

Cause (found in review): a leader without links put VMs with links first in its list of successors, which others got with the reply to their next hello only, so that they elected by an older list.

Change: the notice of the end of a leadership has the list.

--- a/src/node/cluster.cpp
+++ b/src/node/cluster.cpp
@@ -128,6 +128,7 @@
     PeerReply leaveNotice;
     leaveNotice.Leader = Leader;
     leaveNotice.IsLeaving = true;
+    leaveNotice.List = List; // with the successors that have links
     sendToPeers(leaveNotice);
     Peers.clear();
     Plan.update({});
