Fix: [Node] A socket that cannot be created says nothing about the links

Cause (found in review): without file descriptors no connection can be begun, which counted as lost links.

Change: such a failure is not reported to the link monitor.

Conclusion: only the network decides about links.

--- a/src/node/client_connection.cpp
+++ b/src/node/client_connection.cpp
@@ -50,6 +50,7 @@
   if (!ec)
     Socket.open(tcp::v4(), ec);
   if (ec) {
+    OnConnectEnd = nullptr; // says nothing about the link
     asio::post(Socket.get_executor(),
                [self = shared_from_this(), ec] { self->onConnected(ec); });
     return;
