--- a/src/node/cluster.h
+++ b/src/node/cluster.h
@@ -89,6 +89,11 @@
   };
   struct MessageHandler;
 
+  /// Interval at which the leader renews the list of VMs and the readers.
+  static constexpr Duration PlanInterval = milliseconds(300);
+  /// A VM without a message for this time becomes neither reader nor leader.
+  static constexpr Duration ReaderSuspicionTimeout = milliseconds(1500);
+
   void runPeriodicWork();
   void probeLeaderKey();
   void onLeaderKeyRead(const HttpCallResult &result);
