Fix: [Test] The soak's bounds hold for the VM that took and the one that sent a request

Trace: vm1 knew that i-15 had gone at 01:14:11.718, had no links from 10.203 to 15.232 and passed both requests to vm3 at 13.47 and 13.66; vm3's path to the store was cut from 10.6 to 15.06 (store_lost at 12.095, last answer 1.5 s old), so that it could not know. The rule binds requests that are 'taken from the client and sent on by machines in touch'; the check looked at the VM that took them only.

Change: LinkHarm for each VM; while a VM is, or just was, without links, the check asks that all VMs are in touch, since any of them may have sent the request. For all other requests it is as before.

Conclusion: no fault of the product. That a VM prefers others that hear the store for its requests would be better for callers, and is not built.

--- a/tests/node_soak_ledger.h
+++ b/tests/node_soak_ledger.h
@@ -14,6 +14,7 @@
 #include <functional>
 #include <limits>
 #include <map>
+#include <ranges>
 #include <set>
 #include <string>
 #include <vector>
@@ -108,6 +109,8 @@
   std::vector<SoakHarm> VmWork;
   /// Paths between a VM and the store, by VM.
   std::vector<SoakHarm> StorePathHarm;
+  /// All links between a VM and the upstreams, by VM.
+  std::vector<SoakHarm> LinkHarm;
   SoakHarm StoreHarm;
   std::vector<SoakHarm> UpstreamHarm;          ///< by upstream
   std::map<std::string, SoakRequest> Requests; ///< by request id
@@ -119,6 +122,16 @@
            !StorePathHarm[vm].isSince(since) && !StoreHarm.isSince(since);
   }
 
+  /// @return true when bounds hold at @p now for the VM that took a request and
+  ///   for all that may have sent it: a VM without links passes it to another
+  bool areSendersInTouch(int vm, Time now) const {
+    if (!LinkHarm[vm].isSince(now - ContactBound))
+      return isInTouch(vm, now);
+    return std::ranges::all_of(
+        std::views::iota(0, static_cast<int>(VmHarm.size())),
+        [&](int n) { return isInTouch(n, now); });
+  }
+
   void report(SoakRule rule, const std::string &what) {
     constexpr std::size_t maxFindingsPerRule = 400;
     auto &list = Findings[rule];
