--- a/tests/stranded_vm_fixture.h
+++ b/tests/stranded_vm_fixture.h
@@ -44,6 +44,7 @@
   /// Cuts the links of node @p n to all upstreams.
   void strand(int n, LinkCut cut) {
     runOnPlatform([&] {
+      Stranded.insert(n);
       for (const auto &link : Links[n])
         waxwing::cutLink(*link, cut);
     });
@@ -55,6 +56,7 @@
   /// Restores the links of node @p n.
   void heal(int n) {
     runOnPlatform([&] {
+      Stranded.erase(n);
       for (const auto &link : Links[n]) {
         link->ToTarget.IsHolding = link->ToCaller.IsHolding = false;
         link->open();
@@ -78,6 +80,21 @@
         std::make_unique<FaultProxy>(Loop, linkAddress(n, upstream), upstream));
   }
 
+  /// Refuses the connections of all nodes to @p upstream while its process is
+  /// down, which the proxies would otherwise accept; called on the platform's
+  /// thread.
+  void setUpstreamRefusing(std::size_t upstream, bool isRefusing) {
+    for (std::size_t n = 0; n < Links.size(); ++n) {
+      if (Stranded.contains(n))
+        continue;
+      FaultProxy &link = *Links[n][upstream];
+      if (isRefusing)
+        waxwing::cutLink(link, LinkCut::ResetRefused);
+      else
+        link.open();
+    }
+  }
+
 private:
   /// @return address of the proxy between node @p n and @p upstream
   static Endpoint linkAddress(int n, const Endpoint &upstream) {
@@ -85,6 +102,7 @@
   }
 
   std::vector<std::vector<std::unique_ptr<FaultProxy>>> Links; ///< by node
+  std::set<std::size_t> Stranded; ///< nodes whose links are cut
 };
 
 } // namespace waxwing
