Fix: [Node] Requests that crash upstreams are refused by all VMs

Cause: waxwing-node had no detection of such requests, alone or shared between VMs; CrasherDetector was used by the daemons only.

Change: CrashGuard feeds CrasherDetector from lost connections, refused test connections and the list of upstreams. Reports, clearances and suspects go from VM to VM (PeerCrashNews), the reply to a hello fills gaps. Relayed requests name their caller. Suspects are refused at once: 503 with the time left, 502 if this attempt has been executed. Logs and metrics name crashes and suspects.

Conclusion: works since the proof of a crash is the end of the process, seen by any VM, and what one VM knows reaches all others within the contact time whoever leads.

--- a/src/node/call_client.cpp
+++ b/src/node/call_client.cpp
@@ -133,9 +133,9 @@
   auto connection = Pool.acquire(peer, now, seconds(60));
   const bool isFirstCall = connection == nullptr;
   if (isFirstCall)
-    connection = Pool.open(peer, [this, target, now](bool isConnected) {
+    connection = Pool.open(peer, [this, target, now](ConnectOutcome outcome) {
       if (!target.empty() && OnTargetConnectEnd)
-        OnTargetConnectEnd(target, now, isConnected);
+        OnTargetConnectEnd(target, now, outcome);
     });
   std::make_shared<PendingCall>(
       Loop, Pool, std::move(connection),
--- a/src/node/call_client.h
+++ b/src/node/call_client.h
@@ -40,9 +40,10 @@
   /// @param deadline the connection is reset if there is no response by then
   void call(const Endpoint &peer, const platform::PlatformRequest &call,
             const std::string &target, Time deadline, Callback callback);
-  /// Called when a new connection for a call with a target was established
-  /// (true) or failed; with the target and the time when it was begun.
-  std::function<void(const std::string &, Time, bool)> OnTargetConnectEnd;
+  /// Called with the outcome of a new connection for a call with a target, the
+  /// target and the time when the connection was begun.
+  std::function<void(const std::string &, Time, ConnectOutcome)>
+      OnTargetConnectEnd;
 
   /// Closes idle connections that can no longer be reused.
   void sweep(Time now) { Pool.sweep(now); }
--- a/src/node/caller_connection.cpp
+++ b/src/node/caller_connection.cpp
@@ -49,6 +49,9 @@
       IdleSince(bootNow()) {}
 
 void CallerConnection::start() {
+  error_code ec;
+  if (const auto caller = Socket.remote_endpoint(ec); !ec)
+    CallerAddress = caller.address().to_string();
   setStreamOptions(Socket);
   setPeerReading(Socket, false); // callers may pause while they receive
   scheduleRead();
@@ -178,6 +181,7 @@
   IncomingExchange->Head = std::move(Parser.head());
   IncomingExchange->Meta =
       platform::readRequestMetadata(IncomingExchange->Head.Headers);
+  IncomingExchange->Caller = CallerAddress;
   IncomingExchange->ArrivedAt = bootNow();
   HeadStartedAt = Time();
   const std::weak_ptr<CallerConnection> weak = shared_from_this();
--- a/src/node/caller_connection.h
+++ b/src/node/caller_connection.h
@@ -89,6 +89,7 @@
   void beginLingeringClose();
 
   boost::asio::ip::tcp::socket Socket;
+  std::string CallerAddress; ///< without port; empty if not known
   ExchangeHandler &Handler;
   http::RequestParser Parser;
   std::string UnparsedInput; ///< bytes received and not yet parsed
--- a/src/node/client_connection.cpp
+++ b/src/node/client_connection.cpp
@@ -43,7 +43,7 @@
 
 ClientConnection::~ClientConnection() { close(); }
 
-void ClientConnection::open(std::function<void(bool)> onConnectEnd) {
+void ClientConnection::open(ConnectCallback onConnectEnd) {
   OnConnectEnd = std::move(onConnectEnd);
   error_code ec;
   const auto address = asio::ip::make_address(Peer.Address, ec);
@@ -74,13 +74,15 @@
   if (IsClosed)
     return;
   if (ec) {
-    fail("connect: " + ec.message());
+    fail("connect: " + ec.message(), ec == asio::error::connection_refused
+                                         ? ConnectOutcome::Refused
+                                         : ConnectOutcome::Failed);
     return;
   }
   IsOpen = true;
   IdleSince = bootNow();
   ConnectTimer.cancel();
-  reportConnectEnd();
+  reportConnectEnd(ConnectOutcome::Established);
   scheduleRead();
   flush();
 }
@@ -281,18 +283,18 @@
   observer->onResponseEnd();
 }
 
-void ClientConnection::fail(const std::string &why) {
+void ClientConnection::fail(const std::string &why, ConnectOutcome outcome) {
   const auto self = shared_from_this();
   ResponseObserver *observer = std::exchange(Observer, nullptr);
   close();
-  reportConnectEnd();
+  reportConnectEnd(outcome);
   if (observer != nullptr)
     observer->onConnectionLost(why, IsSent);
 }
 
-void ClientConnection::reportConnectEnd() {
+void ClientConnection::reportConnectEnd(ConnectOutcome outcome) {
   if (const auto callback = std::exchange(OnConnectEnd, nullptr))
-    callback(IsOpen);
+    callback(outcome);
 }
 
 void ClientConnection::close() {
--- a/src/node/client_connection.h
+++ b/src/node/client_connection.h
@@ -13,12 +13,21 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <string>
 
 namespace waxwing {
 
+/// Outcome of the attempt to establish a connection.
+enum class ConnectOutcome : std::uint8_t {
+  Established,
+  Refused, ///< the peer's host answered that nothing listens there
+  Failed,  ///< no answer in time, or another error
+};
+using ConnectCallback = std::function<void(ConnectOutcome)>;
+
 /// Receives the events of one request. Not called after onResponseEnd() or
 /// onConnectionLost().
 class ResponseObserver {
@@ -49,9 +58,9 @@
 
   /// Starts to connect; a request may be started before the connection is
   /// established.
-  /// @param onConnectEnd called with true when the connection is established,
-  ///   or with false if that failed; not called if it was closed before
-  void open(std::function<void(bool)> onConnectEnd = {});
+  /// @param onConnectEnd called with the outcome; not called if the connection
+  ///   was closed before
+  void open(ConnectCallback onConnectEnd = {});
   /// Starts a request.
   /// @param observer must stay valid until the request ends or close()
   /// @param bytes the request's head and the first part of its body
@@ -95,14 +104,16 @@
   /// @return false if the request or the connection ended
   bool parse(std::string_view bytes);
   void finishResponse();
-  void fail(const std::string &why);
-  void reportConnectEnd();
+  /// @param outcome that of the connection attempt, if it has none yet
+  void fail(const std::string &why,
+            ConnectOutcome outcome = ConnectOutcome::Failed);
+  void reportConnectEnd(ConnectOutcome outcome);
 
   boost::asio::ip::tcp::socket Socket;
   boost::asio::steady_timer ConnectTimer;
   Endpoint Peer;
-  std::function<void(bool)> OnConnectEnd; ///< empty once it was called
-  ResponseObserver *Observer = nullptr;   ///< nullptr while idle
+  ConnectCallback OnConnectEnd;         ///< empty once it was called
+  ResponseObserver *Observer = nullptr; ///< nullptr while idle
   std::unique_ptr<http::ResponseParser> Parser;
   std::string UnwrittenOutput; ///< request bytes that are not yet written
   std::string UnparsedInput;   ///< response bytes that are not yet parsed
--- a/src/node/cluster.cpp
+++ b/src/node/cluster.cpp
@@ -77,6 +77,10 @@
     if (Parent.isFromReader(Sender))
       Parent.onStoreUpdate(update);
   }
+  void operator()(const PeerCrashNews &message) const {
+    if (Parent.isKnownVm(Sender) || isFromParent())
+      Parent.onCrashNews(message, Sender);
+  }
 
 private:
   /// Only the leader named in the store and the reader that it assigned may
@@ -94,8 +98,8 @@
 Cluster::Cluster(asio::io_context &loop, const NodeSettings &settings,
                  HttpCallClient &calls, NodeStoreClient &store,
                  StoreHealth &health, UpstreamTable &upstreams,
-                 std::array<StoreFeed *, FeedCount> feeds)
-    : Store(store), Health(health), Upstreams(upstreams),
+                 CrashGuard &crashes, std::array<StoreFeed *, FeedCount> feeds)
+    : Store(store), Health(health), Upstreams(upstreams), Crashes(crashes),
       Self{VmId(settings.Vm.text("name")), DomainId(settings.Vm.text("domain")),
            settings.Vm.decimal("processor_share")},
       PeerAddress(parseEndpoint(settings.Listen.text("peers"))),
@@ -412,6 +416,7 @@
       Feeds, hello.StoreRevisions.begin(),
       [](const StoreFeed *feed) { return feed->revision(); });
   hello.Leaving = Upstreams.newestLeaving(MaxReportedLeaving);
+  hello.CrashDigest = Crashes.digest(now);
   if (Parent.isReader()) {
     hello.Report.emplace();
     hello.Report->StoreAge = now - Health.lastResponseAt();
@@ -496,6 +501,8 @@
   if (isLeader() && now >= NextPlanAt - PlanInterval && Plan.size() > 0)
     reply.Assignment = assignmentFor(hello.Sender);
   sendTo(sender, reply);
+  if (hello.CrashDigest && *hello.CrashDigest != Crashes.digest(now))
+    sendTo(sender, PeerCrashNews{Crashes.news(now), true});
   for (const auto &[service, revision] : RangeMaps.revisions()) {
     const auto known = hello.MapRevisions.find(service);
     if (revision != 0 &&
--- a/src/node/cluster.h
+++ b/src/node/cluster.h
@@ -7,9 +7,11 @@
 #ifndef WAXWING_NODE_CLUSTER_H
 #define WAXWING_NODE_CLUSTER_H
 
+#include "core/random_func.h"
 #include "distribution/feed_freshness.h"
 #include "distribution/parent_choice.h"
 #include "distribution/reader_plan.h"
+#include "node/crash_guard.h"
 #include "node/leadership.h"
 #include "node/node_clock.h"
 #include "node/store_feed.h"
@@ -31,7 +33,8 @@
   /// @param feeds the feeds of this VM, indexed by FeedId
   Cluster(boost::asio::io_context &loop, const NodeSettings &settings,
           HttpCallClient &calls, NodeStoreClient &store, StoreHealth &health,
-          UpstreamTable &upstreams, std::array<StoreFeed *, FeedCount> feeds);
+          UpstreamTable &upstreams, CrashGuard &crashes,
+          std::array<StoreFeed *, FeedCount> feeds);
 
   /// Opens the UDP socket and starts to look for the leader.
   /// @return Unavailable if the address cannot be bound
@@ -54,6 +57,9 @@
   void beginStoreEpoch();
   /// Ends this VM's leadership, if any, and its participation in elections.
   void resign();
+  /// Passes on what this VM has learned about crashes. Needs neither a leader
+  /// nor the store.
+  void spread(const CrashNews &news);
   /// Reports to the other VMs whether this one reaches upstreams.
   void setLinksWorking(bool isWorking);
 
@@ -111,6 +117,10 @@
   void onRangeUpdate(const PeerRangeUpdate &ranges);
   void onStoreUpdate(const PeerStoreUpdate &update);
   void onStoreReport(const StoreReport &report, Time now);
+  void onCrashNews(const PeerCrashNews &message,
+                   const boost::asio::ip::udp::endpoint &sender);
+  bool isKnownVm(const boost::asio::ip::udp::endpoint &sender) const;
+  void sendNews(const CrashNews &news, const Endpoint &source);
   void onAssignment(const ReaderAssignment &assignment, Time now);
   /// @return true if VMs report to this one
   bool isParent() const { return isLeader() || Parent.isReader(); }
@@ -140,6 +150,8 @@
   NodeStoreClient &Store;
   StoreHealth &Health;
   UpstreamTable &Upstreams;
+  CrashGuard &Crashes;
+  std::mt19937_64 Random{randomNumber()};
   Candidate Self;
   Endpoint PeerAddress;
   boost::asio::ip::udp::socket UdpSocket;
--- a/src/node/connection_pool.cpp
+++ b/src/node/connection_pool.cpp
@@ -65,8 +65,7 @@
 }
 
 std::shared_ptr<ClientConnection>
-ConnectionPool::open(const Endpoint &peer,
-                     std::function<void(bool)> onConnectEnd) {
+ConnectionPool::open(const Endpoint &peer, ConnectCallback onConnectEnd) {
   auto connection = std::make_shared<ClientConnection>(Loop, peer);
   connection->open(std::move(onConnectEnd));
   return connection;
--- a/src/node/exchange.h
+++ b/src/node/exchange.h
@@ -11,6 +11,7 @@
 #include "peers/relay_message.h"
 #include "routing/request_order.h"
 #include "routing/route_table.h"
+#include "traffic/crash_report_type.h"
 
 #include <functional>
 #include <memory>
@@ -52,6 +53,11 @@
   /// The caller waits for an interim response before it sends the body.
   bool NeedsContinue = false;
 
+  /// Address of the caller, without port; empty if it is not known.
+  std::string Caller;
+  /// Identifies repetitions of the request; valid once it was to be sent.
+  RequestFingerprint Fingerprint;
+
   Time ArrivedAt;        ///< time at which the request head was complete
   Time CallerDeadlineAt; ///< time at which the caller gives up
   Time TimeoutAt;        ///< earlier of route timeout and caller deadline
--- a/src/node/gateway.cpp
+++ b/src/node/gateway.cpp
@@ -76,8 +76,9 @@
 
 Gateway::Gateway(asio::io_context &loop, const NodeSettings &settings)
     : Loop(loop), Acceptor(loop), Random(randomNumber()), Pool(loop),
-      Links(loop, Pool, Upstreams), Peers(VmId(settings.Vm.text("name")),
-                                          DomainId(settings.Vm.text("domain"))),
+      Links(loop, Pool, Upstreams), Crashes(loop, Links, Upstreams),
+      Peers(VmId(settings.Vm.text("name")),
+            DomainId(settings.Vm.text("domain"))),
       PeerPool(loop), Relays(loop, *this),
       Bodies(static_cast<std::size_t>(settings.Vm.decimal("memory") *
                                       BodyMemoryFraction * BytesPerMegabyte)),
@@ -419,6 +420,15 @@
     exchange->OnResponse();
 }
 
+bool Gateway::refuseIfSuspect(const std::shared_ptr<Exchange> &exchange,
+                              Time now) {
+  const Time until = Crashes.refusedUntil(exchange->Fingerprint, now);
+  if (until == Time())
+    return false;
+  refuse(exchange, Reason::SuspectedCrasher, until - now);
+  return true;
+}
+
 void Gateway::sweep() {
   const Time now = bootNow();
   Pool.sweep(now);
--- a/src/node/gateway.h
+++ b/src/node/gateway.h
@@ -12,6 +12,7 @@
 #include "node/attempt.h"
 #include "node/caller_connection.h"
 #include "node/connection_pool.h"
+#include "node/crash_guard.h"
 #include "node/link_tester.h"
 #include "node/node_clock.h"
 #include "node/relay_server.h"
@@ -83,6 +84,8 @@
   /// another one, that it leaves.
   void noteLeaving(const UpstreamProcess &process, Time now);
   UpstreamTable &upstreams() { return Upstreams; }
+  CrashGuard &crashes() { return Crashes; }
+  const CrashGuard &crashes() const { return Crashes; }
   const RouteTable *config() const { return Config.get(); }
 
   /// @return false while this VM cannot open connections to upstreams
@@ -92,8 +95,8 @@
   /// Called when a new connection to @p upstream, of this gateway or not, was
   /// established or failed.
   void onConnectEnd(const UpstreamId &upstream, Time startedAt,
-                    bool isConnected) {
-    Links.onConnectEnd(upstream, startedAt, isConnected);
+                    ConnectOutcome outcome) {
+    Links.onConnectEnd(upstream, startedAt, outcome);
   }
 
   /// From now on, a response closes the caller's connection unless a later
@@ -189,6 +192,13 @@
   void checkTimeouts();
   void armTimeout(const std::shared_ptr<Exchange> &exchange);
   void refuseExpired(const std::shared_ptr<Exchange> &exchange, Time now);
+  /// Refuses the request if it crashes upstreams.
+  /// @return true if it was refused
+  bool refuseIfSuspect(const std::shared_ptr<Exchange> &exchange, Time now);
+  /// Records what the end of an attempt says about the request: whether its
+  /// upstream may have crashed under it, or has executed it.
+  void recordCrashEvidence(const Exchange &exchange, const Attempt &attempt,
+                           const AttemptResult &result, Time now);
   /// Responds to the caller with an error of this process.
   void refuse(const std::shared_ptr<Exchange> &exchange, Reason reason,
               Duration retryAfter);
@@ -222,6 +232,7 @@
   UpstreamTable Upstreams;
   ConnectionPool Pool; ///< connections to upstreams
   LinkTester Links;
+  CrashGuard Crashes;
   RelayPeers Peers;
   ConnectionPool PeerPool; ///< connections to other VMs
   RelayServer Relays;
--- a/src/node/gateway_queue.cpp
+++ b/src/node/gateway_queue.cpp
@@ -153,6 +153,10 @@
     refuseExpired(exchange, now);
     return;
   }
+  if (exchange->Fingerprint == RequestFingerprint())
+    exchange->Fingerprint = CrashGuard::fingerprintOf(*exchange);
+  if (refuseIfSuspect(exchange, now))
+    return;
   const auto queue = Queues.find(exchange->Service);
   bool canBeServedLater = true;
   const bool mustQueue =
@@ -199,7 +203,7 @@
   // behind that request would find none either.
   bool isServiceFull = false;
   for (const auto &exchange : waiting) {
-    if (!exchange->IsQueued)
+    if (!exchange->IsQueued || refuseIfSuspect(exchange, now))
       continue;
     bool canBeServedLater = true;
     if (isServiceFull && now < exchange->NextCheckAt)
--- a/src/node/gateway_relay.cpp
+++ b/src/node/gateway_relay.cpp
@@ -47,6 +47,13 @@
   return terms;
 }
 
+/// @return the reason that another VM is told; all versions take it for a
+/// reason
+///   of this VM and not of the request
+Reason reasonForPeer(Reason reason) {
+  return reason == Reason::SuspectedCrasher ? Reason::NoUpstream : reason;
+}
+
 } // namespace
 
 absl::Status Gateway::listenForPeers(const Endpoint &address) {
@@ -79,7 +86,8 @@
                              route.Priority,
                              std::max(route.TargetLatency - waited, Duration()),
                              exchange->TimeoutAt - now,
-                             exchange->CallerDeadlineAt - now};
+                             exchange->CallerDeadlineAt - now,
+                             exchange->Caller};
   exchange->CurrentAttempt =
       std::make_shared<Attempt>(*this, exchange, RelayHop{*target, request},
                                 std::move(connection), isNew);
@@ -137,6 +145,7 @@
     return;
   }
   exchange->Relayed->Request = *request;
+  exchange->Caller = request->Caller;
   exchange->Relayed->Terms = makeTerms(*request);
   exchange->MatchedRoute = &exchange->Relayed->Terms;
   exchange->Service = request->Service;
@@ -176,8 +185,8 @@
                       {exchange.Relayed->Request.Number,
                        exchange.PossibleExecutionCount > 0 ? Verdict::MayHaveRun
                                                            : Verdict::NotRun,
-                       reason, exchange.DeliveryCount, retryAfter,
-                       exchange.LastUpstream});
+                       reasonForPeer(reason), exchange.DeliveryCount,
+                       retryAfter, exchange.LastUpstream});
   return fields;
 }
 
--- a/src/node/gateway_send.cpp
+++ b/src/node/gateway_send.cpp
@@ -46,8 +46,8 @@
   const bool isNew = connection == nullptr;
   if (isNew) {
     connection = Pool.open(
-        address, [this, id = upstream.Entry.Id, now](bool isConnected) {
-          Links.onConnectEnd(id, now, isConnected);
+        address, [this, id = upstream.Entry.Id, now](ConnectOutcome outcome) {
+          Links.onConnectEnd(id, now, outcome);
         });
     ++Counters.Connections;
   }
@@ -123,6 +123,7 @@
   const auto self = std::exchange(exchange->CurrentAttempt, nullptr);
   const Duration latency = now - attempt.startedAt();
   recordAttemptEnd(attempt, result, now);
+  recordCrashEvidence(*exchange, attempt, result, now);
   if (result.IsDelivered) {
     exchange->DeliveryCount += result.Deliveries;
     if (!result.IsNotExecuted)
@@ -168,6 +169,20 @@
   retryOrFinish(exchange, result, now);
 }
 
+void Gateway::recordCrashEvidence(const Exchange &exchange,
+                                  const Attempt &attempt,
+                                  const AttemptResult &result, Time now) {
+  const UpstreamProcess process = attempt.upstreamProcess();
+  const bool isLost = result.Cause == Reason::ConnectionLost ||
+                      result.Cause == Reason::CutOffAnswer;
+  if (isLost && result.IsDelivered && !process.Id.Value.empty())
+    Crashes.onRequestLost(exchange.Fingerprint, process, now);
+  const bool isExecuted =
+      result.Cause == Reason::None || result.Cause == Reason::UpstreamFailed;
+  if (isExecuted && attempt.hasResponseHead())
+    Crashes.onRequestExecuted(exchange.Fingerprint, now);
+}
+
 /// An upstream of a service divided by key may not hold the key. Any other
 /// rejection means that the address is in use by another process.
 void Gateway::onRejected(const std::shared_ptr<Exchange> &exchange,
@@ -192,6 +207,7 @@
         sanitizeForLog(target.Id.Value), sanitizeForLog(target.Service.Value),
         formatEndpoint(target.Address),
         successor == nullptr ? "-" : sanitizeForLog(successor->Entry.Id.Value));
+  Crashes.onProcessEnded({target.Id, target.StartedAtMs}, now);
   // The repeated delivery reached the service that uses the address now.
   if (successor != nullptr && successor->Entry.Service != exchange->Service &&
       exchange->DeliveryCount > 1)
--- a/src/node/link_tester.cpp
+++ b/src/node/link_tester.cpp
@@ -16,9 +16,11 @@
       CheckTimer(loop, [this] { check(); }) {}
 
 void LinkTester::onConnectEnd(const UpstreamId &upstream, Time startedAt,
-                              bool isConnected) {
+                              ConnectOutcome outcome) {
   const Time now = bootNow();
-  if (isConnected) {
+  if (OnConnectEnd)
+    OnConnectEnd(upstream, startedAt, outcome);
+  if (outcome == ConnectOutcome::Established) {
     Monitor.onConnected(upstream, now);
     reportChange();
     return;
@@ -42,17 +44,18 @@
   ++TestCount;
   const Endpoint address = Upstreams.find(id)->Entry.Address;
   const auto connection = std::make_shared<std::weak_ptr<ClientConnection>>();
-  *connection =
-      Pool.open(address, [this, id, address, now, connection](bool isOpen) {
+  *connection = Pool.open(
+      address, [this, id, address, now, connection](ConnectOutcome outcome) {
         // More than one idle connection would take others' places at the
         // upstream.
-        if (const auto opened = connection->lock(); opened && isOpen) {
+        if (const auto opened = connection->lock();
+            opened && outcome == ConnectOutcome::Established) {
           if (Pool.hasIdle(address))
             opened->close();
           else
             Pool.release(opened);
         }
-        onConnectEnd(id, now, isOpen);
+        onConnectEnd(id, now, outcome);
       });
 }
 
--- a/src/node/link_tester.h
+++ b/src/node/link_tester.h
@@ -26,16 +26,19 @@
   bool areLinksWorking() const { return Monitor.areLinksWorking(); }
   /// @return number of test connections opened
   std::uint64_t testCount() const { return TestCount; }
-  /// Called when a new connection to @p upstream was established or failed.
+  /// Called with the outcome of a new connection to @p upstream.
   void onConnectEnd(const UpstreamId &upstream, Time startedAt,
-                    bool isConnected);
+                    ConnectOutcome outcome);
+  /// Opens a test connection to @p upstream, which must be in the table.
+  void test(const UpstreamId &upstream, Time now);
 
   /// Called with the new value when areLinksWorking() has changed.
   std::function<void(bool)> OnChange;
+  /// Called with what is passed to onConnectEnd().
+  std::function<void(const UpstreamId &, Time, ConnectOutcome)> OnConnectEnd;
 
 private:
   void check();
-  void test(const UpstreamId &id, Time now);
   void reportChange();
   std::vector<TestableUpstream> usableUpstreams() const;
 
--- a/src/node/node_process.cpp
+++ b/src/node/node_process.cpp
@@ -54,7 +54,8 @@
                     UpstreamBatchDelay + MaxBatchDelayForVms}),
       RequestGateway(Loop, settings), State(RequestGateway.upstreams()),
       VmCluster(Loop, settings, Calls, Store, Health,
-                RequestGateway.upstreams(), {&OperatorFeed, &UpstreamFeed}),
+                RequestGateway.upstreams(), RequestGateway.crashes(),
+                {&OperatorFeed, &UpstreamFeed}),
       ReadyPort(Loop, [this] { return readyPage(); }),
       MetricsPort(Loop, [this] { return metricsPage(); }),
       DueChangesTimer(Loop, [this] { applyDueChanges(); }),
@@ -79,12 +80,15 @@
     if (RequestGateway.upstreams().find(process.Id) != nullptr)
       RequestGateway.noteLeaving(process, bootNow());
   };
+  RequestGateway.crashes().OnNews = [this](const CrashNews &news) {
+    VmCluster.spread(news);
+  };
   RequestGateway.OnLinksChanged = [this](bool isWorking) {
     VmCluster.setLinksWorking(isWorking);
   };
   Calls.OnTargetConnectEnd = [this](const std::string &target, Time startedAt,
-                                    bool isConnected) {
-    RequestGateway.onConnectEnd(UpstreamId(target), startedAt, isConnected);
+                                    ConnectOutcome outcome) {
+    RequestGateway.onConnectEnd(UpstreamId(target), startedAt, outcome);
   };
   VmCluster.OnRangeMapUpdate = [this](const ServiceId &service,
                                       const RangeMap &map) {
@@ -189,8 +193,10 @@
   const ChangeResult result = State.onUpstreamEntry(
       *entry, change.Revision, originOf(UpstreamFeed), now);
   DueChangesTimer.scheduleBy(State.nextDueAt(storeAvailability(), now));
-  if (result == ChangeResult::Applied)
+  if (result == ChangeResult::Applied) {
     ++ChangedUpstreams;
+    RequestGateway.crashes().onUpstreamListed(*entry, now);
+  }
   // The number of these lines grows with the fleet; onBatchEnd() counts them.
   logLine(LogPriority::Routine, now, "upstream",
           "upstream={} result={} service={} domain={} address={} born={} "
@@ -326,6 +332,13 @@
   page.addCounter("waxwing_upstream_pauses_total",
                   "Pauses that upstreams asked for when they refused.",
                   data.UpstreamPauses);
+  page.addCounter("waxwing_crashes_under_requests_total",
+                  "Upstreams that this VM found crashed under a request.",
+                  RequestGateway.crashes().crashCount());
+  page.addGauge(
+      "waxwing_suspected_requests",
+      "Requests refused because upstreams crashed under them.",
+      static_cast<double>(RequestGateway.crashes().suspectCount(bootNow())));
   page.addEndCounters("waxwing_requests_cut_total",
                       "Requests that this program ended without an answer.",
                       data.Cuts);
--- /dev/null
+++ b/src/peers/news_targets.cpp
@@ -0,0 +1,26 @@
+/**
+ * @file news_targets.cpp
+ * The targets are drawn anew for each news.
+ */
+#include "peers/news_targets.h"
+
+#include <algorithm>
+#include <iterator>
+
+namespace waxwing {
+
+std::vector<Endpoint> chooseNewsTargets(const std::vector<VmInfo> &vms,
+                                        const VmId &self,
+                                        const Endpoint &source,
+                                        std::mt19937_64 &random) {
+  std::vector<Endpoint> others;
+  for (const VmInfo &vm : vms)
+    if (vm.Vm.Vm != self && vm.Address != source)
+      others.push_back(vm.Address);
+  std::vector<Endpoint> chosen;
+  std::ranges::sample(others, std::back_inserter(chosen), NewsTargetCount,
+                      random);
+  return chosen;
+}
+
+} // namespace waxwing
--- a/src/peers/peer_message.cpp
+++ b/src/peers/peer_message.cpp
@@ -21,6 +21,7 @@
 constexpr int ReplyTag = 2;
 constexpr int RangeUpdateTag = 3;
 constexpr int StoreUpdateTag = 4;
+constexpr int CrashNewsTag = 5;
 
 std::int64_t encodeDuration(Duration duration) { return duration.count(); }
 Duration decodeDuration(const Json &json) {
@@ -87,10 +88,14 @@
     Json leaving = Json::array();
     for (const UpstreamProcess &process : hello.Leaving)
       leaving.push_back({process.Id.Value, process.StartedAtMs});
-    return {
-        HelloTag, encodeCandidate(hello.Sender), hello.ListHash, revisions,
-        keys,     hello.StoreRevisions,          report,         hello.HasLinks,
-        leaving};
+    Json crashDigest;
+    if (hello.CrashDigest)
+      crashDigest = *hello.CrashDigest;
+    return {HelloTag,       encodeCandidate(hello.Sender),
+            hello.ListHash, revisions,
+            keys,           hello.StoreRevisions,
+            report,         hello.HasLinks,
+            leaving,        crashDigest};
   }
   Json operator()(const PeerReply &reply) const {
     Json list;
@@ -138,6 +143,20 @@
         RangeUpdateTag,   ranges.Service.Value, ranges.Revision, ranges.Base,
         ranges.NextFence, ranges.Part,          ranges.Parts,    rows};
   }
+  Json operator()(const PeerCrashNews &message) const {
+    Json reports = Json::array();
+    for (const CrashReport &it : message.News.Reports)
+      reports.push_back({it.Fingerprint.Value, it.Upstream.Value,
+                         it.Domain.Value, encodeDuration(it.Age),
+                         it.StartedAtMs});
+    Json clearances = Json::array();
+    for (const CrashClearance &it : message.News.Clearances)
+      clearances.push_back({it.Fingerprint.Value, encodeDuration(it.Age)});
+    Json suspects = Json::array();
+    for (const CrashSuspect &it : message.News.Suspects)
+      suspects.push_back({it.Fingerprint.Value, encodeDuration(it.Left)});
+    return {CrashNewsTag, reports, clearances, suspects, message.IsComplete};
+  }
 };
 
 PeerHello decodeHello(const Json &json) {
@@ -158,6 +177,9 @@
   for (const Json &process : json.at(8))
     hello.Leaving.push_back({UpstreamId(process.at(0).get<std::string>()),
                              process.at(1).get<std::int64_t>()});
+  // Hellos of earlier versions end here.
+  if (json.size() > 9 && !json.at(9).is_null())
+    hello.CrashDigest = json.at(9).get<std::uint64_t>();
   return hello;
 }
 
@@ -214,6 +236,26 @@
   return ranges;
 }
 
+PeerCrashNews decodeCrashNews(const Json &json) {
+  PeerCrashNews message;
+  for (const Json &it : json.at(1))
+    message.News.Reports.push_back(
+        {RequestFingerprint(it.at(0).get<std::uint64_t>()),
+         UpstreamId(it.at(1).get<std::string>()),
+         DomainId(it.at(2).get<std::string>()), decodeDuration(it.at(3)),
+         it.at(4).get<std::int64_t>()});
+  for (const Json &it : json.at(2))
+    message.News.Clearances.push_back(
+        {RequestFingerprint(it.at(0).get<std::uint64_t>()),
+         decodeDuration(it.at(1))});
+  for (const Json &it : json.at(3))
+    message.News.Suspects.push_back(
+        {RequestFingerprint(it.at(0).get<std::uint64_t>()),
+         decodeDuration(it.at(1))});
+  message.IsComplete = json.at(4).get<bool>();
+  return message;
+}
+
 } // namespace
 
 std::string encodePeerMessage(const PeerMessage &message) {
@@ -233,6 +275,8 @@
       return decodeRangeUpdate(json);
     case StoreUpdateTag:
       return decodeStoreUpdate(json);
+    case CrashNewsTag:
+      return decodeCrashNews(json);
     default:
       return absl::InvalidArgumentError("datagram has an unknown message type");
     }
--- a/src/peers/peer_message_type.h
+++ b/src/peers/peer_message_type.h
@@ -3,7 +3,8 @@
  * Datagrams between the VMs, their readers (VMs that read the store for others
  * of their failure domain) and the leader. Any datagram may be lost; the next
  * hello (regular report) of a VM shows its parent, which is its reader or the
- * leader, what that VM lacks.
+ * leader, what that VM lacks. News that must not depend on a leader or on the
+ * store go from VM to VM.
  */
 #ifndef WAXWING_PEERS_PEER_MESSAGE_TYPE_H
 #define WAXWING_PEERS_PEER_MESSAGE_TYPE_H
@@ -13,6 +14,7 @@
 #include "peers/candidacy.h"
 #include "ranges/range_type.h"
 #include "routing/leaving_upstreams.h"
+#include "traffic/crash_report_type.h"
 
 #include <array>
 #include <map>
@@ -66,6 +68,9 @@
   /// Upstream processes that announced that they leave; at most
   /// MaxReportedLeaving.
   std::vector<UpstreamProcess> Leaving;
+  /// CrasherDetector::digest() of the sender; nullopt from VMs of versions that
+  /// detect no crashes.
+  std::optional<std::uint64_t> CrashDigest;
 };
 
 /// The VMs known to the leader.
@@ -128,8 +133,18 @@
   std::vector<RangeRow> Rows;
 };
 
-using PeerMessage =
-    std::variant<PeerHello, PeerReply, PeerRangeUpdate, PeerStoreUpdate>;
+/// Crashes of upstreams under requests. A VM passes on to some others what it
+/// did not know.
+struct PeerCrashNews {
+  CrashNews News;
+  /// News is all that the sender knows, and it wants what it lacks.
+  bool IsComplete = false;
+};
+
+/// VMs of earlier versions ignore types that they do not know, and elements
+/// behind those that they know.
+using PeerMessage = std::variant<PeerHello, PeerReply, PeerRangeUpdate,
+                                 PeerStoreUpdate, PeerCrashNews>;
 
 /// @return the content of one datagram
 std::string encodePeerMessage(const PeerMessage &message);
--- a/src/peers/relay_message.cpp
+++ b/src/peers/relay_message.cpp
@@ -19,6 +19,9 @@
 
 constexpr std::string_view RequestName = "Waxwing-Relay-Request";
 constexpr std::string_view ResultName = "Waxwing-Relay-Result";
+/// A field of its own, which VMs of earlier versions do not know.
+constexpr std::string_view CallerName = "Waxwing-Relay-Caller";
+constexpr std::size_t MaxCallerSize = 64;
 constexpr std::size_t RequestNumbers = 6;
 constexpr std::size_t ResultNumbers = 6;
 /// Longer durations are malformed.
@@ -72,7 +75,8 @@
 
 bool isRelayField(std::string_view name) {
   return absl::EqualsIgnoreCase(view(name), view(RequestName)) ||
-         absl::EqualsIgnoreCase(view(name), view(ResultName));
+         absl::EqualsIgnoreCase(view(name), view(ResultName)) ||
+         absl::EqualsIgnoreCase(view(name), view(CallerName));
 }
 
 void appendRelayRequest(std::string &head, const RelayRequest &request) {
@@ -81,6 +85,9 @@
                  std::clamp(request.Priority, 0, MaxCount),
                  toNumber(request.TargetLatency), toNumber(request.TimeLeft),
                  toNumber(request.CallerTimeLeft), request.Service.Value);
+  if (!request.Caller.empty() && request.Caller.size() <= MaxCallerSize)
+    fmt::format_to(std::back_inserter(head), "{}: {}\r\n", CallerName,
+                   request.Caller);
 }
 
 void appendRelayResult(std::string &head, const RelayResult &result) {
@@ -105,13 +112,16 @@
       priority > MaxCount || !targetLatency || !timeLeft || !callerTimeLeft ||
       left == 0 || callerLeft < left)
     return std::nullopt;
-  return RelayRequest{number,
-                      ServiceId(parts->Name),
-                      static_cast<RequestKind>(kind),
-                      static_cast<int>(priority),
-                      *targetLatency,
-                      *timeLeft,
-                      *callerTimeLeft};
+  const std::string *caller = http::findField(fields, CallerName);
+  return RelayRequest{
+      number,
+      ServiceId(parts->Name),
+      static_cast<RequestKind>(kind),
+      static_cast<int>(priority),
+      *targetLatency,
+      *timeLeft,
+      *callerTimeLeft,
+      caller != nullptr && caller->size() <= MaxCallerSize ? *caller : ""};
 }
 
 std::optional<RelayResult> readRelayResult(const http::Fields &fields) {
--- a/src/peers/relay_message.h
+++ b/src/peers/relay_message.h
@@ -28,6 +28,8 @@
   Duration TimeLeft{};      ///< until the request's timeout; positive
   /// Until the caller gives up; at least TimeLeft.
   Duration CallerTimeLeft{};
+  /// Address of the caller; empty if not known, or too long to be one.
+  std::string Caller;
 
   bool operator==(const RelayRequest &) const = default;
 };
--- a/src/routing/retry_decision.cpp
+++ b/src/routing/retry_decision.cpp
@@ -34,7 +34,10 @@
 }
 
 int refusalStatus(Reason reason, int possibleExecutions) {
-  const int status = reasonInfo(reason).HttpStatus;
+  // The status of the reason does not tell whether the request has run.
+  const int status = reason == Reason::SuspectedCrasher
+                         ? StatusUnavailable
+                         : reasonInfo(reason).HttpStatus;
   const bool isPromise =
       status == StatusUnavailable || status == StatusTooManyRequests;
   if (isPromise && possibleExecutions > 0)
--- a/src/traffic/crasher_detector.cpp
+++ b/src/traffic/crasher_detector.cpp
@@ -5,30 +5,59 @@
  */
 #include "traffic/crasher_detector_base.h"
 
+#include "core/hash_func.h"
+
 #include <algorithm>
 #include <ranges>
+#include <string>
 
 namespace waxwing {
 
 void CrasherDetector::recordConnectionLost(RequestFingerprint fingerprint,
                                            const UpstreamId &upstream,
-                                           const DomainId &domain, Time now) {
+                                           const DomainId &domain, Time now,
+                                           std::int64_t startedAtMs) {
+  const LostConnection lost{fingerprint, domain, now, startedAtMs};
   const auto found = CrashedAt.find(upstream);
   if (found != CrashedAt.end() && now <= found->second + SameCrashSpan) {
     // A connection lost earlier in the same crash led to the probe that found
     // the upstream crashed.
-    attribute({fingerprint, domain, now}, upstream, now);
+    attribute(lost, upstream, now);
     return;
   }
   if (LostConnections.size() < TrackedRequestLimit)
-    LostConnections.emplace(upstream, LostConnection{fingerprint, domain, now});
+    LostConnections.emplace(upstream, lost);
 }
 
 void CrasherDetector::attribute(const LostConnection &lost,
                                 const UpstreamId &upstream, Time now) {
-  if (add(lost.Fingerprint, {upstream, lost.Domain, lost.At}, now))
-    NewReports.push_back(
-        {lost.Fingerprint, upstream, lost.Domain, now - lost.At});
+  const Crash crash{upstream, lost.Domain, lost.At, lost.StartedAtMs};
+  if (add(lost.Fingerprint, crash, now))
+    NewReports.push_back(makeReport(lost.Fingerprint, crash, now));
+}
+
+CrashReport CrasherDetector::makeReport(RequestFingerprint fingerprint,
+                                        const Crash &crash, Time now) {
+  return {fingerprint, crash.Upstream, crash.Domain, now - crash.At,
+          crash.StartedAtMs};
+}
+
+bool CrasherDetector::recordProcessEnded(const UpstreamId &upstream,
+                                         std::int64_t startedAtMs, Time now) {
+  const auto [first, last] = LostConnections.equal_range(upstream);
+  const std::vector<std::pair<UpstreamId, LostConnection>> lost(first, last);
+  bool isExplained = false;
+  for (const auto &[id, connection] : lost) {
+    if (connection.StartedAtMs == 0 || connection.StartedAtMs >= startedAtMs ||
+        now > connection.At + EndConfirmationSpan)
+      continue;
+    attribute(connection, upstream, now);
+    isExplained = true;
+  }
+  std::erase_if(LostConnections, [&](const auto &entry) {
+    return entry.first == upstream && entry.second.StartedAtMs < startedAtMs;
+  });
+  return isExplained;
 }
 
 bool CrasherDetector::recordRefusal(const UpstreamId &upstream, Time openedAt,
@@ -73,10 +102,31 @@
   return {ids.begin(), ids.end()};
 }
 
-void CrasherDetector::recordCompleteResponse(RequestFingerprint fingerprint) {
-  const auto it = Records.find(fingerprint);
-  if (it != Records.end() && it->second.SuspectUntil == Time())
-    Records.erase(it);
+bool CrasherDetector::recordCompleteResponse(RequestFingerprint fingerprint,
+                                             Time now) {
+  return Records.contains(fingerprint) && clear(fingerprint, now, now);
+}
+
+/// Drops the crashes of a request that is no suspect yet.
+/// @return whether that was not known
+bool CrasherDetector::clear(RequestFingerprint fingerprint, Time clearedAt,
+                            Time now) {
+  const auto known = ClearedAt.find(fingerprint);
+  if (now >= clearedAt + CrashReportLifetime ||
+      (known != ClearedAt.end() && known->second >= clearedAt) ||
+      isSuspect(fingerprint, now))
+    return false;
+  if (const auto it = Records.find(fingerprint); it != Records.end()) {
+    std::erase_if(it->second.Crashes, [clearedAt](const Crash &crash) {
+      return crash.At <= clearedAt;
+    });
+    if (it->second.Crashes.empty())
+      Records.erase(it);
+  }
+  if (known == ClearedAt.end() && ClearedAt.size() >= TrackedRequestLimit)
+    return false;
+  ClearedAt[fingerprint] = clearedAt;
+  return true;
 }
 
 std::vector<CrashReport>
@@ -85,25 +135,50 @@
   std::ranges::copy_if(
       reports, std::back_inserter(fresh), [&](const CrashReport &it) {
         return it.Age < CrashReportLifetime &&
-               add(it.Fingerprint, {it.Upstream, it.Domain, now - it.Age}, now);
+               add(it.Fingerprint,
+                   {it.Upstream, it.Domain, now - it.Age, it.StartedAtMs}, now);
       });
   return fresh;
 }
 
+CrashNews CrasherDetector::merge(const CrashNews &news, Time now) {
+  CrashNews fresh;
+  std::ranges::copy_if(news.Suspects, std::back_inserter(fresh.Suspects),
+                       [&](const CrashSuspect &it) {
+                         return addSuspect(it.Fingerprint, now + it.Left, now);
+                       });
+  std::ranges::copy_if(news.Clearances, std::back_inserter(fresh.Clearances),
+                       [&](const CrashClearance &it) {
+                         return clear(it.Fingerprint, now - it.Age, now);
+                       });
+  fresh.Reports = merge(news.Reports, now);
+  return fresh;
+}
+
+bool CrasherDetector::addSuspect(RequestFingerprint fingerprint, Time until,
+                                 Time now) {
+  if (until <= now || until > now + SuspectLifetime ||
+      isSuspect(fingerprint, now) ||
+      (Records.size() >= TrackedRequestLimit && !Records.contains(fingerprint)))
+    return false;
+  Records[fingerprint].SuspectUntil = until;
+  return true;
+}
+
 bool CrasherDetector::add(RequestFingerprint fingerprint, Crash crash,
                           Time now) {
   if (Records.size() >= TrackedRequestLimit && !Records.contains(fingerprint))
     return false;
+  const auto cleared = ClearedAt.find(fingerprint);
+  if (cleared != ClearedAt.end() && crash.At <= cleared->second)
+    return false;
   Record &record = Records[fingerprint];
   std::erase_if(record.Crashes, [now](const Crash &it) {
     return now >= it.At + CrashReportLifetime;
   });
   // Several routers may report the same crash.
-  const bool isKnown =
-      std::ranges::any_of(record.Crashes, [&](const Crash &it) {
-        return it.Upstream == crash.Upstream &&
-               std::chrono::abs(it.At - crash.At) <= SameCrashSpan;
-      });
+  const bool isKnown = std::ranges::any_of(
+      record.Crashes, [&](const Crash &it) { return isSameCrash(it, crash); });
   if (isKnown || record.Crashes.size() >= CrashesToSuspect)
     return false;
   record.Crashes.push_back(std::move(crash));
@@ -112,6 +187,14 @@
   return true;
 }
 
+bool CrasherDetector::isSameCrash(const Crash &a, const Crash &b) {
+  if (a.Upstream != b.Upstream)
+    return false;
+  return a.StartedAtMs != 0 && b.StartedAtMs != 0
+             ? a.StartedAtMs == b.StartedAtMs
+             : std::chrono::abs(a.At - b.At) <= SameCrashSpan;
+}
+
 bool CrasherDetector::hasCrashesOfSuspect(const Record &record) {
   const std::vector<Crash> &crashes = record.Crashes;
   if (crashes.size() != 2)
@@ -140,16 +223,23 @@
          (it == Records.end() ? 0 : it->second.Crashes.size());
 }
 
-bool CrasherDetector::isSuspect(RequestFingerprint fingerprint,
-                                Time now) const {
+Time CrasherDetector::suspectUntil(RequestFingerprint fingerprint) const {
   const auto it = Records.find(fingerprint);
-  return it != Records.end() && now < it->second.SuspectUntil;
+  return it == Records.end() ? Time() : it->second.SuspectUntil;
 }
 
-std::vector<UpstreamId> CrasherDetector::unresolvedUpstreams() const {
+std::vector<CrashSuspect> CrasherDetector::suspects(Time now) const {
+  std::vector<CrashSuspect> result;
+  for (const auto &[fingerprint, record] : Records)
+    if (now < record.SuspectUntil)
+      result.push_back({fingerprint, record.SuspectUntil - now});
+  return result;
+}
+
+std::vector<UpstreamId> CrasherDetector::unresolvedUpstreams(Time since) const {
   std::vector<UpstreamId> upstreams;
   for (const auto &[upstream, lost] : LostConnections)
-    if (upstreams.empty() || upstreams.back() != upstream)
+    if (lost.At >= since && (upstreams.empty() || upstreams.back() != upstream))
       upstreams.push_back(upstream);
   return upstreams;
 }
@@ -162,13 +252,37 @@
   std::vector<CrashReport> all;
   for (const auto &[fingerprint, record] : Records)
     for (const Crash &it : record.Crashes)
-      all.push_back({fingerprint, it.Upstream, it.Domain, now - it.At});
+      all.push_back(makeReport(fingerprint, it, now));
+  return all;
+}
+
+CrashNews CrasherDetector::news(Time now) const {
+  CrashNews all{reports(now), {}, suspects(now)};
+  std::erase_if(all.Reports, [](const CrashReport &it) {
+    return it.Age >= CrashReportLifetime;
+  });
+  for (const auto &[fingerprint, clearedAt] : ClearedAt)
+    all.Clearances.push_back({fingerprint, now - clearedAt});
   return all;
 }
 
+std::uint64_t CrasherDetector::digest(Time now) const {
+  std::uint64_t sum = 0; // independent of the order
+  const CrashNews all = news(now);
+  for (const CrashReport &it : all.Reports)
+    sum += hashText(it.Upstream.Value + ' ' + std::to_string(it.StartedAtMs),
+                    it.Fingerprint.Value);
+  for (const CrashSuspect &it : all.Suspects)
+    sum += hashText("suspect", it.Fingerprint.Value);
+  return sum;
+}
+
 void CrasherDetector::tick(Time now) {
-  std::erase_if(LostConnections, [now](const auto &entry) {
-    return now > entry.second.At + CrashConfirmationSpan;
+  std::erase_if(LostConnections, [&](const auto &entry) {
+    return now > entry.second.At + EndConfirmationSpan;
+  });
+  absl::erase_if(ClearedAt, [&](const auto &entry) {
+    return now >= entry.second + CrashReportLifetime;
   });
   std::erase_if(RefusedAt, [now](const auto &entry) {
     return now > entry.second + CrashConfirmationSpan;
--- a/src/traffic/crasher_detector_base.h
+++ b/src/traffic/crasher_detector_base.h
@@ -44,11 +44,22 @@
 /// request a suspect.
 class CrasherDetector {
 public:
+  /// @param endConfirmationSpan a lost connection counts as a crash if its
+  ///   process is known to have ended within this time
+  explicit CrasherDetector(Duration endConfirmationSpan = CrashConfirmationSpan)
+      : EndConfirmationSpan(endConfirmationSpan) {}
+
   /// Records that the connection of an attempt was lost after its request was
   /// sent.
+  /// @param startedAtMs start of the upstream's process, Unix ms; 0 if unknown
   void recordConnectionLost(RequestFingerprint fingerprint,
                             const UpstreamId &upstream, const DomainId &domain,
-                            Time now);
+                            Time now, std::int64_t startedAtMs = 0);
+  /// Records that all processes of the upstream that were started before
+  /// @p startedAtMs, Unix ms, have ended.
+  /// @return whether that explains a lost connection
+  bool recordProcessEnded(const UpstreamId &upstream, std::int64_t startedAtMs,
+                          Time now);
   /// Records that the upstream refused a connection that was opened at
   /// @p openedAt. It counts as crashed if another upstream has answered on a
   /// connection that was opened since requests were lost at this one, and
@@ -61,11 +72,15 @@
   /// @return upstreams that refuse connections and do not count as crashed
   std::vector<UpstreamId> refusingUpstreams() const;
   /// Records that an upstream sent a complete response to the request.
-  void recordCompleteResponse(RequestFingerprint fingerprint);
+  /// @return whether that has cleared the request of crashes
+  bool recordCompleteResponse(RequestFingerprint fingerprint, Time now);
   /// Adds reports of another router.
   /// @return the reports that were not known yet
   std::vector<CrashReport> merge(const std::vector<CrashReport> &reports,
                                  Time now);
+  /// Adds what another VM knows.
+  /// @return what was not known yet
+  CrashNews merge(const CrashNews &news, Time now);
 
   /// @return whether the request was in flight at an upstream that crashed or
   ///   may have crashed
@@ -74,15 +89,26 @@
   ///   lost connections whose cause is not known yet
   std::size_t countCrashes(RequestFingerprint fingerprint) const;
   /// @return whether the request must be refused
-  bool isSuspect(RequestFingerprint fingerprint, Time now) const;
+  bool isSuspect(RequestFingerprint fingerprint, Time now) const {
+    return now < suspectUntil(fingerprint);
+  }
+  /// @return until when the request must be refused; Time() if it is no suspect
+  Time suspectUntil(RequestFingerprint fingerprint) const;
+  /// @return all requests that must be refused
+  std::vector<CrashSuspect> suspects(Time now) const;
 
-  /// @return upstreams with lost connections whose cause is not known yet
-  std::vector<UpstreamId> unresolvedUpstreams() const;
+  /// @return upstreams with connections lost at @p since or later whose cause
+  ///   is not known yet
+  std::vector<UpstreamId> unresolvedUpstreams(Time since = Time::min()) const;
   /// @return reports that this router created since the last call, to be sent
   ///   to the other routers
   std::vector<CrashReport> takeNewReports();
   /// @return all reports, to be sent to a process that has just connected
   std::vector<CrashReport> reports(Time now) const;
+  /// @return all that other VMs may lack
+  CrashNews news(Time now) const;
+  /// @return a hash of reports and suspects, by which two VMs compare them
+  std::uint64_t digest(Time now) const;
   /// Drops expired lost connections, crashes and reports.
   void tick(Time now);
 
@@ -92,12 +118,14 @@
     UpstreamId Upstream;
     DomainId Domain;
     Time At;
+    std::int64_t StartedAtMs = 0; ///< start of the process; 0 if unknown
   };
   /// A lost connection; it is not known yet whether its upstream crashed.
   struct LostConnection {
     RequestFingerprint Fingerprint;
     DomainId Domain;
     Time At;
+    std::int64_t StartedAtMs = 0; ///< start of the process; 0 if unknown
   };
   /// A new connection on which an upstream answered.
   struct AnsweredConnection {
@@ -118,8 +146,18 @@
     Time SuspectUntil; ///< Time() when the request is not suspected
   };
   static bool hasCrashesOfSuspect(const Record &record);
+  static bool isSameCrash(const Crash &a, const Crash &b);
+  static CrashReport makeReport(RequestFingerprint fingerprint,
+                                const Crash &crash, Time now);
+  bool addSuspect(RequestFingerprint fingerprint, Time until, Time now);
+  bool clear(RequestFingerprint fingerprint, Time clearedAt, Time now);
+
+  Duration EndConfirmationSpan;
 
   absl::flat_hash_map<RequestFingerprint, Record> Records;
+  /// Time of the last complete response that cleared a request. Earlier crashes
+  /// do not count.
+  absl::flat_hash_map<RequestFingerprint, Time> ClearedAt;
   std::multimap<UpstreamId, LostConnection> LostConnections;
   /// When each upstream was last found crashed. Further connections lost in
   /// the same crash may be reported after that.
--- a/src/traffic/router_core_attempts.cpp
+++ b/src/traffic/router_core_attempts.cpp
@@ -64,7 +64,7 @@
     event.ExecutionVerdict = Verdict::MayHaveRun;
   }
   if (event.Cause == Reason::None)
-    Crashers.recordCompleteResponse(attempt.Fingerprint);
+    Crashers.recordCompleteResponse(attempt.Fingerprint, now);
   if (!attempt.Upstream)
     return;
   Health.end(event.Attempt, event.Cause == Reason::None, now);
--- a/tests/relay_message_test.cpp
+++ b/tests/relay_message_test.cpp
@@ -45,6 +45,22 @@
   EXPECT_EQ(readRelayResult(parseField(head)), makeResult());
 }
 
+// Guards against callers' repeated requests that count as different ones at the
+// VM that sends them, and against callers that name another one.
+TEST(RelayMessage, CallerIsPassedOnAndCannotBeForged) {
+  RelayRequest request = makeRequest();
+  request.Caller = "100.64.0.4";
+  std::string head;
+  appendRelayRequest(head, request);
+  const auto second = head.find("\r\n") + 2;
+  http::Fields fields = parseField(head.substr(0, second));
+  fields.push_back(parseField(head.substr(second))[0]);
+  EXPECT_EQ(readRelayRequest(fields), request);
+  EXPECT_TRUE(isRelayField(fields[1].first));
+  fields[1].second = std::string(1000, 'x');
+  EXPECT_EQ(readRelayRequest(fields), makeRequest());
+}
+
 // Guards against a result without upstream being dropped as malformed, so that
 // a request that has not run counts as one that may have run.
 TEST(RelayMessage, ResultMayHaveNoUpstream) {
--- a/tests/retry_decision_test.cpp
+++ b/tests/retry_decision_test.cpp
@@ -80,6 +80,13 @@
     }
 }
 
+// Guards against a refused crasher whose caller is told that it has not run
+// although it has, or is not told so although it has not.
+TEST(RetryDecision, SuspectedCrasherIsToldWhetherItHasRun) {
+  EXPECT_EQ(refusalStatus(Reason::SuspectedCrasher, 0), 503);
+  EXPECT_EQ(refusalStatus(Reason::SuspectedCrasher, 1), 502);
+}
+
 TEST(RetryDecision, UploadWhoseBodyIsNoLongerStoredIsNotSentAgain) {
   RetryInput input = createInput(RequestKind::Upload, {"shed", true, true, {}});
   EXPECT_EQ(decideRetry(input), RetryDecision::Retry);
