Fix: [Node] The limits that upstreams name are kept by all VMs together

Cause: Server-Limit was not read, and no part of the node keeps a sum over VMs that works for hundreds of them.

Change: a request to a limited upstream needs a permit of the VM in charge, found by rendezvous hashing; a small fixed share applies while that does not answer. Limits travel in hellos and replies. An owner's limit is its capacity in the division of keys. Refusals (upstream_limited) come at once with the time of the next permit.

Conclusion: works since one counter gives all permits of an upstream, needs neither leader nor store, and starts empty where it may overlap another one.

--- a/src/core/verdict_type.h
+++ b/src/core/verdict_type.h
@@ -62,7 +62,8 @@
   UnsignedAnswer,       ///< a success response without the upstream's signature
   Overloaded,           ///< the expected queueing time exceeds the time left
   NoLinks,              ///< this VM cannot open connections to upstreams
-  LastReason = NoLinks
+  UpstreamLimited,      ///< the upstream's limit for all VMs is used up
+  LastReason = UpstreamLimited
 };
 
 /// Number of values of Reason; the size of arrays indexed by it.
--- a/src/node/attempt.h
+++ b/src/node/attempt.h
@@ -54,6 +54,9 @@
   /// The upstream refused the request and wants none for @p pause.
   virtual void onPauseAsked(const UpstreamEntry &upstream,
                             std::chrono::duration<double> pause) = 0;
+  /// A response of the process named the limit @p perS in requests/s, or none.
+  virtual void onLimitNamed(const UpstreamProcess &process,
+                            std::optional<double> perS) = 0;
   /// @return true if a failure response of the upstream would be retried
   ///   instead of forwarded
   virtual bool wouldRetry(const Exchange &exchange) const = 0;
--- a/src/node/cluster.cpp
+++ b/src/node/cluster.cpp
@@ -77,6 +77,14 @@
     if (Parent.isFromReader(Sender))
       Parent.onStoreUpdate(update);
   }
+  void operator()(const PeerPermitAsk &ask) const {
+    if (Parent.isKnownVm(Sender))
+      Parent.sendTo(Sender, Parent.Limits.answer(ask, bootNow()));
+  }
+  void operator()(const PeerPermitAnswer &answer) const {
+    if (Parent.isKnownVm(Sender))
+      Parent.Limits.onAnswer(answer, bootNow());
+  }
   void operator()(const PeerCrashNews &message) const {
     if (Parent.isKnownVm(Sender) || isFromParent())
       Parent.onCrashNews(message, Sender);
@@ -98,8 +106,10 @@
 Cluster::Cluster(asio::io_context &loop, const NodeSettings &settings,
                  HttpCallClient &calls, NodeStoreClient &store,
                  StoreHealth &health, UpstreamTable &upstreams,
-                 CrashGuard &crashes, std::array<StoreFeed *, FeedCount> feeds)
+                 CrashGuard &crashes, LimitGuard &limits,
+                 std::array<StoreFeed *, FeedCount> feeds)
     : Store(store), Health(health), Upstreams(upstreams), Crashes(crashes),
+      Limits(limits),
       Self{VmId(settings.Vm.text("name")), DomainId(settings.Vm.text("domain")),
            settings.Vm.decimal("processor_share")},
       PeerAddress(parseEndpoint(settings.Listen.text("peers"))),
@@ -417,6 +427,7 @@
       [](const StoreFeed *feed) { return feed->revision(); });
   hello.Leaving = Upstreams.newestLeaving(MaxReportedLeaving);
   hello.CrashDigest = Crashes.digest(now);
+  hello.Limits = Upstreams.limits().newest(MaxReportedLimits, now);
   if (Parent.isReader()) {
     hello.Report.emplace();
     hello.Report->StoreAge = now - Health.lastResponseAt();
@@ -492,6 +503,7 @@
       reportKeyRequest(service, key);
   for (const UpstreamProcess &process : hello.Leaving)
     OnLeavingReported(process);
+  Limits.onNotices(hello.Limits, now);
   // Before the report, so that the VM is complete when that arrives.
   if (Parent.isReader())
     sendMissingChanges(hello.StoreRevisions, sender);
@@ -516,6 +528,7 @@
 PeerReply Cluster::makeReply(Time now) const {
   PeerReply reply;
   reply.Leader = Leader;
+  reply.Limits = Upstreams.limits().newest(MaxReportedLimits, now);
   const bool isCurrent = std::ranges::all_of(Feeds, &StoreFeed::isCurrent) &&
                          !Health.isUnavailable();
   if (!Parent.isReader() || !isCurrent)
@@ -606,6 +619,7 @@
   if (isLeader() || (reply.Leader.Term < Leader.Term && !isFromOwnReader))
     return;
   const Time now = bootNow();
+  Limits.onNotices(reply.Limits, now);
   if (reply.Leader.Term != 0)
     Store.noteEpoch(epochOf(reply.Leader.Term), now);
   if (isFromOwnReader) {
@@ -671,7 +685,7 @@
 }
 
 void Cluster::onUpstreamLeaving() {
-  OwnLeadership.onUpstreamLeaving();
+  OwnLeadership.onUpstreamsChanged();
   NextHelloAt = bootNow();
 }
 
--- a/src/node/cluster.h
+++ b/src/node/cluster.h
@@ -13,6 +13,7 @@
 #include "distribution/reader_plan.h"
 #include "node/crash_guard.h"
 #include "node/leadership.h"
+#include "node/limit_guard.h"
 #include "node/node_clock.h"
 #include "node/store_feed.h"
 #include "node/store_health.h"
@@ -33,7 +34,7 @@
   /// @param feeds the feeds of this VM, indexed by FeedId
   Cluster(boost::asio::io_context &loop, const NodeSettings &settings,
           HttpCallClient &calls, NodeStoreClient &store, StoreHealth &health,
-          UpstreamTable &upstreams, CrashGuard &crashes,
+          UpstreamTable &upstreams, CrashGuard &crashes, LimitGuard &limits,
           std::array<StoreFeed *, FeedCount> feeds);
 
   /// Opens the UDP socket and starts to look for the leader.
@@ -60,6 +61,10 @@
   /// Passes on what this VM has learned about crashes. Needs neither a leader
   /// nor the store.
   void spread(const CrashNews &news);
+  /// Asks the VM @p vm, if it is known.
+  void askForPermit(const VmId &vm, const PeerPermitAsk &ask);
+  /// Called when the limit of an upstream has changed.
+  void onLimitsChanged();
   /// Reports to the other VMs whether this one reaches upstreams.
   void setLinksWorking(bool isWorking);
 
@@ -151,6 +156,7 @@
   StoreHealth &Health;
   UpstreamTable &Upstreams;
   CrashGuard &Crashes;
+  LimitGuard &Limits;
   std::mt19937_64 Random{randomNumber()};
   Candidate Self;
   Endpoint PeerAddress;
--- a/src/node/cluster_news.cpp
+++ b/src/node/cluster_news.cpp
@@ -23,6 +23,15 @@
     sendTo(toUdp(target), PeerCrashNews{news, false});
 }
 
+void Cluster::askForPermit(const VmId &vm, const PeerPermitAsk &ask) {
+  const auto target = std::ranges::find(
+      List.Vms, vm, [](const VmInfo &info) { return info.Vm.Vm; });
+  if (target != List.Vms.end())
+    sendTo(toUdp(target->Address), ask);
+}
+
+void Cluster::onLimitsChanged() { OwnLeadership.onUpstreamsChanged(); }
+
 void Cluster::spread(const CrashNews &news) { sendNews(news, {}); }
 
 void Cluster::onCrashNews(const PeerCrashNews &message,
--- a/src/node/gateway.cpp
+++ b/src/node/gateway.cpp
@@ -77,6 +77,7 @@
 Gateway::Gateway(asio::io_context &loop, const NodeSettings &settings)
     : Loop(loop), Acceptor(loop), Random(randomNumber()), Pool(loop),
       Links(loop, Pool, Upstreams), Crashes(loop, Links, Upstreams),
+      Limits(Upstreams, VmId(settings.Vm.text("name"))),
       Peers(VmId(settings.Vm.text("name")),
             DomainId(settings.Vm.text("domain"))),
       PeerPool(loop), Relays(loop, *this),
@@ -92,6 +93,7 @@
   Context.OwnDomain = DomainId(settings.Vm.text("domain"));
   Context.Self = VmId(settings.Vm.text("name"));
   Context.Vms = {Context.Self};
+  Limits.OnAnswered = [this](const ServiceId &service) { sendQueued(service); };
   Upstreams.leaving().setKeyServingTime(std::max<Duration>(
       settings.Bounds.seconds("drain") - LastRequestMargin, Duration()));
   Context.Cold = {settings.WarmUp.decimal("overage"),
@@ -153,6 +155,7 @@
     names.push_back(Context.Self);
   if (names == Context.Vms)
     return;
+  Limits.setVms(names);
   Context.Vms = std::move(names);
   ++Context.VmsVersion;
 }
--- a/src/node/gateway.h
+++ b/src/node/gateway.h
@@ -13,6 +13,7 @@
 #include "node/caller_connection.h"
 #include "node/connection_pool.h"
 #include "node/crash_guard.h"
+#include "node/limit_guard.h"
 #include "node/link_tester.h"
 #include "node/node_clock.h"
 #include "node/relay_server.h"
@@ -86,6 +87,7 @@
   UpstreamTable &upstreams() { return Upstreams; }
   CrashGuard &crashes() { return Crashes; }
   const CrashGuard &crashes() const { return Crashes; }
+  LimitGuard &limits() { return Limits; }
   const RouteTable *config() const { return Config.get(); }
 
   /// @return false while this VM cannot open connections to upstreams
@@ -153,6 +155,8 @@
   void onLeavingAnnounced(const UpstreamProcess &process) override;
   void onPauseAsked(const UpstreamEntry &upstream,
                     std::chrono::duration<double> pause) override;
+  void onLimitNamed(const UpstreamProcess &process,
+                    std::optional<double> perS) override;
   bool wouldRetry(const Exchange &exchange) const override;
 
 private:
@@ -233,6 +237,7 @@
   ConnectionPool Pool; ///< connections to upstreams
   LinkTester Links;
   CrashGuard Crashes;
+  LimitGuard Limits;
   RelayPeers Peers;
   ConnectionPool PeerPool; ///< connections to other VMs
   RelayServer Relays;
--- a/src/node/gateway_queue.cpp
+++ b/src/node/gateway_queue.cpp
@@ -61,7 +61,8 @@
   if (owner != nullptr) {
     // Only the slots of the key's owner count, and the queued requests whose
     // keys are in the same range.
-    input.AvailableSlots = owner->Entry.Slots;
+    input.AvailableSlots =
+        Limits.usableSlots(*owner, input.TypicalProcessingTime);
     input.QueuedAhead = static_cast<int>(std::ranges::count_if(
         queue == Queues.end() ? RequestQueue{} : queue->second,
         [&](const std::shared_ptr<Exchange> &other) {
@@ -120,8 +121,15 @@
     request.RequiredUpstream = row->Owner;
     exchange->SentFence = row->Fence;
   }
-  const UpstreamChoice choice = Upstreams.choose(
+  request.HasPermit = [this, now](const Upstream &upstream) {
+    return Limits.hasPermit(upstream, now);
+  };
+  UpstreamChoice choice = Upstreams.choose(
       request, Context, Config->config().Services, now, Random());
+  // Also if another upstream is chosen, so that the next request may get it.
+  if (choice.WithoutPermit != nullptr &&
+      Limits.obtainPermit(*choice.WithoutPermit, now))
+    choice.Chosen = choice.WithoutPermit;
   canBeServedLater = choice.IsAnyUsable ||
                      (request.RequiredUpstream &&
                       Upstreams.mayMoveSoon(*request.RequiredUpstream, now));
@@ -137,6 +145,13 @@
     // Another VM may serve the request, while a key has one owner.
     canBeServedLater &= request.RequiredUpstream.has_value();
   }
+  if (choice.Chosen == nullptr && choice.WithoutPermit != nullptr) {
+    exchange->UpstreamsPausedUntil =
+        std::max(exchange->UpstreamsPausedUntil,
+                 Limits.nextTryAt(*choice.WithoutPermit));
+    exchange->LastReason = Reason::UpstreamLimited;
+    return false;
+  }
   if (choice.Chosen == nullptr) {
     if (exchange->LastReason == Reason::None)
       exchange->LastReason =
--- a/src/node/gateway_relay.cpp
+++ b/src/node/gateway_relay.cpp
@@ -47,11 +47,12 @@
   return terms;
 }
 
-/// @return the reason that another VM is told; all versions take it for a
-/// reason
-///   of this VM and not of the request
+/// @return the reason that another VM is told. VMs of earlier versions know it,
+///   and take it for a reason of this VM and not of the request
 Reason reasonForPeer(Reason reason) {
-  return reason == Reason::SuspectedCrasher ? Reason::NoUpstream : reason;
+  if (reason == Reason::SuspectedCrasher)
+    return Reason::NoUpstream;
+  return reason == Reason::UpstreamLimited ? Reason::Overloaded : reason;
 }
 
 } // namespace
--- a/src/node/gateway_send.cpp
+++ b/src/node/gateway_send.cpp
@@ -55,6 +55,7 @@
   if (exchange->DeliveryCount > 0)
     ++Counters.Retried;
   Upstreams.countSentRequest(upstream, now);
+  Limits.onSending(upstream, now);
   exchange->TriedUpstreams.insert(upstream.Entry.Id);
   exchange->LastUpstream = {upstream.Entry.Id, upstream.Entry.StartedAtMs};
   exchange->UsedConnections.push_back(connection);
@@ -110,6 +111,11 @@
           sanitizeForLog(upstream.Service.Value), toMilliseconds(*until - now));
 }
 
+void Gateway::onLimitNamed(const UpstreamProcess &process,
+                           std::optional<double> perS) {
+  Limits.onNamed(process, perS, bootNow());
+}
+
 bool Gateway::wouldRetry(const Exchange &exchange) const {
   const Time now = bootNow();
   // The failed attempt is not counted in the exchange yet.
--- a/src/node/leadership.cpp
+++ b/src/node/leadership.cpp
@@ -332,7 +332,7 @@
   runServices();
 }
 
-void Leadership::onUpstreamLeaving() {
+void Leadership::onUpstreamsChanged() {
   if (isLeading())
     RunServicesTimer.scheduleBy(bootNow() + OrderBatchDelay);
 }
@@ -368,6 +368,7 @@
     candidate.Slots = upstream.Entry.Slots;
     candidate.ProcessingSeconds =
         meanProcessingSeconds * upstream.Load.lastingSlowness();
+    candidate.LimitPerS = Upstreams.limitOf(upstream);
     candidate.IsEligible = Upstreams.isUsable(upstream) && !isDead && isWarm &&
                            !isUnreachable(upstream.Entry, now);
     isAnyWarm |= candidate.IsEligible;
--- a/src/node/leadership.h
+++ b/src/node/leadership.h
@@ -55,8 +55,8 @@
   void endForRestoredStore();
   /// Called when services, upstreams or evacuations have changed.
   void onRoutingStateChanged(const RouteTable &config);
-  /// Called when an upstream announced that it leaves.
-  void onUpstreamLeaving();
+  /// Called when an upstream announced that it leaves, or its limit changed.
+  void onUpstreamsChanged();
   /// Called when any VM received a request for @p key.
   void recordKeyRequest(const ServiceId &service, std::uint16_t key);
   /// Ends leadership and its lease immediately, so that another VM can lead.
--- a/src/node/node_process.cpp
+++ b/src/node/node_process.cpp
@@ -55,7 +55,7 @@
       RequestGateway(Loop, settings), State(RequestGateway.upstreams()),
       VmCluster(Loop, settings, Calls, Store, Health,
                 RequestGateway.upstreams(), RequestGateway.crashes(),
-                {&OperatorFeed, &UpstreamFeed}),
+                RequestGateway.limits(), {&OperatorFeed, &UpstreamFeed}),
       ReadyPort(Loop, [this] { return readyPage(); }),
       MetricsPort(Loop, [this] { return metricsPage(); }),
       DueChangesTimer(Loop, [this] { applyDueChanges(); }),
@@ -83,6 +83,13 @@
   RequestGateway.crashes().OnNews = [this](const CrashNews &news) {
     VmCluster.spread(news);
   };
+  RequestGateway.limits().OnAsk = [this](const VmId &vm,
+                                         const PeerPermitAsk &ask) {
+    VmCluster.askForPermit(vm, ask);
+  };
+  RequestGateway.limits().OnLimitsChanged = [this] {
+    VmCluster.onLimitsChanged();
+  };
   RequestGateway.OnLinksChanged = [this](bool isWorking) {
     VmCluster.setLinksWorking(isWorking);
   };
@@ -300,7 +307,7 @@
   return {isReady ? 200 : 503, isReady ? "ready\n" : "not ready\n"};
 }
 
-StatusPort::Page NodeProcess::metricsPage() const {
+StatusPort::Page NodeProcess::metricsPage() {
   MetricsPage page;
   const GatewayCounters &data = RequestGateway.counters();
   const LeadershipCounters &peers = VmCluster.counters();
@@ -339,6 +346,7 @@
       "waxwing_suspected_requests",
       "Requests refused because upstreams crashed under them.",
       static_cast<double>(RequestGateway.crashes().suspectCount(bootNow())));
+  addLimitMetrics(page);
   page.addEndCounters("waxwing_requests_cut_total",
                       "Requests that this program ended without an answer.",
                       data.Cuts);
@@ -389,6 +397,25 @@
   return {200, page.text()};
 }
 
+void NodeProcess::addLimitMetrics(MetricsPage &page) {
+  LimitGuard &limits = RequestGateway.limits();
+  page.addGauge("waxwing_limited_upstreams",
+                "Upstreams that named a limit for all VMs together.",
+                static_cast<double>(limits.limitedCount()));
+  page.addGauge("waxwing_limited_requests_in_window",
+                "Requests of this VM to limited upstreams in the last 4 s.",
+                limits.recentSends(bootNow()));
+  page.addCounter("waxwing_limit_permits_given_total",
+                  "Permits that this VM gave as the VM in charge.",
+                  limits.grantedCount());
+  page.addCounter("waxwing_limit_permits_denied_total",
+                  "Permits that this VM asked for and did not get.",
+                  limits.deniedCount());
+  page.addCounter("waxwing_limit_permits_unanswered_total",
+                  "Permits that this VM asked for without an answer.",
+                  limits.unansweredCount());
+}
+
 void NodeProcess::awaitSignals() {
   Signals.async_wait([this](const boost::system::error_code &ec, int number) {
     if (!ec)
--- a/src/node/node_process.h
+++ b/src/node/node_process.h
@@ -6,6 +6,7 @@
 #ifndef WAXWING_NODE_NODE_PROCESS_H
 #define WAXWING_NODE_NODE_PROCESS_H
 
+#include "metrics/metrics_page.h"
 #include "node/cluster.h"
 #include "node/gateway.h"
 #include "node/status_port.h"
@@ -47,7 +48,8 @@
   void beginShutdown();
   void continueShutdown();
   StatusPort::Page readyPage() const;
-  StatusPort::Page metricsPage() const;
+  StatusPort::Page metricsPage();
+  void addLimitMetrics(MetricsPage &page);
   void flushLogPeriodically();
 
   std::string SettingsPath;
--- a/src/peers/peer_message.cpp
+++ b/src/peers/peer_message.cpp
@@ -22,6 +22,8 @@
 constexpr int RangeUpdateTag = 3;
 constexpr int StoreUpdateTag = 4;
 constexpr int CrashNewsTag = 5;
+constexpr int PermitAskTag = 6;
+constexpr int PermitAnswerTag = 7;
 
 std::int64_t encodeDuration(Duration duration) { return duration.count(); }
 Duration decodeDuration(const Json &json) {
@@ -71,6 +73,35 @@
   return vms;
 }
 
+Json encodeLimits(const std::vector<LimitNotice> &limits) {
+  Json result = Json::array();
+  for (const LimitNotice &limit : limits) {
+    Json perS;
+    if (limit.PerS)
+      perS = *limit.PerS;
+    result.push_back({limit.Process.Id.Value, limit.Process.StartedAtMs, perS,
+                      encodeDuration(limit.Age)});
+  }
+  return result;
+}
+
+/// Decodes the element @p index of a message, which earlier versions lack.
+std::vector<LimitNotice> decodeLimits(const Json &message, std::size_t index) {
+  std::vector<LimitNotice> limits;
+  if (message.size() <= index)
+    return limits;
+  for (const Json &json : message.at(index)) {
+    LimitNotice limit;
+    limit.Process = {UpstreamId(json.at(0).get<std::string>()),
+                     json.at(1).get<std::int64_t>()};
+    if (!json.at(2).is_null())
+      limit.PerS = json.at(2).get<double>();
+    limit.Age = decodeDuration(json.at(3));
+    limits.push_back(std::move(limit));
+  }
+  return limits;
+}
+
 /// Encodes each type of message as an array that begins with its tag.
 struct Encoder {
   Json operator()(const PeerHello &hello) const {
@@ -91,11 +122,17 @@
     Json crashDigest;
     if (hello.CrashDigest)
       crashDigest = *hello.CrashDigest;
-    return {HelloTag,       encodeCandidate(hello.Sender),
-            hello.ListHash, revisions,
-            keys,           hello.StoreRevisions,
-            report,         hello.HasLinks,
-            leaving,        crashDigest};
+    return {HelloTag,
+            encodeCandidate(hello.Sender),
+            hello.ListHash,
+            revisions,
+            keys,
+            hello.StoreRevisions,
+            report,
+            hello.HasLinks,
+            leaving,
+            crashDigest,
+            encodeLimits(hello.Limits)};
   }
   Json operator()(const PeerReply &reply) const {
     Json list;
@@ -121,7 +158,8 @@
             list,
             reply.IsLeaving,
             assignment,
-            store};
+            store,
+            encodeLimits(reply.Limits)};
   }
   Json operator()(const PeerStoreUpdate &update) const {
     Json changes = Json::array();
@@ -157,8 +195,23 @@
       suspects.push_back({it.Fingerprint.Value, encodeDuration(it.Left)});
     return {CrashNewsTag, reports, clearances, suspects, message.IsComplete};
   }
+  Json operator()(const PeerPermitAsk &ask) const {
+    return {PermitAskTag, ask.Process.Id.Value, ask.Process.StartedAtMs,
+            ask.PerS};
+  }
+  Json operator()(const PeerPermitAnswer &answer) const {
+    return {PermitAnswerTag, answer.Process.Id.Value,
+            answer.Process.StartedAtMs, answer.Answer.IsGranted,
+            encodeDuration(answer.Answer.RetryAfter)};
+  }
 };
 
+/// Decodes the first elements of a message about a process.
+UpstreamProcess decodeProcess(const Json &message) {
+  return {UpstreamId(message.at(1).get<std::string>()),
+          message.at(2).get<std::int64_t>()};
+}
+
 PeerHello decodeHello(const Json &json) {
   PeerHello hello;
   hello.Sender = decodeCandidate(json.at(1));
@@ -180,6 +233,7 @@
   // Hellos of earlier versions end here.
   if (json.size() > 9 && !json.at(9).is_null())
     hello.CrashDigest = json.at(9).get<std::uint64_t>();
+  hello.Limits = decodeLimits(json, 10);
   return hello;
 }
 
@@ -201,6 +255,7 @@
       reply.Store->RecoveredAge = decodeDuration(store.at(1));
     reply.Store->Revisions = store.at(2).get<FeedRevisions>();
   }
+  reply.Limits = decodeLimits(json, 8);
   return reply;
 }
 
@@ -277,6 +332,12 @@
       return decodeStoreUpdate(json);
     case CrashNewsTag:
       return decodeCrashNews(json);
+    case PermitAskTag:
+      return PeerPermitAsk{decodeProcess(json), json.at(3).get<double>()};
+    case PermitAnswerTag:
+      return PeerPermitAnswer{
+          decodeProcess(json),
+          {json.at(3).get<bool>(), decodeDuration(json.at(4))}};
     default:
       return absl::InvalidArgumentError("datagram has an unknown message type");
     }
--- a/src/peers/peer_message_type.h
+++ b/src/peers/peer_message_type.h
@@ -13,7 +13,8 @@
 #include "distribution/change_history.h"
 #include "peers/candidacy.h"
 #include "ranges/range_type.h"
-#include "routing/leaving_upstreams.h"
+#include "routing/limit_permits.h"
+#include "routing/upstream_limits.h"
 #include "traffic/crash_report_type.h"
 
 #include <array>
@@ -54,6 +55,9 @@
 /// Maximum number of leaving upstreams in a hello.
 inline constexpr std::size_t MaxReportedLeaving = 256;
 
+/// Maximum number of upstreams with limits in a hello or a reply.
+inline constexpr std::size_t MaxReportedLimits = 64;
+
 /// Report of a VM to its parent, sent a few times per second.
 struct PeerHello {
   Candidate Sender;
@@ -71,6 +75,7 @@
   /// CrasherDetector::digest() of the sender; nullopt from VMs of versions that
   /// detect no crashes.
   std::optional<std::uint64_t> CrashDigest;
+  std::vector<LimitNotice> Limits; ///< at most MaxReportedLimits
 };
 
 /// The VMs known to the leader.
@@ -112,6 +117,7 @@
   bool IsLeaving = false; ///< the leadership of Leader.Term has just ended
   std::optional<ReaderAssignment> Assignment; ///< from the leader only
   std::optional<StoreReport> Store;           ///< from a reader only
+  std::vector<LimitNotice> Limits;            ///< at most MaxReportedLimits
 };
 
 /// Changes of the store, from a reader.
@@ -141,10 +147,22 @@
   bool IsComplete = false;
 };
 
+/// Asks the VM in charge of an upstream for a permit to send one request there.
+struct PeerPermitAsk {
+  UpstreamProcess Process;
+  double PerS = 0; ///< limit of the process as known to the sender, requests/s
+};
+
+struct PeerPermitAnswer {
+  UpstreamProcess Process;
+  PermitAnswer Answer;
+};
+
 /// VMs of earlier versions ignore types that they do not know, and elements
 /// behind those that they know.
-using PeerMessage = std::variant<PeerHello, PeerReply, PeerRangeUpdate,
-                                 PeerStoreUpdate, PeerCrashNews>;
+using PeerMessage =
+    std::variant<PeerHello, PeerReply, PeerRangeUpdate, PeerStoreUpdate,
+                 PeerCrashNews, PeerPermitAsk, PeerPermitAnswer>;
 
 /// @return the content of one datagram
 std::string encodePeerMessage(const PeerMessage &message);
--- a/src/ranges/range_balance.cpp
+++ b/src/ranges/range_balance.cpp
@@ -44,6 +44,18 @@
          (slots * (1 - utilization));
 }
 
+/// Least limit of an upstream that is taken into account, requests/s.
+constexpr double MinLimitPerS = 0.01;
+
+/// @return requests/s that keep all slots of @p upstream busy, or its limit if
+///   that is lower
+double capacity(const RangeUpstream &upstream) {
+  const double bySlots =
+      std::max(upstream.Slots, 1) / std::max(upstream.ProcessingSeconds, 1e-4);
+  return std::min(bySlots,
+                  std::max(upstream.LimitPerS.value_or(bySlots), MinLimitPerS));
+}
+
 double cost(const RangeUpstream &upstream, double rate) {
   return rate * expectedLatency(upstream, rate);
 }
@@ -89,11 +101,6 @@
   double CostReduction = 0; ///< seconds of latency saved per second
 };
 
-/// @return requests/s that keep all slots of @p upstream busy
-double capacity(const RangeUpstream &upstream) {
-  return upstream.Slots / std::max(upstream.ProcessingSeconds, 1e-4);
-}
-
 /// @return upper bound on the requests/s to move to @p target. It may be filled
 ///   up to LowUtilization, or slightly above the mean utilization when that
 ///   is higher.
@@ -232,7 +239,7 @@
 double expectedLatency(const RangeUpstream &upstream, double rate) {
   const double work = std::max(upstream.ProcessingSeconds, 1e-4);
   const double slots = std::max(upstream.Slots, 1);
-  const double utilization = rate * work / slots;
+  const double utilization = rate / capacity(upstream);
   if (utilization <= MaxQueueModelUtilization)
     return work * (1 + relativeWaitingTime(utilization, slots));
   // Near and above capacity, latency grows with the work that accumulates
--- a/src/ranges/range_type.h
+++ b/src/ranges/range_type.h
@@ -15,6 +15,7 @@
 
 #include <absl/status/statusor.h>
 #include <array>
+#include <optional>
 #include <string_view>
 #include <vector>
 
@@ -96,7 +97,9 @@
   std::int64_t StartedAtMs = 0;   ///< start time of its process, Unix ms
   int Slots = 1;                  ///< requests that it processes concurrently
   double ProcessingSeconds = 0.1; ///< expected processing time of a request, s
-  bool IsEligible = false;        ///< may own keys
+  /// Requests/s that it takes from all VMs together, if it named a limit.
+  std::optional<double> LimitPerS;
+  bool IsEligible = false; ///< may own keys
 };
 
 } // namespace waxwing
--- a/src/routing/cold_share.h
+++ b/src/routing/cold_share.h
@@ -9,6 +9,7 @@
 #include "core/id_type.h"
 #include "core/time_type.h"
 
+#include <cstdint>
 #include <vector>
 
 namespace waxwing {
@@ -20,6 +21,15 @@
   double Burst = 5; ///< additional requests in any second
 };
 
+/// Orders the VMs differently for each upstream; the same on all VMs.
+std::uint64_t rendezvousHash(const UpstreamId &upstream, const VmId &vm);
+
+/// Divides @p total requests to @p upstream evenly; the remainder goes to the
+/// VMs that rank first by rendezvousHash().
+/// @return the part of @p self
+int shareOfVm(int total, const UpstreamId &upstream, const VmId &self,
+              const std::vector<VmId> &vms);
+
 /// @param perSecond request rate that the upstream sustains during warm-up
 /// @return number of requests that VM @p self may send to @p upstream in any
 ///   second; 0 when there are more VMs than requests and @p self gets none. All
--- a/src/routing/upstream_table.cpp
+++ b/src/routing/upstream_table.cpp
@@ -6,6 +6,7 @@
 #include "routing/upstream_table.h"
 
 #include <algorithm>
+#include <limits>
 
 namespace waxwing {
 namespace {
@@ -97,6 +98,7 @@
     ByService[Upstreams[id].Entry.Service].erase(id);
     Upstreams.erase(id);
     Leaving.retire(id);
+    Limits.retire(id);
   }
   return removed;
 }
@@ -214,6 +216,7 @@
     double Cost;
   };
   std::vector<Candidate> candidates;
+  std::optional<Candidate> bestWithoutPermit;
   Time firstPauseEnd = Time::max();
   const auto consider = [&](Upstream &upstream) {
     result.IsAnyUsable = true;
@@ -227,7 +230,11 @@
       cost += request.PrefersOwnDomain ? LargeResponseCost : SmallResponseCost;
     if (request.HasConnection && !request.HasConnection(upstream.Entry.Address))
       cost += ConnectionCost;
-    candidates.push_back({&upstream, cost});
+    const bool needsPermit = request.HasPermit && limitOf(upstream);
+    if (!needsPermit || request.HasPermit(upstream))
+      candidates.push_back({&upstream, cost});
+    else if (!bestWithoutPermit || cost < bestWithoutPermit->Cost)
+      bestWithoutPermit = {&upstream, cost};
   };
   if (request.RequiredUpstream) {
     if (Upstream *only = find(*request.RequiredUpstream);
@@ -250,9 +257,15 @@
   }
   if (result.IsAnyUsable && now < firstPauseEnd)
     result.PausedUntil = firstPauseEnd;
+  const double least =
+      candidates.empty()
+          ? std::numeric_limits<double>::infinity()
+          : std::ranges::min(candidates, {}, &Candidate::Cost).Cost;
+  if (bestWithoutPermit &&
+      bestWithoutPermit->Cost <= least * (1 + CostTolerance))
+    result.WithoutPermit = bestWithoutPermit->Member;
   if (candidates.empty())
     return result;
-  const double least = std::ranges::min(candidates, {}, &Candidate::Cost).Cost;
   std::erase_if(candidates, [&](const Candidate &candidate) {
     return candidate.Cost > least * (1 + CostTolerance);
   });
--- a/src/routing/upstream_table.h
+++ b/src/routing/upstream_table.h
@@ -7,6 +7,7 @@
 
 #include "routing/cold_share.h"
 #include "routing/leaving_upstreams.h"
+#include "routing/upstream_limits.h"
 #include "routing/upstream_load_base.h"
 
 #include <functional>
@@ -59,12 +60,17 @@
   bool PrefersOwnDomain = false;       ///< true when the response is large
   /// @return true when an open, idle connection to the address exists
   std::function<bool(const Endpoint &)> HasConnection;
+  /// @return true if an upstream that named a limit may get the request now; if
+  ///   not set, all may
+  std::function<bool(const Upstream &)> HasPermit;
 };
 
 /// Result of the choice of an upstream for a request.
 struct UpstreamChoice {
   Upstream *Chosen = nullptr; ///< nullptr when no upstream can take the request
   bool IsAnyUsable = false;   ///< some upstream may be able to take it later
+  /// Upstream that might be chosen if it had a permit, or nullptr.
+  Upstream *WithoutPermit = nullptr;
   /// First end of a pause, if all usable upstreams are paused; else Time().
   Time PausedUntil;
 };
@@ -97,7 +103,14 @@
   /// Upstream processes that announced in a response that they leave.
   LeavingUpstreams &leaving() { return Leaving; }
   const LeavingUpstreams &leaving() const { return Leaving; }
-  /// @return true if the present process of @p id announced that
+  /// Limits that upstream processes named in responses.
+  UpstreamLimits &limits() { return Limits; }
+  const UpstreamLimits &limits() const { return Limits; }
+  /// @return limit of the present process in requests/s, if it has one
+  std::optional<double> limitOf(const Upstream &upstream) const {
+    return Limits.find(upstream.Entry.Id, upstream.Entry.StartedAtMs);
+  }
+  /// @return true if the present process of @p id announced that it leaves
   bool isLeaving(const UpstreamId &id) const;
   /// @return the last leaving processes that may still run, up to @p maxCount
   std::vector<UpstreamProcess> newestLeaving(std::size_t maxCount) const;
@@ -166,6 +179,7 @@
   std::map<ServiceId, std::set<UpstreamId>> ByService;
   std::set<DomainId> Evacuated;
   LeavingUpstreams Leaving;
+  UpstreamLimits Limits;
   bool AreLinksWorking = true;
   Time LinksBackAt; ///< end of the last loss of this VM's links
 };
--- a/src/table/reasons.h
+++ b/src/table/reasons.h
@@ -65,6 +65,7 @@
     {Reason::UnsignedAnswer, "unsigned_answer", Verdict::MayHaveRun, 502},
     {Reason::Overloaded, "overloaded", Verdict::NotRun, 503},
     {Reason::NoLinks, "no_links", Verdict::NotRun, 503},
+    {Reason::UpstreamLimited, "upstream_limited", Verdict::NotRun, 503},
 }};
 
 static_assert(
--- a/tests/earlier_build_message_test.cpp
+++ b/tests/earlier_build_message_test.cpp
@@ -65,6 +65,7 @@
   EXPECT_EQ(hello.Leaving,
             (std::vector<UpstreamProcess>{{UpstreamId("i-7"), 1771272017360}}));
   EXPECT_FALSE(hello.CrashDigest);
+  EXPECT_TRUE(hello.Limits.empty());
   expectReadableByEarlierBuild(hello, HelloHex);
 }
 
@@ -75,6 +76,7 @@
   EXPECT_EQ(reply.List->Vms.size(), 2U);
   EXPECT_FALSE(reply.List->Vms[0].HasLinks);
   EXPECT_TRUE(reply.IsLeaving);
+  EXPECT_TRUE(reply.Limits.empty());
   expectReadableByEarlierBuild(reply, ReplyHex);
 }
 
@@ -127,7 +129,9 @@
 // added behind those that it knows.
 TEST(EarlierBuildMessageTest, FurtherElementsAreIgnored) {
   for (const char *hex : {HelloHex, ReplyHex, RangesHex, StoreHex}) {
-    auto json = nlohmann::json::from_cbor(bytes(hex));
+    const auto message = decodePeerMessage(bytes(hex));
+    ASSERT_TRUE(message.ok());
+    auto json = nlohmann::json::from_cbor(encodePeerMessage(*message));
     json.push_back(nullptr);
     json.push_back({{"later", 1}});
     const auto cbor = nlohmann::json::to_cbor(json);
