Fix: [Platform] Numbers and texts of odd entries are checked in the range of their use

Callers saw: nothing yet; other operators report VMs that end, or stop following the list, once another writer left an odd entry in it.

Cause: fields were checked as JSON integers and strings, and then cut to int, taken as negative numbers, or copied into header fields.

--- a/src/core/endpoint.cpp
+++ b/src/core/endpoint.cpp
@@ -13,8 +13,11 @@
   if (colon == std::string::npos)
     return {};
   Endpoint endpoint{text.substr(0, colon), 0};
-  std::from_chars(text.data() + colon + 1, text.data() + text.size(),
-                  endpoint.Port);
+  const char *end = text.data() + text.size();
+  const auto [rest, ec] =
+      std::from_chars(text.data() + colon + 1, end, endpoint.Port);
+  if (ec != std::errc() || rest != end)
+    endpoint.Port = 0;
   return endpoint;
 }
 
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -11,6 +11,7 @@
 #include "store_protocol.h"
 
 #include <gtest/gtest.h>
+#include <limits>
 
 namespace waxwing {
 namespace {
@@ -65,6 +66,54 @@
     EXPECT_FALSE(platform::decodeUpstreamEntry("i-1", text).ok()) << text;
 }
 
+// Guards against an entry of another writer whose numbers are cut to other
+// ones, which attract all requests or outlive every later process.
+TEST(UpstreamEntry, NumbersOutOfRangeAreRejected) {
+  const std::vector<std::string> bad{
+      replaced(ValidEntry, "\"slots\":4", "\"slots\":4294967300"),
+      replaced(ValidEntry, "\"slots\":4", "\"slots\":5000000000"),
+      replaced(ValidEntry, "\"slots\":4", "\"slots\":2147483647"),
+      replaced(ValidEntry, "\"slots\":4", "\"slots\":1e30"),
+      replaced(ValidEntry, "1700000000000", "18446744073709551615"),
+      replaced(ValidEntry, "1700000000000", "9223372036854775807"),
+      replaced(ValidEntry, "1700000000000", "18446744073709551616"),
+      replaced(ValidEntry, "\"sequence\":4", "\"sequence\":1e400"),
+      replaced(ValidEntry, "8080", "70000"),
+      replaced(ValidEntry, "8080", "-1"),
+      replaced(ValidEntry, "8080", "0"),
+      replaced(ValidEntry, "8080", "80x"),
+      replaced(ValidEntry, "8080", ""),
+      replaced(ValidEntry, "10.1.2.3", "10.1.2.300"),
+      replaced(ValidEntry, "10.1.2.3", ""),
+      replaced(ValidEntry, "10.1.2.3", "host"),
+  };
+  for (const std::string &text : bad)
+    EXPECT_FALSE(platform::decodeUpstreamEntry("i-1", text).ok()) << text;
+}
+
+// Guards against an id that adds header fields to the requests for its
+// upstream.
+TEST(UpstreamEntry, IdsThatAreNoTokenAreRejected) {
+  for (const std::string id :
+       {"", "i 1", "i-1\r\nX: y", "i\n1", "i-\x01", "i-\xff"})
+    EXPECT_FALSE(platform::decodeUpstreamEntry(id, ValidEntry).ok()) << id;
+  EXPECT_TRUE(platform::decodeUpstreamEntry("i-7f3a91c2", ValidEntry).ok());
+}
+
+// Guards against an entry whose nesting exhausts the stack.
+TEST(UpstreamEntry, DeepNestingEndsNothing) {
+  constexpr std::size_t depth = 2'000'000;
+  const std::string open(depth, '[');
+  const std::string closed = open + std::string(depth, ']');
+  for (const std::string &value :
+       {open, closed, replaced(ValidEntry, "\"a\"", closed)})
+    EXPECT_FALSE(platform::decodeUpstreamEntry("i-1", value).ok());
+  EXPECT_TRUE(platform::decodeUpstreamEntry(
+                  "i-1", replaced(ValidEntry, "{\"address\"",
+                                  "{\"later\":" + closed + ",\"address\""))
+                  .ok());
+}
+
 constexpr const char *ValidConfig =
     R"({"config_version":"0000000c","base_version":"00000005",
         "routes":{"r1":{"hostname":"H.Example","prefix":"/p/",
@@ -98,6 +147,22 @@
   EXPECT_EQ(config->Limits.IdleTimeout, seconds(15));
 }
 
+// Guards against numbers of a configuration that are cut to other ones.
+TEST(Configuration, LargeNumbersAreTheLargestPossible) {
+  std::string text =
+      replaced(ValidConfig, "\"max_attempts\":2", "\"max_attempts\":1e300");
+  text = replaced(text, "16384", "4294967296");
+  text = replaced(text, "\"weight\":90", "\"weight\":4294967297");
+  text = replaced(text, "\"max_connections\":110", "\"max_connections\":1e99");
+  const auto config = platform::decodeTrafficConfig(text);
+  ASSERT_TRUE(config.ok()) << config.status();
+  EXPECT_EQ(config->Routes[0].MaxAttempts, std::numeric_limits<int>::max());
+  EXPECT_EQ(config->Limits.HeaderBytes,
+            std::numeric_limits<std::uint32_t>::max());
+  EXPECT_GT(config->Routes[0].WeightedServices[0].Weight, 1'000'000U);
+  EXPECT_GT(config->Services.at(ServiceId("s")).MaxConnections, 1'000'000);
+}
+
 TEST(Configuration, UploadIsAKindThatRunsAtMostOnce) {
   const auto config = platform::decodeTrafficConfig(
       replaced(ValidConfig, "\"idempotent\"", "\"upload\""));
