--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -114,6 +114,16 @@
                   .ok());
 }
 
+// Guards against a handover token of an upstream that ends the process when it
+// is encoded.
+TEST(KeyOrders, HandoverTokenThatIsNoTextIsLeftOut) {
+  for (const std::string token : {"\xff\xfe", "a\x01", "\xc3"}) {
+    EXPECT_EQ(platform::readHandoverToken({{"Handover", token}}), "");
+    EXPECT_NO_THROW(platform::buildGrantRequest({0, 9}, 1, seconds(1), token));
+  }
+  EXPECT_EQ(platform::readHandoverToken({{"Handover", "5c0e7a"}}), "5c0e7a");
+}
+
 constexpr const char *ValidConfig =
     R"({"config_version":"0000000c","base_version":"00000005",
         "routes":{"r1":{"hostname":"H.Example","prefix":"/p/",
