--- a/src/node/limit_guard.cpp
+++ b/src/node/limit_guard.cpp
@@ -42,7 +42,8 @@
 
 void LimitGuard::onNotices(const std::vector<LimitNotice> &notices, Time now) {
   for (const LimitNotice &notice : notices)
-    record(notice.Process, notice.PerS, now - notice.Age, "vm", now);
+    record(notice.Process, notice.PerS, now - std::max(notice.Age, Duration()),
+           "vm", now);
 }
 
 bool LimitGuard::hasPermit(const Upstream &upstream, Time now) {
@@ -76,10 +77,10 @@
                                Duration typicalProcessingTime) const {
   const auto perS = limitOf(upstream);
   const double slots = upstream.Entry.Slots;
-  return perS ? std::min(slots, *perS * std::chrono::duration<double>(
-                                            typicalProcessingTime)
-                                            .count())
-              : slots;
+  if (!perS || typicalProcessingTime <= Duration())
+    return slots;
+  const std::chrono::duration<double> work(typicalProcessingTime);
+  return std::min(slots, *perS * work.count());
 }
 
 PeerPermitAnswer LimitGuard::answer(const PeerPermitAsk &ask, Time now) {
--- a/src/node/limit_guard.h
+++ b/src/node/limit_guard.h
@@ -41,6 +41,7 @@
   }
   /// @return requests that @p upstream can process at a time within its limit
   ///   and its slots
+  /// @param typicalProcessingTime of the service's requests; 0 if not known
   double usableSlots(const Upstream &upstream,
                      Duration typicalProcessingTime) const;
 
--- a/src/routing/upstream_limits.h
+++ b/src/routing/upstream_limits.h
@@ -36,6 +36,8 @@
   void retire(const UpstreamId &id) { Words.erase(id); }
   /// @return the last words of up to @p maxCount processes, the newest first
   std::vector<LimitNotice> newest(std::size_t maxCount, Time now) const;
+  /// @return true if no upstream has named a limit
+  bool isEmpty() const { return Words.empty(); }
   /// @return number of upstreams with a limit
   std::size_t limitedCount() const;
 
--- a/src/routing/upstream_table.cpp
+++ b/src/routing/upstream_table.cpp
@@ -230,7 +230,8 @@
       cost += request.PrefersOwnDomain ? LargeResponseCost : SmallResponseCost;
     if (request.HasConnection && !request.HasConnection(upstream.Entry.Address))
       cost += ConnectionCost;
-    const bool needsPermit = request.HasPermit && limitOf(upstream);
+    const bool needsPermit =
+        request.HasPermit && !Limits.isEmpty() && limitOf(upstream);
     if (!needsPermit || request.HasPermit(upstream))
       candidates.push_back({&upstream, cost});
     else if (!bestWithoutPermit || cost < bestWithoutPermit->Cost)
--- a/tests/odd_entry_process_test.cpp
+++ b/tests/odd_entry_process_test.cpp
@@ -14,7 +14,7 @@
   std::vector<std::string> values{"",
                                   "null",
                                   "[]",
-                                  "\xff\xfe\x00",
+                                  "\xff\xfe",
                                   nested,
                                   std::string(depth, '{'),
                                   R"({"later":)" + nested + "," +
@@ -41,8 +41,8 @@
 TEST_F(NodeProcessTest, OddEntriesAreLeftOutAndTheOthersHold) {
   ASSERT_TRUE(waitUntilKeysAreServed(0));
   std::vector<pid_t> pids;
-  for (const auto &node : Nodes)
-    pids.push_back(node->pid());
+  std::ranges::transform(Nodes, std::back_inserter(pids),
+                         [](const auto &node) { return node->pid(); });
   runOnPlatform([&] {
     int count = 0;
     for (const std::string &value : oddValues(Upstreams[3]->entry(false)))
--- a/tests/upstream_limit_process_test.cpp
+++ b/tests/upstream_limit_process_test.cpp
@@ -45,6 +45,27 @@
     NodeProcessTest::TearDown();
   }
 
+  /// Lets each node open connections to all upstreams of service "plain", which
+  /// it prefers to others from then on.
+  void connectNodes() {
+    const auto setServiceTime = [this](Duration time) {
+      runOnPlatform([&] {
+        for (const std::size_t n : {3, 4, 5})
+          Upstreams[n]->setServiceTime(time);
+      });
+    };
+    setServiceTime(milliseconds(300));
+    std::vector<std::future<int>> pending;
+    pending.reserve(30 * NodeCount);
+    for (int n = 0; n < 30 * NodeCount; ++n)
+      pending.push_back(std::async(std::launch::async, [n, this] {
+        return sendRequest(callerPort(n % NodeCount), "POST", "/book/x",
+                           "w" + std::to_string(n), "");
+      }));
+    pending.clear(); // waits
+    setServiceTime(milliseconds(20));
+  }
+
   void setLimited(std::size_t upstream, bool isLimited) {
     runOnPlatform([&] {
       Upstreams[upstream]->setRequestFields(isLimited ? LimitFields : "");
@@ -139,6 +160,7 @@
 TEST_F(UpstreamLimitTest, OtherUpstreamsServeBeyondTheLimit) {
   const std::vector<int> nodes{0, 1, 2};
   ASSERT_TRUE(waitFor([&] { return sendPlainRequest(0) == 200; }));
+  connectNodes();
   setLimited(3, true);
   const auto send = [this](int node, int /*count*/) {
     return sendPlainRequest(node);
@@ -157,6 +179,7 @@
 // are there to divide them.
 TEST_F(UpstreamLimitTest, LimitHoldsWithoutLeaderAndStore) {
   ASSERT_TRUE(waitFor([&] { return sendPlainRequest(0) == 200; }));
+  connectNodes();
   for (const std::size_t upstream : {3, 4, 5})
     setLimited(upstream, true);
   const auto send = [this](int node, int /*count*/) {
