Cleanup: [Routing] Names of what upstreams say about their limits

Cause: read as a newcomer; one accessor had no use, one comment stood a line too high.

Change: statements instead of words; no behaviour.

--- a/src/node/attempt.cpp
+++ b/src/node/attempt.cpp
@@ -213,8 +213,8 @@
     Handler.onLoadReport(upstreamId(), *ResponseMetadata.Load);
   if (ResponseMetadata.IsLeaving && !upstreamId().Value.empty())
     Handler.onLeavingAnnounced(upstreamProcess());
-  // A response that has no signature may be another process's.
   const bool isFromUpstream = !Relay || Relay->Execution == Verdict::Ran;
+  // A response that has no signature may be another process's.
   const bool isLimitNamed =
       ResponseMetadata.LimitPerS.has_value() || ResponseMetadata.IsSigned;
   if (isFromUpstream && isLimitNamed && !upstreamId().Value.empty())
--- a/src/node/gateway.h
+++ b/src/node/gateway.h
@@ -86,7 +86,6 @@
   void noteLeaving(const UpstreamProcess &process, Time now);
   UpstreamTable &upstreams() { return Upstreams; }
   CrashGuard &crashes() { return Crashes; }
-  const CrashGuard &crashes() const { return Crashes; }
   LimitGuard &limits() { return Limits; }
   const RouteTable *config() const { return Config.get(); }
 
--- a/src/routing/upstream_limits.h
+++ b/src/routing/upstream_limits.h
@@ -21,7 +21,7 @@
   bool operator==(const LimitNotice &) const = default;
 };
 
-/// Remembers the last word of each upstream's newest process.
+/// Remembers what the newest process of each upstream said last.
 class UpstreamLimits {
 public:
   /// Records what @p process said at @p at, to this VM or to another one.
@@ -33,23 +33,23 @@
   std::optional<double> find(const UpstreamId &id,
                              std::int64_t startedAtMs) const;
   /// The upstream is not known any more.
-  void retire(const UpstreamId &id) { Words.erase(id); }
-  /// @return the last words of up to @p maxCount processes, the newest first
+  void retire(const UpstreamId &id) { Statements.erase(id); }
+  /// @return what up to @p maxCount processes said last, the newest first
   std::vector<LimitNotice> newest(std::size_t maxCount, Time now) const;
   /// @return true if no upstream has named a limit
-  bool isEmpty() const { return Words.empty(); }
+  bool isEmpty() const { return Statements.empty(); }
   /// @return number of upstreams with a limit
   std::size_t limitedCount() const;
 
 private:
-  struct Word {
+  struct Statement {
     std::int64_t StartedAtMs = 0;
     std::optional<double> PerS;
     Time At;
   };
 
   /// Invariant: at most MaxLimitedUpstreams.
-  std::map<UpstreamId, Word> Words;
+  std::map<UpstreamId, Statement> Statements;
 };
 
 } // namespace waxwing
--- a/tests/upstream_limit_test.cpp
+++ b/tests/upstream_limit_test.cpp
@@ -199,7 +199,7 @@
 
 // Guards against a limit that ends for a process that did not say so, and
 // against one that is kept for the next process.
-TEST(UpstreamLimits, LastWordOfTheNewestProcessCounts) {
+TEST(UpstreamLimits, LastStatementOfTheNewestProcessCounts) {
   UpstreamLimits limits;
   EXPECT_FALSE(limits.note(Limited, std::nullopt, at(0)));
   EXPECT_TRUE(limits.note(Limited, 3.7, at(10)));
