--- a/tests/crashing_request_process_test.cpp
+++ b/tests/crashing_request_process_test.cpp
@@ -87,6 +87,7 @@
   for (int n = 0; n < NodeCount; ++n)
     ASSERT_TRUE(waitFor([&] { return sendPlainRequest(n) == 200; }));
   std::vector<int> nodes{0, 1, 2};
+  ASSERT_TRUE(waitUntilNodesAreKnown());
   if (GetParam() == VmTrouble::StoreDown)
     runOnPlatform([this] { Store->setDown(true); });
   if (GetParam() == VmTrouble::LeaderLost) {
--- a/tests/node_fixture.h
+++ b/tests/node_fixture.h
@@ -186,6 +186,16 @@
                : std::stod(page.substr(at + name.size() + 2));
   }
 
+  /// Waits until all nodes know each other.
+  static bool waitUntilNodesAreKnown() {
+    return waitFor([] {
+      for (int n = 0; n < NodeCount; ++n)
+        if (readMetric(n, "waxwing_vms") != NodeCount)
+          return false;
+      return true;
+    });
+  }
+
   /// Sends a request to the service divided by key (each upstream serves only
   /// the keys it owns).
   /// @return HTTP status
--- a/tests/upstream_limit_process_test.cpp
+++ b/tests/upstream_limit_process_test.cpp
@@ -188,6 +188,7 @@
   Outcomes adapting;
   sendFor(ContactTime, milliseconds(25), {0, 1, 2}, adapting, send);
   std::vector<int> nodes{0, 1, 2};
+  ASSERT_TRUE(waitUntilNodesAreKnown());
   const auto leader = std::ranges::find_if(
       nodes, [](int n) { return readMetric(n, "waxwing_leading") == 1; });
   ASSERT_NE(leader, nodes.end());
