Fix: [Node] News of cleared requests end, and go in batches

Cause: a clearance carries its age, which does not grow on its way, so each VM took a late copy for a newer one and passed it on again, for ever.

Change: a VM passes on a clearance only if it clears a crash that it knew; cleared crashes are remembered, so a late copy of a report is no new one. News gather for 50 ms. The digest in hellos covers suspects only.

Conclusion: the earlier simulation had no time of travel, so no copy looked newer.

--- a/src/node/cluster.cpp
+++ b/src/node/cluster.cpp
@@ -63,7 +63,7 @@
                  CrashGuard &crashes, LimitGuard &limits,
                  std::array<StoreFeed *, FeedCount> feeds)
     : Store(store), Health(health), Upstreams(upstreams), Crashes(crashes),
-      Limits(limits),
+      NewsTimer(loop, [this] { sendPendingNews(); }), Limits(limits),
       Self{VmId(settings.Vm.text("name")), DomainId(settings.Vm.text("domain")),
            settings.Vm.decimal("processor_share")},
       PeerAddress(parseEndpoint(settings.Listen.text("peers"))),
--- a/src/node/cluster.h
+++ b/src/node/cluster.h
@@ -125,7 +125,7 @@
   void onCrashNews(const PeerCrashNews &message,
                    const boost::asio::ip::udp::endpoint &sender);
   bool isKnownVm(const boost::asio::ip::udp::endpoint &sender) const;
-  void sendNews(const CrashNews &news, const Endpoint &source);
+  void sendPendingNews();
   void onAssignment(const ReaderAssignment &assignment, Time now);
   /// @return true if VMs report to this one
   bool isParent() const { return isLeader() || Parent.isReader(); }
@@ -156,6 +156,8 @@
   StoreHealth &Health;
   UpstreamTable &Upstreams;
   CrashGuard &Crashes;
+  CrashNews PendingNews; ///< not sent yet
+  DeadlineTimer NewsTimer;
   LimitGuard &Limits;
   std::mt19937_64 Random{randomNumber()};
   Candidate Self;
--- a/src/node/cluster_news.cpp
+++ b/src/node/cluster_news.cpp
@@ -7,8 +7,18 @@
 #include "peers/news_targets.h"
 
 #include <algorithm>
+#include <iterator>
+#include <ranges>
 
 namespace waxwing {
+namespace {
+
+/// News gather for this time, so that one datagram carries those of one event.
+constexpr Duration NewsBatchDelay = milliseconds(50);
+/// Maximum number of reports, clearances and suspects in one datagram, each.
+constexpr std::size_t MaxNewsItems = 256;
+
+} // namespace
 
 using boost::asio::ip::udp;
 
@@ -17,9 +27,9 @@
       List.Vms, [&](const VmInfo &vm) { return toUdp(vm.Address) == sender; });
 }
 
-void Cluster::sendNews(const CrashNews &news, const Endpoint &source) {
-  for (const Endpoint &target :
-       chooseNewsTargets(List.Vms, Self.Vm, source, Random))
+void Cluster::sendPendingNews() {
+  const CrashNews news = std::exchange(PendingNews, {});
+  for (const Endpoint &target : chooseNewsTargets(List.Vms, Self.Vm, Random))
     sendTo(toUdp(target), PeerCrashNews{news, false});
 }
 
@@ -32,7 +42,16 @@
 
 void Cluster::onLimitsChanged() { OwnLeadership.onUpstreamsChanged(); }
 
-void Cluster::spread(const CrashNews &news) { sendNews(news, {}); }
+void Cluster::spread(const CrashNews &news) {
+  const auto append = [](auto &to, const auto &from) {
+    const std::size_t room = MaxNewsItems - std::min(to.size(), MaxNewsItems);
+    std::ranges::copy(from | std::views::take(room), std::back_inserter(to));
+  };
+  append(PendingNews.Reports, news.Reports);
+  append(PendingNews.Clearances, news.Clearances);
+  append(PendingNews.Suspects, news.Suspects);
+  NewsTimer.scheduleBy(bootNow() + NewsBatchDelay);
+}
 
 void Cluster::onCrashNews(const PeerCrashNews &message,
                           const udp::endpoint &sender) {
@@ -40,14 +59,11 @@
   const CrashNews fresh = Crashes.merge(message.News, now);
   if (!message.IsComplete) {
     if (!fresh.isEmpty())
-      sendNews(fresh, {sender.address().to_string(), sender.port()});
+      spread(fresh);
     return;
   }
   const CrashNews own = Crashes.news(now);
-  const bool isSenderLackingSome =
-      own.Reports.size() > message.News.Reports.size() ||
-      own.Suspects.size() > message.News.Suspects.size();
-  if (isSenderLackingSome)
+  if (own.Suspects.size() > message.News.Suspects.size())
     sendTo(sender, PeerCrashNews{own, false});
 }
 
--- a/src/peers/news_targets.cpp
+++ b/src/peers/news_targets.cpp
@@ -11,11 +11,10 @@
 
 std::vector<Endpoint> chooseNewsTargets(const std::vector<VmInfo> &vms,
                                         const VmId &self,
-                                        const Endpoint &source,
                                         std::mt19937_64 &random) {
   std::vector<Endpoint> others;
   for (const VmInfo &vm : vms)
-    if (vm.Vm.Vm != self && vm.Address != source)
+    if (vm.Vm.Vm != self)
       others.push_back(vm.Address);
   std::vector<Endpoint> chosen;
   std::ranges::sample(others, std::back_inserter(chosen), NewsTargetCount,
--- a/src/peers/news_targets.h
+++ b/src/peers/news_targets.h
@@ -18,12 +18,9 @@
 inline constexpr std::size_t NewsTargetCount = 6;
 
 /// @param vms the known VMs
-/// @param source VM from which the news came; without port if there is none
-/// @return addresses of up to NewsTargetCount VMs other than @p self and
-///   @p source
+/// @return addresses of up to NewsTargetCount VMs other than @p self
 std::vector<Endpoint> chooseNewsTargets(const std::vector<VmInfo> &vms,
                                         const VmId &self,
-                                        const Endpoint &source,
                                         std::mt19937_64 &random);
 
 } // namespace waxwing
--- a/src/traffic/crasher_detector.cpp
+++ b/src/traffic/crasher_detector.cpp
@@ -9,7 +9,6 @@
 
 #include <algorithm>
 #include <ranges>
-#include <string>
 
 namespace waxwing {
 
@@ -107,26 +106,22 @@
   return Records.contains(fingerprint) && clear(fingerprint, now, now);
 }
 
-/// Drops the crashes of a request that is no suspect yet.
-/// @return whether that was not known
+/// Clears a request that is no suspect yet of its crashes up to @p clearedAt.
+/// @return whether it was not cleared of one of them
 bool CrasherDetector::clear(RequestFingerprint fingerprint, Time clearedAt,
                             Time now) {
-  const auto known = ClearedAt.find(fingerprint);
-  if (now >= clearedAt + CrashReportLifetime ||
-      (known != ClearedAt.end() && known->second >= clearedAt) ||
-      isSuspect(fingerprint, now))
+  if (now >= clearedAt + CrashReportLifetime || isSuspect(fingerprint, now))
     return false;
-  if (const auto it = Records.find(fingerprint); it != Records.end()) {
-    std::erase_if(it->second.Crashes, [clearedAt](const Crash &crash) {
-      return crash.At <= clearedAt;
-    });
-    if (it->second.Crashes.empty())
-      Records.erase(it);
-  }
-  if (known == ClearedAt.end() && ClearedAt.size() >= TrackedRequestLimit)
+  if (ClearedAt.size() < TrackedRequestLimit || ClearedAt.contains(fingerprint))
+    ClearedAt[fingerprint] = std::max(ClearedAt[fingerprint], clearedAt);
+  const auto it = Records.find(fingerprint);
+  if (it == Records.end())
     return false;
-  ClearedAt[fingerprint] = clearedAt;
-  return true;
+  bool isChanged = false;
+  for (Crash &crash : it->second.Crashes)
+    if (crash.At <= clearedAt)
+      isChanged |= !std::exchange(crash.IsCleared, true);
+  return isChanged;
 }
 
 std::vector<CrashReport>
@@ -169,9 +164,6 @@
                           Time now) {
   if (Records.size() >= TrackedRequestLimit && !Records.contains(fingerprint))
     return false;
-  const auto cleared = ClearedAt.find(fingerprint);
-  if (cleared != ClearedAt.end() && crash.At <= cleared->second)
-    return false;
   Record &record = Records[fingerprint];
   std::erase_if(record.Crashes, [now](const Crash &it) {
     return now >= it.At + CrashReportLifetime;
@@ -179,9 +171,14 @@
   // Several routers may report the same crash.
   const bool isKnown = std::ranges::any_of(
       record.Crashes, [&](const Crash &it) { return isSameCrash(it, crash); });
-  if (isKnown || record.Crashes.size() >= CrashesToSuspect)
+  if (isKnown || record.Crashes.size() >= MaxCrashesOfRequest ||
+      openCrashes(record).size() >= CrashesToSuspect)
+    return false;
+  const auto cleared = ClearedAt.find(fingerprint);
+  crash.IsCleared = cleared != ClearedAt.end() && crash.At <= cleared->second;
+  record.Crashes.push_back(crash);
+  if (crash.IsCleared)
     return false;
-  record.Crashes.push_back(std::move(crash));
   if (hasCrashesOfSuspect(record))
     record.SuspectUntil = now + SuspectLifetime;
   return true;
@@ -195,8 +192,16 @@
              : std::chrono::abs(a.At - b.At) <= SameCrashSpan;
 }
 
+std::vector<CrasherDetector::Crash>
+CrasherDetector::openCrashes(const Record &record) {
+  std::vector<Crash> crashes;
+  std::ranges::copy_if(record.Crashes, std::back_inserter(crashes),
+                       [](const Crash &it) { return !it.IsCleared; });
+  return crashes;
+}
+
 bool CrasherDetector::hasCrashesOfSuspect(const Record &record) {
-  const std::vector<Crash> &crashes = record.Crashes;
+  const std::vector<Crash> crashes = openCrashes(record);
   if (crashes.size() != 2)
     return crashes.size() >= CrashesToSuspect;
   const bool isApart =
@@ -206,7 +211,9 @@
 }
 
 bool CrasherDetector::mayHaveCausedCrash(RequestFingerprint fingerprint) const {
-  return Records.contains(fingerprint) ||
+  const auto it = Records.find(fingerprint);
+  return (it != Records.end() && (it->second.SuspectUntil != Time() ||
+                                  !openCrashes(it->second).empty())) ||
          std::ranges::any_of(LostConnections, [fingerprint](const auto &entry) {
            return entry.second.Fingerprint == fingerprint;
          });
@@ -220,7 +227,7 @@
         return entry.second.Fingerprint == fingerprint;
       });
   return static_cast<std::size_t>(lost) +
-         (it == Records.end() ? 0 : it->second.Crashes.size());
+         (it == Records.end() ? 0 : openCrashes(it->second).size());
 }
 
 Time CrasherDetector::suspectUntil(RequestFingerprint fingerprint) const {
@@ -251,7 +258,7 @@
 std::vector<CrashReport> CrasherDetector::reports(Time now) const {
   std::vector<CrashReport> all;
   for (const auto &[fingerprint, record] : Records)
-    for (const Crash &it : record.Crashes)
+    for (const Crash &it : openCrashes(record))
       all.push_back(makeReport(fingerprint, it, now));
   return all;
 }
@@ -268,12 +275,9 @@
 
 std::uint64_t CrasherDetector::digest(Time now) const {
   std::uint64_t sum = 0; // independent of the order
-  const CrashNews all = news(now);
-  for (const CrashReport &it : all.Reports)
-    sum += hashText(it.Upstream.Value + ' ' + std::to_string(it.StartedAtMs),
-                    it.Fingerprint.Value);
-  for (const CrashSuspect &it : all.Suspects)
-    sum += hashText("suspect", it.Fingerprint.Value);
+  for (const auto &[fingerprint, record] : Records)
+    if (now < record.SuspectUntil)
+      sum += hashText("suspect", fingerprint.Value);
   return sum;
 }
 
--- a/src/traffic/crasher_detector_base.h
+++ b/src/traffic/crasher_detector_base.h
@@ -27,6 +27,8 @@
 /// After this many crashes a request is suspected, even if they may have
 /// another common cause.
 constexpr std::size_t CrashesToSuspect = 3;
+/// Maximum number of crashes that are remembered for one request.
+constexpr std::size_t MaxCrashesOfRequest = 16;
 /// Maximum number of requests with crash reports, and of lost connections
 /// without a known cause.
 constexpr std::size_t TrackedRequestLimit = 10'000;
@@ -107,7 +109,7 @@
   std::vector<CrashReport> reports(Time now) const;
   /// @return all that other VMs may lack
   CrashNews news(Time now) const;
-  /// @return a hash of reports and suspects, by which two VMs compare them
+  /// @return a hash of the suspects, by which two VMs compare them
   std::uint64_t digest(Time now) const;
   /// Drops expired lost connections, crashes and reports.
   void tick(Time now);
@@ -119,6 +121,9 @@
     DomainId Domain;
     Time At;
     std::int64_t StartedAtMs = 0; ///< start of the process; 0 if unknown
+    /// The request is cleared of it. It is kept, so that a late copy of its
+    /// report is not taken for another crash.
+    bool IsCleared = false;
   };
   /// A lost connection; it is not known yet whether its upstream crashed.
   struct LostConnection {
@@ -142,10 +147,12 @@
 
   /// Crashes attributed to one request.
   struct Record {
-    std::vector<Crash> Crashes;
-    Time SuspectUntil; ///< Time() when the request is not suspected
+    std::vector<Crash> Crashes; ///< at most MaxCrashesOfRequest
+    Time SuspectUntil;          ///< Time() when the request is not suspected
   };
   static bool hasCrashesOfSuspect(const Record &record);
+  /// @return the crashes of which the request is not cleared
+  static std::vector<Crash> openCrashes(const Record &record);
   static bool isSameCrash(const Crash &a, const Crash &b);
   static CrashReport makeReport(RequestFingerprint fingerprint,
                                 const Crash &crash, Time now);
--- a/tests/crash_news_test.cpp
+++ b/tests/crash_news_test.cpp
@@ -122,43 +122,51 @@
   /// VM @p n finds a crash at the upstream @p crashed.
   void find(int n, int crashed) {
     const CrashNews news = crashNews(crashed);
-    Detectors[n].merge(news, at(0));
-    spread(n, news, {});
+    Detectors[n].merge(news, Now);
+    spread(n, news);
   }
-  /// Delivers all datagrams.
-  void deliver() {
-    for (; !Datagrams.empty(); Datagrams.pop_front()) {
-      const auto &[to, from, news] = Datagrams.front();
+  /// VM @p n gets a complete response to the request.
+  void clear(int n) {
+    if (Detectors[n].recordCompleteResponse(Crasher, Now))
+      spread(n, {{}, {{Crasher, {}}}, {}});
+  }
+  /// Delivers datagrams, each some time after the one before.
+  /// @param most number of datagrams after which it gives up
+  void deliver(int most) {
+    for (; !Datagrams.empty() && most > 0; Datagrams.pop_front(), --most) {
+      const auto [to, news] = Datagrams.front();
       ++Delivered;
-      const CrashNews fresh = Detectors[to].merge(news, at(0));
+      Now += milliseconds(1);
+      const CrashNews fresh = Detectors[to].merge(news, Now);
       if (!fresh.isEmpty())
-        spread(to, fresh, Vms[from].Address);
+        spread(to, fresh);
     }
   }
   /// @return VMs that refuse the request
   long refusingCount() const {
-    return std::ranges::count_if(Detectors, [](const auto &detector) {
-      return detector.isSuspect(Crasher, at(0));
+    return std::ranges::count_if(Detectors, [this](const auto &detector) {
+      return detector.isSuspect(Crasher, Now);
     });
   }
   int delivered() const { return Delivered; }
+  bool isQuiet() const { return Datagrams.empty(); }
 
 private:
   struct Datagram {
     int To;
-    int From;
     CrashNews News;
   };
 
-  void spread(int from, const CrashNews &news, const Endpoint &source) {
+  void spread(int from, const CrashNews &news) {
     for (const Endpoint &target :
-         chooseNewsTargets(Vms, Vms[from].Vm.Vm, source, Random))
+         chooseNewsTargets(Vms, Vms[from].Vm.Vm, Random))
       if (std::uniform_real_distribution<>()(Random) >= LossRate)
-        Datagrams.push_back({target.Port - 1, from, news});
+        Datagrams.push_back({target.Port - 1, news});
   }
 
   std::mt19937_64 Random;
   double LossRate;
+  Time Now = at(0);
   std::vector<VmInfo> Vms;
   std::vector<CrasherDetector> Detectors;
   std::deque<Datagram> Datagrams;
@@ -173,12 +181,32 @@
     NewsFleet fleet(count, 0.03, seed);
     for (int n = 0; n < 3; ++n)
       fleet.find(100 * n, n);
-    fleet.deliver();
+    fleet.deliver(100'000);
     // The reply to a hello, every 0.4 s, tells the rest.
     EXPECT_GE(fleet.refusingCount(), count - 6) << seed;
     EXPECT_LE(fleet.delivered(), 3 * count * static_cast<int>(NewsTargetCount));
   }
 }
 
+// Guards against news that go round for ever, since each VM takes a late copy
+// of a clearance or a report for a newer one.
+TEST(CrashNewsTest, NewsOfAClearedRequestEnd) {
+  for (const std::uint64_t seed : {1, 2, 3}) {
+    constexpr int count = 100;
+    constexpr int most = 4 * count * static_cast<int>(NewsTargetCount);
+    NewsFleet fleet(count, 0, seed);
+    fleet.find(0, 1);
+    fleet.deliver(100);
+    fleet.clear(0); // while reports are still on their way
+    fleet.deliver(most);
+    fleet.find(50, 2);
+    fleet.deliver(most);
+    fleet.clear(50);
+    fleet.deliver(most);
+    EXPECT_TRUE(fleet.isQuiet()) << seed;
+    EXPECT_EQ(fleet.refusingCount(), 0) << seed;
+  }
+}
+
 } // namespace
 } // namespace waxwing
--- a/tests/upstream_limit_process_test.cpp
+++ b/tests/upstream_limit_process_test.cpp
@@ -56,7 +56,7 @@
     };
     setServiceTime(milliseconds(300));
     std::vector<std::future<int>> pending;
-    pending.reserve(30 * NodeCount);
+    pending.reserve(30UL * NodeCount);
     for (int n = 0; n < 30 * NodeCount; ++n)
       pending.push_back(std::async(std::launch::async, [n, this] {
         return sendRequest(callerPort(n % NodeCount), "POST", "/book/x",
