Review: case on DRAIN, a backend that left gets requests until it exits

Each watch that the store cuts counts as an outage, and the removal of an entry is deferred after each of them.

--- a/review/common/harness.h
+++ b/review/common/harness.h
@@ -369,6 +369,9 @@
   std::function<bool(const std::string &method, const std::string &target,
                      const std::string &body)>
       Admit;
+  /// Connections of watches that have waited for this long, ms, are ended
+  /// without an answer; 0: none are.
+  std::atomic<int> WatchCutMs = 0;
 
 private:
   struct Item {
@@ -461,6 +464,8 @@
         return;
       }
       handle(conn, method, target, body, rewrite);
+      if (conn.fd() < 0)
+        return;
     }
   }
   void handle(Conn &conn, const std::string &method, const std::string &target,
@@ -481,8 +486,9 @@
     } else if (target.starts_with("/v1/kv-watch")) {
       const std::string prefix = query(target, "prefix");
       const uint64_t after = std::stoull(query(target, "after"));
+      const auto begun = Clock::now();
       const auto until =
-          Clock::now() + milliseconds(std::stol(query(target, "wait_ms")));
+          begun + milliseconds(std::stol(query(target, "wait_ms")));
       Json events = Json::array();
       while (!IsEnding) {
         expireLeases();
@@ -495,6 +501,10 @@
                                  : describe(event.Key, event.State, rewrite));
         if (!events.empty() || Clock::now() >= until)
           break;
+        if (WatchCutMs > 0 && Clock::now() >= begun + milliseconds(WatchCutMs)) {
+          conn.close();
+          return;
+        }
         Changed.wait_for(lock, milliseconds(20));
       }
       respond(conn, 200, {{"events", events}, {"store_revision", Revision}});
