--- a/review/common/harness.h
+++ b/review/common/harness.h
@@ -27,6 +27,7 @@
 #include <poll.h>
 #include <set>
 #include <string>
+#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <thread>
@@ -628,6 +629,7 @@
   void start() {
     Pid = fork();
     if (Pid == 0) {
+      prctl(PR_SET_PDEATHSIG, SIGKILL); // ends with this program
       const int out = open(Log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
       dup2(out, 1);
       dup2(out, 2);
