--- a/review/2/drain.cpp
+++ b/review/2/drain.cpp
@@ -116,6 +116,7 @@
       const std::lock_guard lock(Mutex);
       SentAt[id] = secondsNow();
     }
+    Out->line("sent " + std::string(id));
     conn->write("POST /book/" + std::string(id) +
                 " HTTP/1.1\r\nHost: jepu9.example\r\nRequest-Id: " + id +
                 "\r\nDeadline-Ms: 2000\r\nContent-Length: 4\r\n\r\npay!");
