Fix: [Node] Single failed calls to the store put off the removal of upstreams

Cause: one failed call of any kind counted as an outage of the store and the next response as its end.

Change: StoreHealth decides by how a call failed whether the store may be away. An ended watch or connection is no outage; an unreachable store, status 5xx, two new connections in a row that end, or silence beside which no later call is answered is one. A call without a response for 0.4 s is checked on a new connection, so that a silent connection is told from a silent store. Status 429 makes no removal wait. An outage of a reader alone ends for its followers with their first own answer. Pending watches continue on other connections when one to the store has become silent. New metrics and log lines tell the two apart.

--- a/src/node/call_client.cpp
+++ b/src/node/call_client.cpp
@@ -8,12 +8,17 @@
 #include "node/node_clock.h"
 #include "node/node_log.h"
 
+#include <array>
 #include <fmt/format.h>
 #include <iterator>
 
 namespace waxwing {
 namespace {
 
+/// Names of the losses, by value.
+constexpr std::array<std::string_view, 4> CallLossNames{"none", "not_connected",
+                                                        "ended", "silent"};
+
 /// How far responses tell which call they belong to. A peer may send an earlier
 /// response on the connection again.
 struct CallIdentity {
@@ -46,11 +51,14 @@
               HttpCallClient::Callback callback)
       : Pool(pool), Connection(std::move(connection)),
         Identity(std::move(identity)), MaxResponse(maxResponse),
-        Callback(std::move(callback)),
-        Timer(loop, [this] { abandon("no response before the deadline"); }) {}
+        Callback(std::move(callback)), Timer(loop, [this] {
+          abandon("no response before the deadline", CallLoss::Silent);
+        }) {}
 
   void start(const std::string &request, Time deadline) {
     Self = shared_from_this();
+    Result.BegunAt = bootNow();
+    Result.IsFirstCall = Identity.IsFirstCall;
     Timer.scheduleBy(deadline);
     Connection->beginRequest(this, request, true, false);
   }
@@ -68,7 +76,7 @@
   }
   void onResponseBody(std::string bytes) override {
     if (Result.Body.size() + bytes.size() > MaxResponse)
-      abandon("response is too long");
+      abandon("response is too long", CallLoss::Ended);
     else
       Result.Body += bytes;
   }
@@ -83,16 +91,23 @@
     Result.Status = 0;
     Result.Error = why;
     Result.IsDelivered = isSent;
-    finish();
+    lose(Connection->hasTimedOut() ? CallLoss::Silent : CallLoss::Ended);
   }
 
 private:
-  void abandon(const char *why) {
+  void abandon(const char *why, CallLoss loss) {
     // If no byte was written, the peer cannot receive the call any more.
     Result.IsDelivered = Connection->isSent();
     Connection->close();
     Result.Status = 0;
     Result.Error = why;
+    lose(loss);
+  }
+  void lose(CallLoss loss) {
+    Result.Loss = Connection->isEstablished() ? loss : CallLoss::NotConnected;
+    // What silenced this connection may have silenced those that are idle.
+    if (Result.Loss == CallLoss::Silent)
+      Pool.closeIdle(Connection->peer());
     finish();
   }
   void finish() {
@@ -115,10 +130,14 @@
 
 } // namespace
 
+std::string_view callLossName(CallLoss loss) {
+  return CallLossNames[static_cast<std::size_t>(loss)];
+}
+
 void HttpCallClient::call(const Endpoint &peer,
                           const platform::PlatformRequest &call,
                           const std::string &target, Time deadline,
-                          Callback callback) {
+                          Callback callback, ConnectionReuse reuse) {
   std::string request =
       fmt::format("{} {} HTTP/1.1\r\nHost: {}\r\n", call.Method, call.Target,
                   formatEndpoint(peer));
@@ -130,7 +149,9 @@
                    call.Body.size());
   request += "\r\n" + call.Body;
   const Time now = bootNow();
-  auto connection = Pool.acquire(peer, now, seconds(60));
+  auto connection = reuse == ConnectionReuse::Allowed
+                        ? Pool.acquire(peer, now, seconds(60))
+                        : nullptr;
   const bool isFirstCall = connection == nullptr;
   if (isFirstCall)
     connection = Pool.open(peer, [this, target, now](ConnectOutcome outcome) {
--- a/src/node/call_client.h
+++ b/src/node/call_client.h
@@ -10,18 +10,37 @@
 #include "store_protocol.h"
 
 #include <functional>
+#include <string_view>
 
 namespace waxwing {
 
+/// Why a call has no response.
+enum class CallLoss : std::uint8_t {
+  None,         ///< it has one
+  NotConnected, ///< no new connection could be established
+  Ended,        ///< the connection ended, or carried something unreadable
+  Silent,       ///< nothing arrived in time on an established connection
+};
+
+/// @return name of @p loss in the log
+std::string_view callLossName(CallLoss loss);
+
 /// Result of a call.
 struct HttpCallResult {
   int Status = 0; ///< HTTP status; 0 if there was no response
+  CallLoss Loss = CallLoss::None;
+  Time BegunAt; ///< when the call was begun
+  /// No other call preceded this one on its connection.
+  bool IsFirstCall = false;
   http::Fields Headers;
   std::string Body;
   bool IsDelivered = true; ///< false: no byte of the request was sent
   std::string Error;       ///< reason if there was no response
 };
 
+/// Whether a call may use a connection that has carried others.
+enum class ConnectionReuse : std::uint8_t { Allowed, Forbidden };
+
 /// Sends calls over pooled connections; the callback runs exactly once.
 class HttpCallClient {
 public:
@@ -39,7 +58,8 @@
   ///   lost
   /// @param deadline the connection is reset if there is no response by then
   void call(const Endpoint &peer, const platform::PlatformRequest &call,
-            const std::string &target, Time deadline, Callback callback);
+            const std::string &target, Time deadline, Callback callback,
+            ConnectionReuse reuse = ConnectionReuse::Allowed);
   /// Called with the outcome of a new connection for a call with a target, the
   /// target and the time when the connection was begun.
   std::function<void(const std::string &, Time, ConnectOutcome)>
--- a/src/node/client_connection.cpp
+++ b/src/node/client_connection.cpp
@@ -139,8 +139,10 @@
     // The peer may have sent a response before it closed the connection.
     if (IsReading)
       readSome();
-    if (!IsClosed)
+    if (!IsClosed) {
+      HasTimedOut = ec == asio::error::timed_out;
       fail("write: " + ec.message());
+    }
     return;
   }
   if (UnwrittenOutput.empty()) {
@@ -193,6 +195,7 @@
       finishResponse();
       return;
     }
+    HasTimedOut = ec == asio::error::timed_out;
     fail("read: " + ec.message());
     return;
   }
--- a/src/node/client_connection.h
+++ b/src/node/client_connection.h
@@ -83,6 +83,11 @@
     return IsOpen && Observer == nullptr && !IsReuseForbidden && !IsClosed;
   }
   bool isClosed() const { return IsClosed; }
+  /// @return true if the connection was established, also after its end
+  bool isEstablished() const { return IsOpen; }
+  /// @return true if the connection ended since the peer's host did not
+  ///   acknowledge data or keep-alive probes
+  bool hasTimedOut() const { return HasTimedOut; }
   /// @return true if at least one byte of the current request was written
   bool isSent() const { return IsSent; }
   const Endpoint &peer() const { return Peer; }
@@ -129,6 +134,7 @@
   bool IsRequestWhole = true; ///< no more of the request body will be sent
   bool IsReuseForbidden = false; ///< close after the current request
   bool IsClosed = false;
+  bool HasTimedOut = false; ///< as returned by hasTimedOut()
 };
 
 } // namespace waxwing
--- a/src/node/cluster.cpp
+++ b/src/node/cluster.cpp
@@ -188,8 +188,12 @@
   const Time now = bootNow();
   const auto page = platform::decodeStorePage(result.Body, Store.epoch());
   const bool hasResponse = result.Status == platform::StatusOk && page.ok();
-  Health.recordCall(hasResponse, result.Error, now);
-  if (!hasResponse || isLeader())
+  if (!hasResponse) {
+    Health.recordFailure(result, StoreCallKind::Prompt, result.Error, now);
+    return;
+  }
+  Health.recordAnswer(result.BegunAt, now);
+  if (isLeader())
     return;
   const auto item =
       std::ranges::find(page->Items, LeaderKey, &platform::StoreItem::Key);
--- a/src/node/leadership.cpp
+++ b/src/node/leadership.cpp
@@ -94,9 +94,13 @@
   Store.call(
       call, bootNow() + timeout,
       [this, callback = std::move(callback)](const HttpCallResult &result) {
-        Health.recordCall(result.Status != 0 && result.Status < 500 &&
-                              result.Status != StatusTooManyRequests,
-                          result.Error, bootNow());
+        const Time now = bootNow();
+        if (result.Status != 0 && result.Status < platform::StatusServerError &&
+            result.Status != StatusTooManyRequests)
+          Health.recordAnswer(result.BegunAt, now);
+        else
+          Health.recordFailure(result, StoreCallKind::Prompt, result.Error,
+                               now);
         callback(result);
       });
 }
--- a/src/node/node_process.cpp
+++ b/src/node/node_process.cpp
@@ -45,7 +45,7 @@
 NodeProcess::NodeProcess(std::string settingsPath, const NodeSettings &settings)
     : SettingsPath(std::move(settingsPath)), Settings(settings), Loop(1),
       Signals(Loop, SIGTERM, SIGINT, SIGHUP), Calls(Loop),
-      Store(Calls, parseEndpoint(settings.Store.text("address")),
+      Store(Loop, Calls, Health, parseEndpoint(settings.Store.text("address")),
             settings.Vm.boolean("first_start")),
       OperatorFeed(Loop, Store, Health,
                    {std::string(platform::OperatorPrefix), OperatorBatchDelay}),
@@ -145,6 +145,10 @@
       UpstreamFeed.reloadIfWatching();
     }
   };
+  Health.OnConnectionSilent = [this] {
+    OperatorFeed.restartWatch();
+    UpstreamFeed.restartWatch();
+  };
   for (StoreFeed *feed : {&OperatorFeed, &UpstreamFeed})
     feed->start(
         [this](const platform::StoreChange &change) { onStoreChange(change); },
@@ -365,6 +369,15 @@
   page.addGauge("waxwing_store_epoch",
                 "Rises with each restoration of the store.",
                 static_cast<double>(Store.epoch()));
+  page.addCounter("waxwing_store_outages_total",
+                  "Times at which the store stopped serving this VM.",
+                  Health.outageCount());
+  page.addCounter("waxwing_store_connections_lost_total",
+                  "Calls to the store that failed with their connection alone.",
+                  Health.lostCallCount());
+  page.addCounter("waxwing_store_checks_total",
+                  "Checks on new connections while a call had no response.",
+                  Store.checkCount());
   page.addGauge(
       "waxwing_store_age_seconds", "Time since the store last answered.",
       std::chrono::duration<double>(bootNow() - Health.lastResponseAt())
@@ -382,8 +395,8 @@
   page.addGauge("waxwing_vms", "VMs known.",
                 static_cast<double>(VmCluster.vmCount()));
   page.addCounter("waxwing_store_calls_total", "Calls to the store.",
-                  VmCluster.storeCalls() + OperatorFeed.callCount() +
-                      UpstreamFeed.callCount());
+                  VmCluster.storeCalls() + Store.checkCount() +
+                      OperatorFeed.callCount() + UpstreamFeed.callCount());
   page.addCounter("waxwing_orders_total", "Grants and releases sent.",
                   peers.OrdersSent);
   page.addCounter("waxwing_range_maps_written_total",
--- a/src/node/node_process.h
+++ b/src/node/node_process.h
@@ -57,8 +57,8 @@
   boost::asio::io_context Loop;
   boost::asio::signal_set Signals;
   HttpCallClient Calls;
-  NodeStoreClient Store;
   StoreHealth Health;
+  NodeStoreClient Store;
   StoreFeed OperatorFeed; ///< configuration; failure domains taken out
   StoreFeed UpstreamFeed; ///< entries of the running upstreams
   Gateway RequestGateway;
--- a/src/node/store_client.cpp
+++ b/src/node/store_client.cpp
@@ -6,32 +6,105 @@
 
 #include "node/node_clock.h"
 #include "node/node_log.h"
+#include "node/store_keys.h"
+
+#include <algorithm>
 
 namespace waxwing {
+namespace {
+
+/// Time without a response to a call after which a check is sent.
+constexpr Duration CheckDelay = milliseconds(400);
+/// Least time between checks.
+constexpr Duration CheckInterval = milliseconds(1000);
+constexpr Duration CheckTimeout = milliseconds(1200);
+
+} // namespace
+
+NodeStoreClient::NodeStoreClient(boost::asio::io_context &loop,
+                                 HttpCallClient &calls, StoreHealth &health,
+                                 Endpoint store, bool isFirstStart)
+    : Calls(calls), Health(health), Store(std::move(store)),
+      CheckTimer(loop, [this] { checkIfSilent(); }) {
+  Info.IsFirstStart = isFirstStart;
+}
 
 void NodeStoreClient::call(const platform::PlatformRequest &request,
-                           Time deadline, HttpCallClient::Callback callback) {
+                           Time deadline, HttpCallClient::Callback callback,
+                           StoreCallKind kind) {
+  const Time now = bootNow();
+  if (kind == StoreCallKind::Prompt) {
+    PendingSince.insert(now);
+    scheduleCheck();
+  }
+  Calls.call(Store, request, "", deadline,
+             [this, kind, now,
+              callback = std::move(callback)](const HttpCallResult &result) {
+               if (kind == StoreCallKind::Prompt)
+                 PendingSince.erase(PendingSince.find(now));
+               onResponse(result, callback);
+             });
+}
+
+void NodeStoreClient::onResponse(const HttpCallResult &result,
+                                 const HttpCallClient::Callback &callback) {
+  const auto epoch = platform::readStoreEpoch(result.Headers);
+  if (!epoch || result.Status == 0) {
+    callback(result);
+    return;
+  }
+  const Time now = bootNow();
+  noteEpoch(*epoch, now);
+  if (*epoch == Info.Epoch) {
+    callback(result);
+    return;
+  }
+  logLine(LogPriority::StateChange, now, "store_answer_outdated",
+          "epoch={} current={} status={}", *epoch, Info.Epoch, result.Status);
+  HttpCallResult lost;
+  lost.BegunAt = result.BegunAt;
+  lost.Error = "response of an earlier epoch of the store";
+  callback(lost);
+}
+
+void NodeStoreClient::scheduleCheck() {
+  if (!PendingSince.empty() && !IsChecking)
+    CheckTimer.scheduleBy(
+        std::max(*PendingSince.begin() + CheckDelay, NextCheckAt));
+}
+
+void NodeStoreClient::checkIfSilent() {
+  const Time now = bootNow();
+  // Answers to later calls make a check needless.
+  const bool isNeeded = !PendingSince.empty() &&
+                        *PendingSince.begin() + CheckDelay <= now &&
+                        Health.lastAnsweredCallAt() <= *PendingSince.begin();
+  if (isNeeded && !IsChecking)
+    sendCheck(now);
+  else
+    scheduleCheck();
+}
+
+void NodeStoreClient::sendCheck(Time now) {
+  IsChecking = true;
+  ++CheckCount;
+  NextCheckAt = now + CheckInterval;
   Calls.call(
-      Store, request, "", deadline,
-      [this, callback = std::move(callback)](const HttpCallResult &result) {
-        const auto epoch = platform::readStoreEpoch(result.Headers);
-        if (!epoch || result.Status == 0) {
-          callback(result);
-          return;
-        }
-        const Time now = bootNow();
-        noteEpoch(*epoch, now);
-        if (*epoch == Info.Epoch) {
-          callback(result);
-          return;
-        }
-        logLine(LogPriority::StateChange, now, "store_answer_outdated",
-                "epoch={} current={} status={}", *epoch, Info.Epoch,
-                result.Status);
-        HttpCallResult lost;
-        lost.Error = "response of an earlier epoch of the store";
-        callback(lost);
-      });
+      Store, platform::buildStaleListRequest(std::string(LeaderKey)), "",
+      now + CheckTimeout,
+      [this](const HttpCallResult &result) {
+        IsChecking = false;
+        onResponse(result, [this](const HttpCallResult &checked) {
+          const Time at = bootNow();
+          if (checked.Status == platform::StatusOk)
+            Health.recordAnswer(checked.BegunAt, at);
+          else
+            Health.recordFailure(checked, StoreCallKind::Prompt, checked.Error,
+                                 at);
+        });
+        scheduleCheck();
+      },
+      ConnectionReuse::Forbidden);
 }
 
 void NodeStoreClient::noteEpoch(StoreEpoch epoch, Time now) {
--- a/src/node/store_feed.cpp
+++ b/src/node/store_feed.cpp
@@ -103,10 +103,19 @@
   NextCallTimer.scheduleBy(bootNow());
 }
 
-void StoreFeed::retry(const std::string &why) {
+void StoreFeed::restartWatch() {
+  if (!IsCallPending || NeedsReload || IsRelayed)
+    return;
+  ++CurrentCallId;
+  IsCallPending = false;
+  NextCallTimer.scheduleBy(bootNow());
+}
+
+void StoreFeed::retry(const HttpCallResult &result, StoreCallKind kind,
+                      const std::string &why) {
   const Time now = bootNow();
   ++Failures;
-  Health.recordCall(false, why, now);
+  Health.recordFailure(result, kind, why, now);
   logLine(LogPriority::Failure, now, "store_call_failed",
           "prefix={} why={} failures={}", Options.Prefix, sanitizeForLog(why),
           Failures);
@@ -136,13 +145,14 @@
 
 void StoreFeed::onPage(const HttpCallResult &result) {
   if (result.Status != platform::StatusOk) {
-    retry(result.Status == 0 ? result.Error
+    retry(result, StoreCallKind::Prompt,
+          result.Status == 0 ? result.Error
                              : fmt::format("load: status {}", result.Status));
     return;
   }
   const auto page = platform::decodeStorePage(result.Body, Store.epoch());
   if (!page.ok()) {
-    retry(std::string(page.status().message()));
+    retry(result, StoreCallKind::Prompt, std::string(page.status().message()));
     return;
   }
   const bool hasOtherPrefix =
@@ -150,11 +160,12 @@
         return !item.Key.starts_with(Options.Prefix);
       });
   if (hasOtherPrefix) {
-    retry("load: response has keys outside the prefix");
+    retry(result, StoreCallKind::Prompt,
+          "load: response has keys outside the prefix");
     return;
   }
   Failures = 0;
-  Health.recordCall(true, "", bootNow());
+  Health.recordAnswer(result.BegunAt, bootNow());
   if (LoadRevision == 0)
     LoadRevision = page->StoreAt;
   for (const platform::StoreItem &item : page->Items) {
@@ -216,14 +227,16 @@
     return;
   IsCallPending = true;
   ++CallCount;
-  Store.call(platform::buildWatchRequest(Options.Prefix, Revision, WatchWait),
-             bootNow() + WatchWait + WatchResponseMargin,
-             [this, callId = ++CurrentCallId](const HttpCallResult &result) {
-               if (callId != CurrentCallId)
-                 return;
-               IsCallPending = false;
-               onWatch(result);
-             });
+  Store.call(
+      platform::buildWatchRequest(Options.Prefix, Revision, WatchWait),
+      bootNow() + WatchWait + WatchResponseMargin,
+      [this, callId = ++CurrentCallId](const HttpCallResult &result) {
+        if (callId != CurrentCallId)
+          return;
+        IsCallPending = false;
+        onWatch(result);
+      },
+      StoreCallKind::Waiting);
 }
 
 void StoreFeed::onWatch(const HttpCallResult &result) {
@@ -238,7 +251,8 @@
     // After a failed watch, the store's history may no longer contain all
     // missed changes; a full load returns the current state in any case.
     NeedsReload = true;
-    retry(result.Status == 0 ? result.Error
+    retry(result, StoreCallKind::Waiting,
+          result.Status == 0 ? result.Error
                              : fmt::format("watch: status {}", result.Status));
     return;
   }
@@ -247,11 +261,12 @@
     // A malformed change must not be skipped silently; all keys are loaded
     // instead.
     NeedsReload = true;
-    retry(std::string(changes.status().message()));
+    retry(result, StoreCallKind::Waiting,
+          std::string(changes.status().message()));
     return;
   }
   Failures = 0;
-  Health.recordCall(true, "", bootNow());
+  Health.recordAnswer(result.BegunAt, bootNow());
   ChangeBatch batch{Revision, std::max(Revision, changes->StoreAt), {}};
   std::ranges::copy_if(changes->Changes, std::back_inserter(batch.Changes),
                        [this](const platform::StoreChange &change) {
--- a/src/node/store_feed.h
+++ b/src/node/store_feed.h
@@ -43,6 +43,9 @@
   std::function<void(const ChangeBatch &)> OnBatchRead;
   /// Sets the delay between watches after a change.
   void setBatchDelay(Duration pause) { Options.BatchDelay = pause; }
+  /// Continues a pending watch on another connection, since its own may be
+  /// silent.
+  void restartWatch();
   /// Reloads all keys if a watch is pending, since that watch may never return.
   void reloadIfWatching();
   /// Loads all keys of a restored store. Until then the state of the earlier
@@ -66,7 +69,8 @@
   void finishLoad();
   void watch();
   void onWatch(const HttpCallResult &result);
-  void retry(const std::string &why);
+  void retry(const HttpCallResult &result, StoreCallKind kind,
+             const std::string &why);
   /// @return true if the change was not known
   bool applyChange(const platform::StoreChange &change);
   /// Schedules the next call, unless the feed is relayed.
--- a/src/node/store_health.cpp
+++ b/src/node/store_health.cpp
@@ -1,42 +1,123 @@
 /**
  * @file store_health.cpp
- * Logs each loss and recovery of the store.
+ * Tells the loss of a connection from an outage of the store, and logs both.
  */
 #include "node/store_health.h"
 
 #include "node/node_log.h"
 
 #include <algorithm>
+#include <array>
 
 namespace waxwing {
+namespace {
 
-void StoreHealth::recordCall(bool hasResponse, std::string_view why, Time now) {
-  const auto age =
-      std::chrono::duration_cast<milliseconds>(now - LastResponseAt).count();
-  if (hasResponse) {
-    LastResponseAt = now;
-    if (!IsUnavailable)
-      return;
-    IsUnavailable = false;
-    RecoveredAt = now;
-    logLine(LogPriority::StateChange, now, "store_regained", "after_ms={}",
-            age);
-  } else {
-    if (IsUnavailable)
-      return;
-    IsUnavailable = true;
-    logLine(LogPriority::StateChange, now, "store_lost",
-            "last_answer_age_ms={} why={}", age, sanitizeForLog(why));
+/// Names of the states, by value.
+constexpr std::array<std::string_view, 3> StoreStateNames{"serving", "refusing",
+                                                          "away"};
+/// New connections in a row that end without a response while the store is
+/// away. A single one may be ended by what is between the store and this VM.
+constexpr int EndedFirstCallsOfOutage = 2;
+/// How far two statements of the same time by another VM differ, since
+/// datagrams take different times.
+constexpr Duration RelayedTimeTolerance = milliseconds(200);
+
+} // namespace
+
+std::string_view storeStateName(StoreState state) {
+  return StoreStateNames[static_cast<std::size_t>(state)];
+}
+
+/// @return what the failure says of the store
+StoreState StoreHealth::interpretFailure(const HttpCallResult &result,
+                                         StoreCallKind kind) {
+  switch (result.Loss) {
+  case CallLoss::None:
+    return result.Status >= platform::StatusServerError ? StoreState::Away
+                                                        : StoreState::Refusing;
+  case CallLoss::NotConnected:
+    return StoreState::Away;
+  case CallLoss::Ended:
+    if (kind == StoreCallKind::Waiting || !result.IsFirstCall)
+      return StoreState::Serving;
+    ++EndedFirstCalls;
+    return EndedFirstCalls >= EndedFirstCallsOfOutage ? StoreState::Away
+                                                      : StoreState::Serving;
+  case CallLoss::Silent:
+    // An answer to a later call shows that only this connection is silent.
+    return kind == StoreCallKind::Waiting || LastAnsweredCallAt > result.BegunAt
+               ? StoreState::Serving
+               : StoreState::Away;
+  }
+  return StoreState::Away;
+}
+
+void StoreHealth::recordFailure(const HttpCallResult &result,
+                                StoreCallKind kind, std::string_view why,
+                                Time now) {
+  const StoreState state = interpretFailure(result, kind);
+  if (state == StoreState::Serving) {
+    ++LostCalls;
+    logLine(LogPriority::Failure, now, "store_connection_lost",
+            "loss={} waited_ms={} last_answer_age_ms={} why={}",
+            callLossName(result.Loss), toMilliseconds(now - result.BegunAt),
+            toMilliseconds(now - LastResponseAt), sanitizeForLog(why));
+    if (result.Loss == CallLoss::Silent && OnConnectionSilent)
+      OnConnectionSilent();
+    return;
   }
+  if (state == StoreState::Away) {
+    OwnAnswersSince = Time();
+    Outages += State != StoreState::Away ? 1 : 0;
+  }
+  if (state <= State)
+    return;
+  const bool wasServing = State == StoreState::Serving;
+  State = state;
+  logLine(LogPriority::StateChange, now, "store_lost",
+          "state={} loss={} last_answer_age_ms={} why={}",
+          storeStateName(state), callLossName(result.Loss),
+          toMilliseconds(now - LastResponseAt), sanitizeForLog(why));
+  if (wasServing && OnChange)
+    OnChange(false);
+}
+
+void StoreHealth::recordAnswer(Time begunAt, Time now) {
+  EndedFirstCalls = 0;
+  LastAnsweredCallAt = std::max(LastAnsweredCallAt, begunAt);
+  if (OwnAnswersSince == Time())
+    OwnAnswersSince = now;
+  setServing(now);
+}
+
+void StoreHealth::setServing(Time now) {
+  const Time previous = std::exchange(LastResponseAt, now);
+  const StoreState state = std::exchange(State, StoreState::Serving);
+  if (state == StoreState::Serving)
+    return;
+  if (state == StoreState::Away)
+    RecoveredAt = now;
+  logLine(LogPriority::StateChange, now, "store_regained",
+          "state={} after_ms={}", storeStateName(state),
+          toMilliseconds(now - previous));
   if (OnChange)
-    OnChange(hasResponse);
+    OnChange(true);
 }
 
 void StoreHealth::recordRelayedAnswer(Time answeredAt, Time recoveredAt,
                                       Time now) {
   if (answeredAt > LastResponseAt)
-    recordCall(true, "", now);
-  RecoveredAt = std::max(RecoveredAt, recoveredAt);
+    setServing(now);
+  // While the other VM had no answer, this one called the store itself. Its
+  // first answer shows that the store served again by then.
+  if (recoveredAt > RelayedRecoveredAt + RelayedTimeTolerance) {
+    RelayedRecoveredAt = recoveredAt;
+    const Time servedAgainAt = OwnAnswersSince == Time()
+                                   ? recoveredAt
+                                   : std::min(recoveredAt, OwnAnswersSince);
+    RecoveredAt = std::max(RecoveredAt, servedAgainAt);
+  }
+  OwnAnswersSince = Time();
 }
 
 } // namespace waxwing
--- a/src/node/store_health.h
+++ b/src/node/store_health.h
@@ -1,47 +1,91 @@
 /**
  * @file store_health.h
- * Tracks whether the platform's store responds to this VM.
+ * Tracks whether the platform's store responds to this VM. A failed call alone
+ * says that one connection failed, not that the store was away.
  */
 #ifndef WAXWING_NODE_STORE_HEALTH_H
 #define WAXWING_NODE_STORE_HEALTH_H
 
 #include "core/time_type.h"
+#include "node/call_client.h"
 
 #include <functional>
 #include <string_view>
 
 namespace waxwing {
 
+/// When the store responds to a call.
+enum class StoreCallKind : std::uint8_t {
+  Prompt,  ///< at once
+  Waiting, ///< after a change; the store may end the call before
+};
+
+/// State of the store as this VM sees it.
+enum class StoreState : std::uint8_t {
+  Serving,
+  Refusing, ///< it responds to this VM, but not usably
+  Away,     ///< it may serve nobody, so that entries expire
+};
+
+/// @return name of @p state in the log
+std::string_view storeStateName(StoreState state);
+
 /// Availability of the store, derived from the results of all calls.
 class StoreHealth {
 public:
-  /// Records the result of a call to the store.
-  /// @param why failure reason if @p hasResponse is false
-  void recordCall(bool hasResponse, std::string_view why, Time now);
+  /// Records a usable response.
+  /// @param begunAt when its call was begun
+  void recordAnswer(Time begunAt, Time now);
+  /// Records a call without a usable response.
+  /// @param why the reason, for the log
+  void recordFailure(const HttpCallResult &result, StoreCallKind kind,
+                     std::string_view why, Time now);
 
   /// Records that the store answers another VM that reads it for this one.
-  /// @param recoveredAt end of the last outage noticed by that VM; Time() if
-  ///   there was none
+  /// @param recoveredAt end of the last outage noticed by that VM, which may
+  ///   have lost only its own link; Time() if there was none
   void recordRelayedAnswer(Time answeredAt, Time recoveredAt, Time now);
 
   /// Records that the store was restored from an older copy, which ends an
   /// outage that this VM may not have noticed.
   void noteRestored(Time now) { RecoveredAt = now; }
 
-  bool isUnavailable() const { return IsUnavailable; }
+  /// @return true if the store does not serve this VM
+  bool isUnavailable() const { return State != StoreState::Serving; }
+  StoreState state() const { return State; }
   /// @return time of the store's last response
   Time lastResponseAt() const { return LastResponseAt; }
+  /// @return when the latest of the calls with a response was begun
+  Time lastAnsweredCallAt() const { return LastAnsweredCallAt; }
   /// @return end of the store's last outage; Time() if there was none
   Time recoveredAt() const { return RecoveredAt; }
+  /// @return number of calls that failed with their connection alone
+  std::uint64_t lostCallCount() const { return LostCalls; }
+  /// @return number of outages of the store
+  std::uint64_t outageCount() const { return Outages; }
 
   /// Called with false when the store becomes unavailable and with true when
   /// the store recovers.
   std::function<void(bool)> OnChange;
+  /// Called when a connection to the store has become silent while the store
+  /// serves; other connections may be silent too.
+  std::function<void()> OnConnectionSilent;
 
 private:
-  bool IsUnavailable = false;
+  StoreState interpretFailure(const HttpCallResult &result, StoreCallKind kind);
+  void setServing(Time now);
+
+  StoreState State = StoreState::Serving;
   Time LastResponseAt;
+  Time LastAnsweredCallAt;
   Time RecoveredAt;
+  /// First answer to an own call since another VM last relayed one; Time() if
+  /// there was none, or if the store was away since.
+  Time OwnAnswersSince;
+  Time RelayedRecoveredAt; ///< as last stated by another VM
+  int EndedFirstCalls = 0; ///< on new connections, without an answer between
+  std::uint64_t LostCalls = 0;
+  std::uint64_t Outages = 0;
 };
 
 } // namespace waxwing
--- a/src/standin/platform_base.h
+++ b/src/standin/platform_base.h
@@ -93,6 +93,9 @@
   void setExpiringWhileDown(bool isExpiring) {
     IsExpiringWhileDown = isExpiring;
   }
+  /// Resets each watch that has waited for this time, as a proxy with a limit
+  /// on idle connections does.
+  void setMaxWatchWait(Duration wait) { MaxWatchWait = wait; }
   /// While not set, no lease expires.
   void setExpiringLeases(bool isExpiring) { IsExpiringLeases = isExpiring; }
   /// @return revision of the last write of @p key; 0 if it does not exist
@@ -123,7 +126,8 @@
   struct Watch {
     std::string Prefix;
     std::uint64_t After = 0; ///< only events of later revisions are sent
-    Time TimeoutAt;          ///< time of the response if no event occurs
+    Time BegunAt;
+    Time TimeoutAt; ///< time of the response if no event occurs
     StandinResponder Respond;
     StandinValueRewriter Rewrite; ///< empty if values are not replaced
   };
@@ -162,6 +166,7 @@
   bool IsDown = false;
   bool IsExpiringLeases = true;
   bool IsExpiringWhileDown = false;
+  Duration MaxWatchWait = Duration::max();
 };
 
 /// Settings of one in-process upstream.
--- a/src/standin/platform_store.cpp
+++ b/src/standin/platform_store.cpp
@@ -151,6 +151,10 @@
   std::erase_if(Leases,
                 [&](const auto &entry) { return now > entry.second.second; });
   std::erase_if(Watches, [&](const Watch &watch) {
+    if (now - watch.BegunAt > MaxWatchWait) {
+      watch.Respond("");
+      return true;
+    }
     return answerWatchIfDue(watch, now > watch.TimeoutAt);
   });
   Tick.scheduleBy(now + TickPeriod);
@@ -213,7 +217,7 @@
               std::stoull(query.at("after")) < FirstRevision)) {
     respond(makeResponse(410, Json::object()));
   } else if (target.starts_with("/v1/kv-watch")) {
-    Watches.push_back({query.at("prefix"), std::stoull(query.at("after")),
+    Watches.push_back({query.at("prefix"), std::stoull(query.at("after")), now,
                        now + milliseconds(std::stoll(query.at("wait_ms"))),
                        respond, rewrite});
   } else if (target == "/v1/kv-txn") {
--- a/tests/store_feed_test.cpp
+++ b/tests/store_feed_test.cpp
@@ -55,8 +55,8 @@
   });
   boost::asio::io_context loop;
   HttpCallClient calls(loop);
-  NodeStoreClient store(calls, {"127.0.0.1", port}, true);
   StoreHealth health;
+  NodeStoreClient store(loop, calls, health, {"127.0.0.1", port}, true);
   StoreFeed feed(loop, store, health, {"s/", Duration()});
   std::vector<ChangeBatch> batches;
   feed.OnBatchRead = [&](const ChangeBatch &batch) {
