Fix: [Node] Watches on silent connections left configurations unread

Cause: nothing is sent on a watch, so that its connection was only found dead by the kernel's probes after 4 s, or, where the other end still acknowledges, by its deadline after 26 s. Other calls were answered meanwhile: the VM counted as fresh, and so did the followers of a reader with such a watch.

Change: hellos and replies between VMs state the revision of the newest change of each feed that the sender knows of. A VM whose pending watch has not returned such a change 0.3 s later continues it on a new connection; one restart for each change. Builds of earlier versions ignore the new element and send none.

Weighed: the store's revision in other answers rises with every write of the leader, so each would need a second answer; watches that end after 1 s are 25 calls for one.

Conclusion: one VM with a working watch is enough for all. Not covered: watches of all VMs silent at once on connections that are still acknowledged.

--- a/src/node/call_client.h
+++ b/src/node/call_client.h
@@ -65,6 +65,8 @@
   std::function<void(const std::string &, Time, ConnectOutcome)>
       OnTargetConnectEnd;
 
+  /// Closes the idle connections to @p peer, which may be silent.
+  void closeIdle(const Endpoint &peer) { Pool.closeIdle(peer); }
   /// Closes idle connections that can no longer be reused.
   void sweep(Time now) { Pool.sweep(now); }
 
--- a/src/node/cluster.cpp
+++ b/src/node/cluster.cpp
@@ -46,6 +46,8 @@
 /// time should lead.
 constexpr Duration HandoverCheckInterval = seconds(5);
 constexpr Duration WorkInterval = milliseconds(100);
+/// A pending watch returns a change within this time after another VM has it.
+constexpr Duration WatchDeliveryTimeout = milliseconds(300);
 constexpr std::size_t MaxReportedKeysPerService = 1000;
 /// The same for a reader, which reports the keys of several VMs.
 constexpr std::size_t MaxGatheredKeysPerService = 4000;
@@ -139,6 +141,7 @@
   if (!isLeader() && isLeaderSilent && Leader.Term != 0 &&
       now >= NextRangeMapFetchAt && !IsFetchingRangeMaps)
     fetchRangeMaps();
+  restartSilentWatches(now);
   electIfLeaderless(now);
   if (isParent())
     dropSilentPeers(now);
@@ -158,6 +161,43 @@
     feed->setRelayed(isRelayed);
 }
 
+void Cluster::noteNewestChange(std::size_t feed, StoreRevision change,
+                               Time now) {
+  if (change <= NewestChanges[feed])
+    return;
+  NewestChanges[feed] = change;
+  NewestChangesAt[feed] = now;
+}
+
+void Cluster::noteNewestChanges(const FeedRevisions &changes, Time now) {
+  for (std::size_t n = 0; n < FeedCount; ++n)
+    noteNewestChange(n, changes[n], now);
+}
+
+/// Continues the watches that have not returned a change which another VM has:
+/// the connection of such a watch carries nothing more.
+void Cluster::restartSilentWatches(Time now) {
+  for (std::size_t n = 0; n < FeedCount; ++n) {
+    StoreFeed &feed = *Feeds[n];
+    noteNewestChange(n, feed.newestChange(), now);
+    const bool isBehind =
+        feed.isWatching() && feed.revision() < NewestChanges[n] &&
+        epochOf(NewestChanges[n]) == Store.epoch() &&
+        RestartedFor[n] < NewestChanges[n] &&
+        now >= std::max(NewestChangesAt[n], feed.watchBegunAt()) +
+                   WatchDeliveryTimeout;
+    if (!isBehind)
+      continue;
+    RestartedFor[n] = NewestChanges[n];
+    ++SilentWatches;
+    logLine(LogPriority::StateChange, now, "store_watch_silent",
+            "feed={} revision={} newest={} waited_ms={}", n,
+            counterOf(feed.revision()), counterOf(NewestChanges[n]),
+            toMilliseconds(now - feed.watchBegunAt()));
+    feed.restartWatch();
+  }
+}
+
 void Cluster::probeLeaderKey() {
   IsReadingLeaderKey = true;
   ++StoreCalls;
@@ -386,6 +426,7 @@
   hello.Leaving = Upstreams.newestLeaving(MaxReportedLeaving);
   hello.CrashDigest = Crashes.digest(now);
   hello.Limits = Upstreams.limits().newest(MaxReportedLimits, now);
+  hello.NewestChanges = NewestChanges;
   if (Parent.isReader()) {
     hello.Report.emplace();
     hello.Report->StoreAge = now - Health.lastResponseAt();
--- a/src/node/cluster.h
+++ b/src/node/cluster.h
@@ -76,6 +76,8 @@
   std::uint64_t storeCalls() const {
     return StoreCalls + OwnLeadership.storeCalls();
   }
+  /// @return number of watches given up since other VMs knew newer changes
+  std::uint64_t silentWatchCount() const { return SilentWatches; }
   std::size_t vmCount() const { return List.Vms.size(); }
   /// @return true if this VM reads the store for others
   bool isReader() const { return Parent.isReader(); }
@@ -122,6 +124,9 @@
   void onRangeUpdate(const PeerRangeUpdate &ranges);
   void onStoreUpdate(const PeerStoreUpdate &update);
   void onStoreReport(const StoreReport &report, Time now);
+  void noteNewestChange(std::size_t feed, StoreRevision change, Time now);
+  void noteNewestChanges(const FeedRevisions &changes, Time now);
+  void restartSilentWatches(Time now);
   void onCrashNews(const PeerCrashNews &message,
                    const boost::asio::ip::udp::endpoint &sender);
   bool isKnownVm(const boost::asio::ip::udp::endpoint &sender) const;
@@ -171,6 +176,14 @@
 
   std::array<StoreFeed *, FeedCount> Feeds;
   ParentChoice Parent;
+  /// Revisions of the newest changes that any VM is known to have, by feed.
+  FeedRevisions NewestChanges{};
+  /// When this VM learned of them.
+  std::array<Time, FeedCount> NewestChangesAt{};
+  /// Changes for which a watch was restarted; one restart each is enough, as
+  /// the next watch begins on a connection that works.
+  FeedRevisions RestartedFor{};
+  std::uint64_t SilentWatches = 0;
   FeedFreshness Freshness; ///< of the feeds, while this VM has a reader
   std::array<ChangeHistory, FeedCount> Histories; ///< used on readers only
   ReaderPlan Plan;                                ///< used on the leader only
--- a/src/node/cluster_messages.cpp
+++ b/src/node/cluster_messages.cpp
@@ -105,6 +105,7 @@
   for (const UpstreamProcess &process : hello.Leaving)
     OnLeavingReported(process);
   Limits.onNotices(hello.Limits, now);
+  noteNewestChanges(hello.NewestChanges, now);
   // Before the report, so that the VM is complete when that arrives.
   if (Parent.isReader())
     sendMissingChanges(hello.StoreRevisions, sender);
@@ -130,6 +131,7 @@
   PeerReply reply;
   reply.Leader = Leader;
   reply.Limits = Upstreams.limits().newest(MaxReportedLimits, now);
+  reply.NewestChanges = NewestChanges;
   const bool isCurrent = std::ranges::all_of(Feeds, &StoreFeed::isCurrent) &&
                          !Health.isUnavailable();
   if (!Parent.isReader() || !isCurrent)
@@ -221,6 +223,7 @@
     return;
   const Time now = bootNow();
   Limits.onNotices(reply.Limits, now);
+  noteNewestChanges(reply.NewestChanges, now);
   if (reply.Leader.Term != 0)
     Store.noteEpoch(epochOf(reply.Leader.Term), now);
   if (isFromOwnReader) {
--- a/src/node/node_process.cpp
+++ b/src/node/node_process.cpp
@@ -375,6 +375,9 @@
   page.addCounter("waxwing_store_connections_lost_total",
                   "Calls to the store that failed with their connection alone.",
                   Health.lostCallCount());
+  page.addCounter("waxwing_store_watches_silent_total",
+                  "Watches given up since other VMs knew newer changes.",
+                  VmCluster.silentWatchCount());
   page.addCounter("waxwing_store_checks_total",
                   "Checks on new connections while a call had no response.",
                   Store.checkCount());
--- a/src/node/store_client.h
+++ b/src/node/store_client.h
@@ -32,6 +32,8 @@
   void call(const platform::PlatformRequest &request, Time deadline,
             HttpCallClient::Callback callback,
             StoreCallKind kind = StoreCallKind::Prompt);
+  /// Lets the next calls use new connections.
+  void closeIdle() { Calls.closeIdle(Store); }
   /// Records an epoch of the store, stated by a response or by another VM.
   void noteEpoch(StoreEpoch epoch, Time now);
 
--- a/src/node/store_feed.cpp
+++ b/src/node/store_feed.cpp
@@ -104,10 +104,11 @@
 }
 
 void StoreFeed::restartWatch() {
-  if (!IsCallPending || NeedsReload || IsRelayed)
+  if (!isWatching())
     return;
   ++CurrentCallId;
   IsCallPending = false;
+  Store.closeIdle();
   NextCallTimer.scheduleBy(bootNow());
 }
 
@@ -187,11 +188,14 @@
   for (const auto &[key, revision] : KnownRevisions)
     if (!LoadedRevisions.contains(key) && revision <= LoadRevision)
       gone.push_back(key);
+  // The removals happened at unknown earlier revisions.
+  const StoreRevision newest = NewestChange;
   for (const std::string &key : gone) {
     platform::StoreChange change{key, std::nullopt, LoadRevision};
     if (applyChange(change))
       LoadedChanges.push_back(std::move(change));
   }
+  NewestChange = newest;
   const StoreRevision before = Revision;
   Revision = std::max(Revision, LoadRevision);
   NeedsReload = false;
@@ -218,6 +222,7 @@
     KnownRevisions[change.Key] = change.Revision;
   else
     KnownRevisions.erase(known);
+  NewestChange = std::max(NewestChange, change.Revision);
   OnChange(change);
   return true;
 }
@@ -226,6 +231,7 @@
   if (IsCallPending)
     return;
   IsCallPending = true;
+  WatchBegunAt = bootNow();
   ++CallCount;
   Store.call(
       platform::buildWatchRequest(Options.Prefix, Revision, WatchWait),
--- a/src/node/store_feed.h
+++ b/src/node/store_feed.h
@@ -43,7 +43,7 @@
   std::function<void(const ChangeBatch &)> OnBatchRead;
   /// Sets the delay between watches after a change.
   void setBatchDelay(Duration pause) { Options.BatchDelay = pause; }
-  /// Continues a pending watch on another connection, since its own may be
+  /// Continues a pending watch on a new connection, since its own may be
   /// silent.
   void restartWatch();
   /// Reloads all keys if a watch is pending, since that watch may never return.
@@ -61,6 +61,14 @@
   ///   the state is that of the store's last answer
   bool isCurrent() const { return IsLoaded && !NeedsReload && Failures == 0; }
   StoreRevision revision() const { return Revision; }
+  /// @return revision of the newest change that was applied
+  StoreRevision newestChange() const { return NewestChange; }
+  /// @return true if a watch of this VM's own is pending
+  bool isWatching() const {
+    return IsCallPending && !NeedsReload && !IsRelayed;
+  }
+  /// @return when the last watch began
+  Time watchBegunAt() const { return WatchBegunAt; }
   std::uint64_t callCount() const { return CallCount; }
 
 private:
@@ -90,7 +98,9 @@
   std::vector<platform::StoreChange> LoadedChanges;
   /// Store revision up to which all changes are applied.
   StoreRevision Revision = 0;
+  StoreRevision NewestChange = 0; ///< as returned by newestChange()
   StoreRevision LoadRevision = 0; ///< store revision of the load's first page
+  Time WatchBegunAt;
   std::uint64_t CallCount = 0;
   std::uint64_t CurrentCallId = 0; ///< responses to earlier calls are ignored
   bool IsLoaded = false;
--- a/src/peers/peer_message.cpp
+++ b/src/peers/peer_message.cpp
@@ -132,7 +132,8 @@
             hello.HasLinks,
             leaving,
             crashDigest,
-            encodeLimits(hello.Limits)};
+            encodeLimits(hello.Limits),
+            hello.NewestChanges};
   }
   Json operator()(const PeerReply &reply) const {
     Json list;
@@ -159,7 +160,8 @@
             reply.IsLeaving,
             assignment,
             store,
-            encodeLimits(reply.Limits)};
+            encodeLimits(reply.Limits),
+            reply.NewestChanges};
   }
   Json operator()(const PeerStoreUpdate &update) const {
     Json changes = Json::array();
@@ -234,6 +236,8 @@
   if (json.size() > 9 && !json.at(9).is_null())
     hello.CrashDigest = json.at(9).get<std::uint64_t>();
   hello.Limits = decodeLimits(json, 10);
+  if (json.size() > 11)
+    hello.NewestChanges = json.at(11).get<FeedRevisions>();
   return hello;
 }
 
@@ -256,6 +260,8 @@
     reply.Store->Revisions = store.at(2).get<FeedRevisions>();
   }
   reply.Limits = decodeLimits(json, 8);
+  if (json.size() > 9)
+    reply.NewestChanges = json.at(9).get<FeedRevisions>();
   return reply;
 }
 
--- a/src/peers/peer_message_type.h
+++ b/src/peers/peer_message_type.h
@@ -76,6 +76,8 @@
   /// detect no crashes.
   std::optional<std::uint64_t> CrashDigest;
   std::vector<LimitNotice> Limits; ///< at most MaxReportedLimits
+  /// Revisions of the newest changes that the sender knows to exist.
+  FeedRevisions NewestChanges{};
 };
 
 /// The VMs known to the leader.
@@ -118,6 +120,8 @@
   std::optional<ReaderAssignment> Assignment; ///< from the leader only
   std::optional<StoreReport> Store;           ///< from a reader only
   std::vector<LimitNotice> Limits;            ///< at most MaxReportedLimits
+  /// Revisions of the newest changes that the sender knows to exist.
+  FeedRevisions NewestChanges{};
 };
 
 /// Changes of the store, from a reader.
--- a/tests/distribution_test.cpp
+++ b/tests/distribution_test.cpp
@@ -324,18 +324,21 @@
   PeerHello hello;
   hello.Sender = {VmId("a"), DomainId("d"), 0.5};
   hello.StoreRevisions = {3, 1ULL << 40};
+  hello.NewestChanges = {4, 1ULL << 41};
   hello.Report = ReaderReport{
       milliseconds(70), {{{VmId("b"), DomainId("d"), 0.1}, {"10.0.0.1", 7}}}};
   const auto decoded = decodePeerMessage(encodePeerMessage(hello));
   ASSERT_TRUE(decoded.ok()) << decoded.status();
   const auto &copy = std::get<PeerHello>(*decoded);
   EXPECT_EQ(copy.StoreRevisions, hello.StoreRevisions);
+  EXPECT_EQ(copy.NewestChanges, hello.NewestChanges);
   EXPECT_EQ(copy.Report->StoreAge, milliseconds(70));
   EXPECT_EQ(copy.Report->Followers, hello.Report->Followers);
 
   PeerReply reply;
   reply.Leader = {VmId("l"), {"10.0.0.2", 9}, 12};
   reply.Assignment = ReaderAssignment{false, VmId("r"), {"10.0.0.3", 8}};
+  reply.NewestChanges = {6, 7};
   reply.Store = StoreReport{milliseconds(5), std::nullopt, {1, 2}};
   const auto second = decodePeerMessage(encodePeerMessage(reply));
   ASSERT_TRUE(second.ok()) << second.status();
@@ -343,6 +346,7 @@
   EXPECT_EQ(replyCopy.Leader.Address, reply.Leader.Address);
   EXPECT_EQ(replyCopy.Assignment->Reader, VmId("r"));
   EXPECT_FALSE(replyCopy.Store->RecoveredAge);
+  EXPECT_EQ(replyCopy.NewestChanges, reply.NewestChanges);
   EXPECT_EQ(replyCopy.Store->Revisions, reply.Store->Revisions);
 
   const std::string binary("\0\xff\x80 bytes", 9);
--- a/tests/node_soak_proxy.h
+++ b/tests/node_soak_proxy.h
@@ -82,6 +82,19 @@
       if (const auto link = weak.lock())
         link->reset();
   }
+  /// Lets nothing more pass on the present connections whose caller waits for a
+  /// response. They stay open and acknowledge what is sent; others work.
+  void silenceWaiting() {
+    for (const auto &weak : Links)
+      if (const auto link = weak.lock())
+        link->IsSilent |= link->IsWaiting;
+  }
+  /// The same for all present connections.
+  void silence() {
+    for (const auto &weak : Links)
+      if (const auto link = weak.lock())
+        link->IsSilent = true;
+  }
   /// Refuses further connections and resets the present ones.
   void close() {
     boost::system::error_code ec;
@@ -136,6 +149,8 @@
     }
     tcp::socket Caller;
     tcp::socket Upstream;
+    bool IsSilent = false;  ///< nothing passes until reset()
+    bool IsWaiting = false; ///< the caller has sent the last bytes
   };
 
   void accept() {
@@ -173,9 +188,10 @@
       boost::system::error_code ec;
       const std::size_t n = co_await from.async_read_some(
           asio::buffer(buffer), asio::redirect_error(asio::use_awaitable, ec));
+      link->IsWaiting = &to == &link->Upstream;
       if (flow.Delay > Duration())
         co_await sleepFor(Loop, flow.Delay);
-      while (flow.IsHolding && link->Caller.is_open())
+      while ((flow.IsHolding || link->IsSilent) && link->Caller.is_open())
         co_await sleepFor(Loop, HoldCheckInterval);
       if (ec == asio::error::eof) {
         to.shutdown(tcp::socket::shutdown_send, ec);
