Fix: [Node] A lost opening packet counted as an outage of the store

Its link was congested; a new connection timed out after 0.4 s while another call was answered.

Change: a connection that cannot be established shows an outage only if nothing has arrived from the store since it was begun. A silent watch is restarted every 2 s at most, so that a slow response can arrive.

--- a/src/node/cluster.cpp
+++ b/src/node/cluster.cpp
@@ -48,6 +48,9 @@
 constexpr Duration WorkInterval = milliseconds(100);
 /// A pending watch returns a change within this time after another VM has it.
 constexpr Duration WatchDeliveryTimeout = milliseconds(300);
+/// Least time between two restarts of a watch, within which a slow response can
+/// arrive.
+constexpr Duration MinWatchRestartInterval = milliseconds(2000);
 constexpr std::size_t MaxReportedKeysPerService = 1000;
 /// The same for a reader, which reports the keys of several VMs.
 constexpr std::size_t MaxGatheredKeysPerService = 4000;
@@ -184,11 +187,13 @@
         feed.isWatching() && feed.revision() < NewestChanges[n] &&
         epochOf(NewestChanges[n]) == Store.epoch() &&
         RestartedFor[n] < NewestChanges[n] &&
+        now >= RestartedAt[n] + MinWatchRestartInterval &&
         now >= std::max(NewestChangesAt[n], feed.watchBegunAt()) +
                    WatchDeliveryTimeout;
     if (!isBehind)
       continue;
     RestartedFor[n] = NewestChanges[n];
+    RestartedAt[n] = now;
     ++SilentWatches;
     logLine(LogPriority::StateChange, now, "store_watch_silent",
             "feed={} revision={} newest={} waited_ms={}", n,
--- a/src/node/cluster.h
+++ b/src/node/cluster.h
@@ -183,6 +183,7 @@
   /// Changes for which a watch was restarted; one restart each is enough, as
   /// the next watch begins on a connection that works.
   FeedRevisions RestartedFor{};
+  std::array<Time, FeedCount> RestartedAt{}; ///< the last restart of each watch
   std::uint64_t SilentWatches = 0;
   FeedFreshness Freshness; ///< of the feeds, while this VM has a reader
   std::array<ChangeHistory, FeedCount> Histories; ///< used on readers only
--- a/src/node/store_health.cpp
+++ b/src/node/store_health.cpp
@@ -36,7 +36,9 @@
     return result.Status >= platform::StatusServerError ? StoreState::Away
                                                         : StoreState::Refusing;
   case CallLoss::NotConnected:
-    return StoreState::Away;
+    // A response on another connection shows that only packets were lost.
+    return LastResponseAt > result.BegunAt ? StoreState::Serving
+                                           : StoreState::Away;
   case CallLoss::Ended:
     if (kind == StoreCallKind::Waiting || !result.IsFirstCall)
       return StoreState::Serving;
--- a/tests/store_health_test.cpp
+++ b/tests/store_health_test.cpp
@@ -112,6 +112,20 @@
   EXPECT_EQ(silent, 1); // other watches may be silent too
 }
 
+// DRAIN: a lost opening packet counted as an outage while the store answered
+// other calls.
+TEST_F(StoreHealthTest, LostOpeningPacketBesideAnswersIsNoOutage) {
+  HttpCallResult result;
+  result.BegunAt = Now;
+  result.Loss = CallLoss::NotConnected;
+  result.IsFirstCall = true;
+  Now += milliseconds(300);
+  Health.recordAnswer(Now - seconds(2), Now);
+  Now += milliseconds(100);
+  Health.recordFailure(result, StoreCallKind::Prompt, "test", Now);
+  EXPECT_FALSE(Health.isUnavailable());
+}
+
 // DRAIN: VMs whose reader had lost only its own link put off removals after its
 // return.
 TEST_F(StoreHealthTest, OutageOfTheReaderAloneEndsWithTheFirstOwnAnswer) {
