Fix: [Node] A check of the store without a response counted as an outage

A call had no response for 0.4 s, the new connection of the check timed out after another 0.4 s, and "store_lost state=away" followed; 26 ms later the call's own response came. All feeds were loaded again on that link, which failed the same way, and 40 removals waited for 2.2 s.

Change: a check can show that the store serves; only the call itself, at its deadline, can show that it does not. An outage is so never declared sooner than before.

Figures: store_health_test, CheckWithoutAResponseIsNoOutage fails without the change (state away), passes with it.

Conclusion: checks no longer make an outage out of a slow response.

--- a/src/node/store_client.cpp
+++ b/src/node/store_client.cpp
@@ -99,8 +99,14 @@
       [this](const HttpCallResult &result) {
         IsChecking = false;
         onResponse(result, [this](const HttpCallResult &checked) {
-          Health.recordCall(checked, checked.Status == platform::StatusOk,
-                            bootNow());
+          // A check without a response proves nothing that the call that it was
+          // sent for won't prove by its deadline.
+          if (checked.Status == platform::StatusOk)
+            Health.recordAnswer(checked.BegunAt, bootNow());
+          else
+            logLine(LogPriority::Failure, bootNow(), "store_check_failed",
+                    "loss={} status={}", callLossName(checked.Loss),
+                    checked.Status);
         });
         scheduleCheck();
       },
--- a/tests/store_health_test.cpp
+++ b/tests/store_health_test.cpp
@@ -164,18 +164,22 @@
   EXPECT_EQ(Health.recoveredAt(), readerRecoveredAt);
 }
 
-/// Calls to a store whose first connection becomes silent after an answer.
+/// Calls to a store whose first connection becomes silent, or slow, after an
+/// answer.
 class StoreCheckTest : public testing::Test {
 protected:
   /// @param isServingOthers false if further connections are silent, too
-  void run(bool isServingOthers) {
+  /// @param delay time until the second response on the first connection
+  void run(bool isServingOthers, Duration delay = seconds(60)) {
     std::atomic<int> connections = 0;
     std::atomic<bool> isEnded = false;
     ThreadedTcpServer server(StorePort, [&](auto &socket) {
       Peer peer(socket);
       const bool isFirst = ++connections == 1;
       for (int n = 0; !peer.readHead().empty(); ++n) {
-        while ((isFirst ? n > 0 : !isServingOthers) && !isEnded)
+        const Time answerAt = bootNow() + (isFirst ? delay : seconds(60));
+        while (bootNow() < answerAt && (isFirst ? n > 0 : !isServingOthers) &&
+               !isEnded)
           std::this_thread::sleep_for(milliseconds(5));
         const std::string body =
             R"({"items":[],"has_more":false,"store_revision":5})";
@@ -191,23 +195,32 @@
     store.call(request, bootNow() + seconds(1), [&](const auto &first) {
       ASSERT_EQ(first.Status, 200);
       Health.recordAnswer(first.BegunAt, bootNow());
-      store.call(request, bootNow() + seconds(2), [&](const auto &second) {
-        EXPECT_EQ(second.Loss, CallLoss::Silent);
+      store.call(request, bootNow() + CallTimeout, [&](const auto &second) {
+        EXPECT_EQ(second.Loss == CallLoss::None, delay < CallTimeout);
         EXPECT_FALSE(second.IsFirstCall);
-        Health.recordFailure(second, StoreCallKind::Prompt, second.Error,
-                             bootNow());
-        loop.stop();
+        Health.recordCall(second, second.Status == 200, bootNow());
       });
     });
+    boost::asio::steady_timer end(loop, CallTimeout + seconds(1));
+    end.async_wait([&loop](const auto & /*ec*/) { loop.stop(); });
     const std::size_t events = loop.run_for(std::chrono::seconds(10));
     EXPECT_LT(events, 200U); // no timer fires again and again meanwhile
     EXPECT_GE(store.checkCount(), 1U);
     isEnded = true;
   }
 
+  static constexpr Duration CallTimeout = seconds(2);
   StoreHealth Health;
 };
 
+// DRAIN: on a congested link, a check without a response counted as an outage
+// although the call that it was sent for got one.
+TEST_F(StoreCheckTest, CheckWithoutAResponseIsNoOutage) {
+  run(false, milliseconds(900));
+  EXPECT_EQ(Health.state(), StoreState::Serving);
+  EXPECT_EQ(Health.recoveredAt(), Time());
+}
+
 // DRAIN: a call on a connection that had become silent counted as an outage,
 // since no other call showed that the store served.
 TEST_F(StoreCheckTest, SilentConnectionIsToldFromAnOutage) {
