Change: [Node] Connections to the store are probed by the kernel as before

Cause: probes after 1 s, of which one may be unanswered, end watches that work on a congested link; the feeds then load all keys on it. That they are the cause is suspected, not traced.

Silent watches are found by the newest changes of other VMs.

--- a/src/node/call_client.cpp
+++ b/src/node/call_client.cpp
@@ -158,8 +158,6 @@
       if (!target.empty() && OnTargetConnectEnd)
         OnTargetConnectEnd(target, now, outcome);
     });
-  if (isFirstCall && target.empty())
-    connection->probeFrequently();
   std::make_shared<PendingCall>(
       Loop, Pool, std::move(connection),
       CallIdentity{!target.empty(), call.ResponseHeader, isFirstCall},
--- a/src/node/client_connection.cpp
+++ b/src/node/client_connection.cpp
@@ -70,11 +70,6 @@
 
 void ClientConnection::setOptions() { setStreamOptions(Socket); }
 
-void ClientConnection::probeFrequently() {
-  if (Socket.is_open())
-    setFrequentProbes(Socket);
-}
-
 void ClientConnection::onConnected(const error_code &ec) {
   if (IsClosed)
     return;
--- a/src/node/client_connection.h
+++ b/src/node/client_connection.h
@@ -61,9 +61,6 @@
   /// @param onConnectEnd called with the outcome; not called if the connection
   ///   was closed before
   void open(ConnectCallback onConnectEnd = {});
-  /// Lets the end of a silent connection be noticed within 2 s; called after
-  /// open().
-  void probeFrequently();
   /// Starts a request.
   /// @param observer must stay valid until the request ends or close()
   /// @param bytes the request's head and the first part of its body
--- a/src/node/socket_options.cpp
+++ b/src/node/socket_options.cpp
@@ -24,11 +24,6 @@
 constexpr int KeepAliveIntervalSeconds = 1;
 constexpr int KeepAliveProbeCount = 2;
 
-/// The same for connections on which this VM waits for the peer without
-/// sending. With one lost probe, it connects again.
-constexpr int FrequentProbeIdleSeconds = 1;
-constexpr int FrequentProbeCount = 1;
-
 void setOption(int fd, int level, int name, int value) {
   if (setsockopt(fd, level, name, &value, sizeof(value)) != 0)
     spdlog::debug("event=socket_option_failed level={} option={} errno={}",
@@ -52,12 +47,6 @@
   setOption(fd, IPPROTO_TCP, TCP_KEEPCNT, KeepAliveProbeCount);
 }
 
-void setFrequentProbes(boost::asio::ip::tcp::socket &socket) {
-  const int fd = socket.native_handle();
-  setOption(fd, IPPROTO_TCP, TCP_KEEPIDLE, FrequentProbeIdleSeconds);
-  setOption(fd, IPPROTO_TCP, TCP_KEEPCNT, FrequentProbeCount);
-}
-
 void setPeerReading(boost::asio::ip::tcp::socket &socket, bool isReading) {
   setOption(socket.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT,
             isReading ? TcpUserTimeoutMs : FullWindowTimeoutMs);
--- a/src/node/socket_options.h
+++ b/src/node/socket_options.h
@@ -15,9 +15,6 @@
 /// Makes @p socket non-blocking and enables fast detection of peers that vanish
 /// without a reset.
 void setStreamOptions(boost::asio::ip::tcp::socket &socket);
-/// Makes the kernel notice within 2 s that the peer's host no longer answers on
-/// an idle connection.
-void setFrequentProbes(boost::asio::ip::tcp::socket &socket);
 /// Sets how long unacknowledged data may wait.
 /// @param isReading false if the peer may pause reading
 void setPeerReading(boost::asio::ip::tcp::socket &socket, bool isReading);
