--- a/src/node/cluster.cpp
+++ b/src/node/cluster.cpp
@@ -46,6 +46,8 @@
 /// time should lead.
 constexpr Duration HandoverCheckInterval = seconds(5);
 constexpr Duration WorkInterval = milliseconds(100);
+/// Periodic work that is this late gets a line in the log.
+constexpr Duration LoggedLoopDelay = milliseconds(200);
 /// A pending watch returns a change within this time after another VM has it.
 constexpr Duration WatchDeliveryTimeout = milliseconds(300);
 /// Least time between two restarts of a watch, within which a slow response can
@@ -64,15 +66,16 @@
 
 Cluster::Cluster(asio::io_context &loop, const NodeSettings &settings,
                  HttpCallClient &calls, NodeStoreClient &store,
-                 StoreHealth &health, UpstreamTable &upstreams,
+                 StoreHealth &health, PeerPort &port, UpstreamTable &upstreams,
                  CrashGuard &crashes, LimitGuard &limits,
                  std::array<StoreFeed *, FeedCount> feeds)
-    : Store(store), Health(health), Upstreams(upstreams), Crashes(crashes),
-      NewsTimer(loop, [this] { sendPendingNews(); }), Limits(limits),
+    : Store(store), Health(health), Port(port), Upstreams(upstreams),
+      Crashes(crashes), NewsTimer(loop, [this] { sendPendingNews(); }),
+      Limits(limits),
       Self{VmId(settings.Vm.text("name")), DomainId(settings.Vm.text("domain")),
            settings.Vm.decimal("processor_share")},
       PeerAddress(parseEndpoint(settings.Listen.text("peers"))),
-      UdpSocket(loop), PeriodicWorkTimer(loop, [this] { runPeriodicWork(); }),
+      PeriodicWorkTimer(loop, [this] { runPeriodicWork(); }),
       OwnLeadership(loop, settings, calls, store, health, upstreams, RangeMaps),
       Feeds(feeds), List{{describeSelf()}, {}} {
   OwnLeadership.OnRangeMapChanged = [this](const ServiceId &service,
@@ -107,20 +110,14 @@
 }
 
 absl::Status Cluster::start() {
-  error_code ec;
-  const auto ip = asio::ip::make_address(PeerAddress.Address, ec);
-  if (!ec)
-    UdpSocket.open(udp::v4(), ec);
-  if (!ec)
-    UdpSocket.bind({ip, PeerAddress.Port}, ec);
-  if (!ec)
-    UdpSocket.non_blocking(true, ec);
-  if (ec)
-    return absl::UnavailableError(
-        fmt::format("cannot receive datagrams on {}: {}",
-                    formatEndpoint(PeerAddress), ec.message()));
+  const absl::Status status =
+      Port.open(PeerAddress, [this](const std::string &bytes,
+                                    const PeerPort::Address &sender) {
+        onDatagram(bytes, sender);
+      });
+  if (!status.ok())
+    return status;
   LastLeaderMessageAt = bootNow();
-  listen();
   runPeriodicWork();
   return absl::OkStatus();
 }
@@ -129,6 +126,7 @@
   if (IsResigned)
     return;
   const Time now = bootNow();
+  recordLoopDelay(now);
   if (Parent.giveUpIfSilent(now)) {
     logLine(LogPriority::StateChange, now, "reader_silent", "term={}",
             counterOf(Leader.Term));
@@ -152,7 +150,19 @@
     refreshVmList(now);
     resignIfBetterLeader(now);
   }
-  PeriodicWorkTimer.scheduleBy(now + WorkInterval);
+  PeriodicWorkDueAt = now + WorkInterval;
+  PeriodicWorkTimer.scheduleBy(PeriodicWorkDueAt);
+}
+
+/// A VM that is not scheduled in time reads its own silence as that of others.
+void Cluster::recordLoopDelay(Time now) {
+  if (PeriodicWorkDueAt == Time())
+    return;
+  const Duration delay = now - PeriodicWorkDueAt;
+  LoopDelays.add(delay);
+  if (delay >= LoggedLoopDelay)
+    logLine(LogPriority::StateChange, now, "loop_delayed", "late_ms={}",
+            toMilliseconds(delay));
 }
 
 /// Lets the reader's reports decide whether this VM reads the store itself.
--- a/src/node/cluster.h
+++ b/src/node/cluster.h
@@ -11,10 +11,12 @@
 #include "distribution/feed_freshness.h"
 #include "distribution/parent_choice.h"
 #include "distribution/reader_plan.h"
+#include "metrics/latency_stats.h"
 #include "node/crash_guard.h"
 #include "node/leadership.h"
 #include "node/limit_guard.h"
 #include "node/node_clock.h"
+#include "node/peer_port.h"
 #include "node/store_feed.h"
 #include "node/store_health.h"
 #include "peers/range_map_replica_base.h"
@@ -24,7 +26,6 @@
 
 #include <absl/status/status.h>
 #include <array>
-#include <boost/asio/ip/udp.hpp>
 
 namespace waxwing {
 
@@ -34,10 +35,10 @@
   /// @param feeds the feeds of this VM, indexed by FeedId
   Cluster(boost::asio::io_context &loop, const NodeSettings &settings,
           HttpCallClient &calls, NodeStoreClient &store, StoreHealth &health,
-          UpstreamTable &upstreams, CrashGuard &crashes, LimitGuard &limits,
-          std::array<StoreFeed *, FeedCount> feeds);
+          PeerPort &port, UpstreamTable &upstreams, CrashGuard &crashes,
+          LimitGuard &limits, std::array<StoreFeed *, FeedCount> feeds);
 
-  /// Opens the UDP socket and starts to look for the leader.
+  /// Opens the port for datagrams and starts to look for the leader.
   /// @return Unavailable if the address cannot be bound
   absl::Status start();
   /// Called when services, upstreams or evacuations (failure domains that an
@@ -78,6 +79,10 @@
   }
   /// @return number of watches given up since other VMs knew newer changes
   std::uint64_t silentWatchCount() const { return SilentWatches; }
+  /// @return how late the periodic work of this VM ran
+  LatencySummary loopDelay() const { return LoopDelays.summary(); }
+  /// @return number of datagrams from VMs that may not send them
+  std::uint64_t unexpectedDatagramCount() const { return UnexpectedDatagrams; }
   std::size_t vmCount() const { return List.Vms.size(); }
   /// @return true if this VM reads the store for others
   bool isReader() const { return Parent.isReader(); }
@@ -108,6 +113,7 @@
   static constexpr Duration ReaderSuspicionTimeout = milliseconds(1500);
 
   void runPeriodicWork();
+  void recordLoopDelay(Time now);
   void probeLeaderKey();
   void onLeaderKeyRead(const HttpCallResult &result);
   void setLeader(const LeaderInfo &leader);
@@ -116,7 +122,7 @@
   void succeedOwnProcess(StoreRevision term);
   void fetchRangeMaps();
   void sendHello(Time now);
-  void listen();
+  void onDatagram(const std::string &bytes, const PeerPort::Address &sender);
   void onHello(const PeerHello &hello,
                const boost::asio::ip::udp::endpoint &sender);
   void onReply(const PeerReply &reply,
@@ -129,6 +135,7 @@
   void restartSilentWatches(Time now);
   void onCrashNews(const PeerCrashNews &message,
                    const boost::asio::ip::udp::endpoint &sender);
+  void noteUnexpected(const boost::asio::ip::udp::endpoint &sender);
   bool isKnownVm(const boost::asio::ip::udp::endpoint &sender) const;
   void sendPendingNews();
   void onAssignment(const ReaderAssignment &assignment, Time now);
@@ -159,6 +166,7 @@
 
   NodeStoreClient &Store;
   StoreHealth &Health;
+  PeerPort &Port;
   UpstreamTable &Upstreams;
   CrashGuard &Crashes;
   CrashNews PendingNews; ///< not sent yet
@@ -167,10 +175,11 @@
   std::mt19937_64 Random{randomNumber()};
   Candidate Self;
   Endpoint PeerAddress;
-  boost::asio::ip::udp::socket UdpSocket;
-  std::array<char, 65536> UdpBuffer{};
-  boost::asio::ip::udp::endpoint UdpSender;
   DeadlineTimer PeriodicWorkTimer;
+  Time PeriodicWorkDueAt; ///< Time() before the first one
+  LatencyStats LoopDelays;
+  std::uint64_t UnexpectedDatagrams = 0;
+  Time NextUnexpectedLogAt; ///< no line on unexpected datagrams before
   RangeMapReplica RangeMaps;
   Leadership OwnLeadership;
 
--- a/src/node/cluster_messages.cpp
+++ b/src/node/cluster_messages.cpp
@@ -10,9 +10,15 @@
 
 namespace waxwing {
 
-namespace asio = boost::asio;
-using asio::ip::udp;
-using boost::system::error_code;
+using boost::asio::ip::udp;
+
+namespace {
+
+/// Least time between lines on unexpected datagrams, of which a former reader
+/// or leader may send many.
+constexpr Duration UnexpectedLogInterval = seconds(1);
+
+} // namespace
 
 /// Visitor that dispatches a received datagram by its type.
 struct Cluster::MessageHandler {
@@ -54,43 +60,39 @@
     const bool isExpected =
         Parent.isFromReader(Sender) || Sender == toUdp(Parent.Leader.Address);
     if (!isExpected)
-      logLine(LogPriority::Routine, bootNow(), "datagram_unexpected",
-              "sender={}", Sender.address().to_string());
+      Parent.noteUnexpected(Sender);
     return isExpected;
   }
 };
 
+void Cluster::noteUnexpected(const udp::endpoint &sender) {
+  ++UnexpectedDatagrams;
+  const Time now = bootNow();
+  if (now < NextUnexpectedLogAt)
+    return;
+  NextUnexpectedLogAt = now + UnexpectedLogInterval;
+  logLine(LogPriority::Routine, now, "datagram_unexpected",
+          "sender={} count={}", sender.address().to_string(),
+          UnexpectedDatagrams);
+}
+
 void Cluster::sendToPeers(const PeerMessage &message) {
   for (const auto &[vm, peer] : Peers)
     sendTo(peer.Address, message);
 }
 
 void Cluster::sendTo(const udp::endpoint &address, const PeerMessage &message) {
-  error_code ec;
-  UdpSocket.send_to(asio::buffer(encodePeerMessage(message)), address, 0, ec);
-  if (ec)
-    logLine(LogPriority::Routine, bootNow(), "datagram_not_sent", "error={}",
-            sanitizeForLog(ec.message())); // hellos are repeated
+  Port.send(address, encodePeerMessage(message));
 }
 
-void Cluster::listen() {
-  UdpSocket.async_receive_from(
-      asio::buffer(UdpBuffer), UdpSender,
-      [this](const error_code &ec, std::size_t size) {
-        if (ec == asio::error::operation_aborted)
-          return;
-        if (!ec) {
-          const auto message =
-              decodePeerMessage(std::string(UdpBuffer.data(), size));
-          if (message.ok())
-            std::visit(MessageHandler{*this, UdpSender}, *message);
-          else
-            logLine(LogPriority::Failure, bootNow(), "datagram_unreadable",
-                    "why={}",
-                    sanitizeForLog(std::string(message.status().message())));
-        }
-        listen();
-      });
+void Cluster::onDatagram(const std::string &bytes,
+                         const udp::endpoint &sender) {
+  const auto message = decodePeerMessage(bytes);
+  if (message.ok())
+    std::visit(MessageHandler{*this, sender}, *message);
+  else
+    logLine(LogPriority::Failure, bootNow(), "datagram_unreadable", "why={}",
+            sanitizeForLog(std::string(message.status().message())));
 }
 
 void Cluster::onHello(const PeerHello &hello, const udp::endpoint &sender) {
@@ -198,6 +200,9 @@
     isComplete &=
         Feeds[n]->isLoaded() && Feeds[n]->revision() >= report.Revisions[n];
   Freshness.onReport(report.Age, isComplete, now);
+  if (isComplete)
+    for (StoreFeed *feed : Feeds)
+      feed->noteCompleteAt(now - report.Age);
   followReader(now);
 }
 
--- a/src/node/gateway.h
+++ b/src/node/gateway.h
@@ -116,6 +116,8 @@
   ///   received all of it
   bool hasExchanges() const;
 
+  /// @return time up to which the list of upstreams is complete
+  std::function<Time()> UpstreamsCompleteAt;
   /// Called with service and key of each request to a service divided by key.
   std::function<void(const ServiceId &, std::uint16_t)> OnKeyRequest;
   /// Called when an upstream rejected a key, so the key's owner may have
@@ -131,6 +133,8 @@
     return Latencies;
   }
   std::size_t queuedCount() const;
+  /// @return ages of the list of upstreams when requests were sent
+  LatencySummary sentListAge() const { return SentListAges.summary(); }
 
   void beginExchange(const std::shared_ptr<Exchange> &exchange) override;
   /// Handles a request that another VM passed to this one.
@@ -255,6 +259,7 @@
   DeadlineTimer SweepTimer;
   GatewayCounters Counters;
   std::map<std::string, LatencyStats> Latencies; ///< by route name
+  LatencyStats SentListAges;
   /// VMs that can open connections to upstreams; the requests of the others are
   /// sent by these. At least 1.
   std::size_t LinkedVmCount = 1;
--- a/src/node/gateway_send.cpp
+++ b/src/node/gateway_send.cpp
@@ -51,6 +51,9 @@
         });
     ++Counters.Connections;
   }
+  const Duration listAge =
+      UpstreamsCompleteAt ? now - UpstreamsCompleteAt() : Duration();
+  SentListAges.add(listAge);
   ++Counters.Sent;
   if (exchange->DeliveryCount > 0)
     ++Counters.Retried;
@@ -64,14 +67,15 @@
   logLine(
       LogPriority::Routine, now, "sent",
       "request={} service={} upstream={} entry_rev={} config={} busy={:.1f} "
-      "cost={:.2f} attempt={} new_connection={} waited_ms={} left_ms={}",
+      "cost={:.2f} attempt={} new_connection={} waited_ms={} left_ms={} "
+      "list_age_ms={}",
       sanitizeForLog(exchange->Meta.Id), exchange->Service.Value,
       upstream.Entry.Id.Value, upstream.EntryRevision,
       exchange->Config->config().Version, upstream.Load.busy(now),
       upstream.Load.cost(upstream.Entry.Slots, now),
       exchange->DeliveryCount + 1, isNew,
       toMilliseconds(now - exchange->ArrivedAt),
-      toMilliseconds(exchange->TimeoutAt - now));
+      toMilliseconds(exchange->TimeoutAt - now), toMilliseconds(listAge));
   exchange->CurrentAttempt->start(now);
 }
 
--- a/src/node/store_feed.cpp
+++ b/src/node/store_feed.cpp
@@ -9,6 +9,7 @@
 #include "node/node_log.h"
 
 #include <algorithm>
+#include <array>
 
 namespace waxwing {
 namespace {
@@ -29,6 +30,10 @@
 /// this one and others is lost.
 constexpr Duration MaxResumeDelay = milliseconds(150);
 
+/// Names of the paths, by value.
+constexpr std::array<std::string_view, ChangePathCount> ChangePathNames{
+    "load", "watch", "reader"};
+
 Time randomResumeTime() {
   return bootNow() + Duration(static_cast<Duration::rep>(
                          randomNumber() % MaxResumeDelay.count()));
@@ -36,6 +41,10 @@
 
 } // namespace
 
+std::string_view changePathName(ChangePath path) {
+  return ChangePathNames[static_cast<std::size_t>(path)];
+}
+
 StoreFeed::StoreFeed(boost::asio::io_context &loop, NodeStoreClient &store,
                      StoreHealth &health, StoreFeedOptions options)
     : Store(store), Health(health), Options(std::move(options)),
@@ -81,6 +90,7 @@
     return false;
   if (batch.To <= Revision)
     return true;
+  beginChanges(ChangePath::Reader);
   for (const platform::StoreChange &change : batch.Changes)
     applyChange(change);
   Revision = batch.To;
@@ -89,6 +99,10 @@
   return true;
 }
 
+void StoreFeed::beginChanges(ChangePath path) {
+  Source = {path, bootNow() - completeAt()};
+}
+
 void StoreFeed::scheduleCall(Time at) {
   if (!IsRelayed)
     NextCallTimer.scheduleBy(at);
@@ -133,6 +147,7 @@
     // Changes that an unfinished load has applied still have to be passed on.
     LoadedRevisions.clear();
     LoadRevision = 0;
+    LoadBegunAt = bootNow();
   }
   Store.call(platform::buildListRequest(Options.Prefix, after),
              bootNow() + LoadTimeout,
@@ -166,6 +181,7 @@
     return;
   }
   Failures = 0;
+  beginChanges(ChangePath::Load);
   Health.recordAnswer(result.BegunAt, bootNow());
   if (LoadRevision == 0)
     LoadRevision = page->StoreAt;
@@ -198,6 +214,7 @@
   NewestChange = newest;
   const StoreRevision before = Revision;
   Revision = std::max(Revision, LoadRevision);
+  noteCompleteAt(LoadBegunAt);
   NeedsReload = false;
   IsLoaded = true;
   logLine(LogPriority::StateChange, bootNow(), "store_loaded",
@@ -272,6 +289,9 @@
     return;
   }
   Failures = 0;
+  beginChanges(ChangePath::Watch);
+  // The store was answering other calls while this one waited for a change.
+  noteCompleteAt(std::max(result.BegunAt, Health.lastAnsweredCallAt()));
   Health.recordAnswer(result.BegunAt, bootNow());
   ChangeBatch batch{Revision, std::max(Revision, changes->StoreAt), {}};
   std::ranges::copy_if(changes->Changes, std::back_inserter(batch.Changes),
--- a/src/node/store_feed.h
+++ b/src/node/store_feed.h
@@ -22,6 +22,25 @@
   Duration BatchDelay{};
 };
 
+/// How a change reached this VM.
+enum class ChangePath : std::uint8_t {
+  Load,   ///< own read of all keys
+  Watch,  ///< own watch
+  Reader, ///< another VM that reads the store for this one
+};
+inline constexpr std::size_t ChangePathCount = 3;
+
+/// @return name of @p path in logs and metrics
+std::string_view changePathName(ChangePath path);
+
+/// Origin of the change that is being applied.
+struct ChangeSource {
+  ChangePath Path = ChangePath::Load;
+  /// Time since the state was last known to be complete; the change is no
+  /// older.
+  Duration MaxAge{};
+};
+
 /// Loads all keys with a prefix, then watches their changes.
 class StoreFeed {
 public:
@@ -39,6 +58,8 @@
   /// Applies changes that another VM read.
   /// @return false if changes before the batch are missing
   bool applyBatch(const ChangeBatch &batch);
+  /// Records that another VM had no changes beyond the state at @p time.
+  void noteCompleteAt(Time time) { CompleteAt = std::max(CompleteAt, time); }
   /// Called with the changes of each call to the store that succeeded.
   std::function<void(const ChangeBatch &)> OnBatchRead;
   /// Sets the delay between watches after a change.
@@ -63,6 +84,15 @@
   StoreRevision revision() const { return Revision; }
   /// @return revision of the newest change that was applied
   StoreRevision newestChange() const { return NewestChange; }
+  /// @return time up to which the state has all changes that the store has
+  ///   acknowledged, if a pending watch returns a change at once
+  Time completeAt() const {
+    return isWatching() ? std::max(CompleteAt, Health.lastAnsweredCallAt())
+                        : CompleteAt;
+  }
+  /// @return origin of the change that is being applied; valid within the
+  ///   handlers of start()
+  const ChangeSource &source() const { return Source; }
   /// @return true if a watch of this VM's own is pending
   bool isWatching() const {
     return IsCallPending && !NeedsReload && !IsRelayed;
@@ -83,6 +113,7 @@
   bool applyChange(const platform::StoreChange &change);
   /// Schedules the next call, unless the feed is relayed.
   void scheduleCall(Time at);
+  void beginChanges(ChangePath path);
 
   NodeStoreClient &Store;
   StoreHealth &Health;
@@ -100,7 +131,10 @@
   StoreRevision Revision = 0;
   StoreRevision NewestChange = 0; ///< as returned by newestChange()
   StoreRevision LoadRevision = 0; ///< store revision of the load's first page
+  Time CompleteAt; ///< as returned by completeAt() while no watch is pending
+  Time LoadBegunAt;
   Time WatchBegunAt;
+  ChangeSource Source; ///< as returned by source()
   std::uint64_t CallCount = 0;
   std::uint64_t CurrentCallId = 0; ///< responses to earlier calls are ignored
   bool IsLoaded = false;
