Add: [Test] Upstreams leave while readers, connections and links of 64 VMs fail

Cause: no test had more than 8 VMs, nor late datagrams, nor readers that are lost before their next watch. Change: leaving_at_size_process_test runs the routing replicas of 64 VMs in one process against a stand-in store, with lost and late datagrams, slow links and a seeded order of faults. It prints ages by path and the slowest stage.

--- a/src/standin/platform_base.h
+++ b/src/standin/platform_base.h
@@ -89,6 +89,10 @@
   /// are cut.
   void restoreCopy();
   std::uint64_t epoch() const { return Epoch; }
+  /// @return revision of the last write
+  std::uint64_t revision() const { return Revision; }
+  /// Discards the history, so that watches from an earlier revision get 410.
+  void compact() { FirstRevision = Revision; }
   /// While set, leases also expire while the store is down.
   void setExpiringWhileDown(bool isExpiring) {
     IsExpiringWhileDown = isExpiring;
--- /dev/null
+++ b/tests/leaving_at_size_process_test.cpp
@@ -0,0 +1,285 @@
+/**
+ * @file leaving_at_size_process_test.cpp
+ * Upstreams leave while readers, connections, datagrams and links of 64 VMs
+ * fail in a seeded order. Prints by which path and when the VMs dropped them.
+ */
+#include "fleet_world.h"
+
+#include <spdlog/spdlog.h>
+
+namespace waxwing {
+namespace {
+
+constexpr int VmCount = 64;
+constexpr int DomainCount = 4;
+/// Shortest time after which deployments of this size count a request to an
+/// upstream that leaves.
+constexpr Duration DrainBound = milliseconds(2500);
+/// A VM that was cut off is bound by what the store said meanwhile when it has
+/// had its links back for this time.
+constexpr Duration ContactTime = seconds(3);
+
+/// What happens to the VMs of one domain while upstreams leave.
+enum class Fault : std::uint8_t {
+  None,
+  ReaderLost,     ///< soon after the change
+  ReaderLostSlow, ///< the same; the next connections of others take 0.45 s
+  ReadersReset,   ///< all connections of the readers to the store end
+  ReadersSilent,  ///< their watches return nothing more
+  ReadersSlow,    ///< their responses from the store take 0.4 s
+  HistoryGone,    ///< readers are reset and the store has no history
+  VmsCutOff,      ///< three VMs lose all their links
+  VmsWithoutStore ///< three VMs lose the store alone
+};
+constexpr std::array<std::string_view, 9> FaultNames{
+    "none",          "reader_lost",    "reader_lost_slow",
+    "readers_reset", "readers_silent", "readers_slow",
+    "history_gone",  "vms_cut_off",    "vms_without_store"};
+
+/// How a VM learned that an upstream leaves.
+struct Drop {
+  int Vm = 0;
+  Fault DomainFault = Fault::None;
+  std::string_view Path;
+  Duration UntilCall{};  ///< from the change until the VM's own call began
+  Duration UntilKnown{}; ///< until the VM had the change
+  Duration UntilDropped{};
+  Duration Bound{};
+};
+
+class LeavingAtSizeTest : public testing::Test {
+protected:
+  Task play(std::uint64_t seed) {
+    std::mt19937_64 random(seed);
+    NextFault = random();
+    co_await sleepFor(World.Loop, seconds(7));
+    for (int n = 0; n < DomainCount; ++n)
+      EXPECT_EQ(World.readers(fmt::format("d{}", n)).size(), 2U);
+    // Some links are slow all the time, and datagrams get lost.
+    World.Network.LossShare = 0.05;
+    World.Network.MaxDelay = milliseconds(100);
+    World.Network.SlowDelay = milliseconds(200);
+    for (int n = VmCount - 12; n < VmCount; ++n) {
+      World.Network.Slowed.insert(World.Vms[n]->Port.own());
+      World.Vms[n]->Proxy.ToTarget.Delay = World.Vms[n]->Proxy.ToCaller.Delay =
+          milliseconds(200);
+    }
+    for (int round = 0; round < RoundCount; ++round)
+      co_await playRound(round, random);
+    World.Loop.stop();
+  }
+
+  Task playRound(int round, std::mt19937_64 &random) {
+    std::array<Fault, DomainCount> faults{};
+    std::set<int> cutOff;
+    std::set<int> excused;
+    std::ranges::generate(faults, [&] {
+      return static_cast<Fault>(NextFault++ % FaultNames.size());
+    });
+    // After an earlier change, the readers wait before their next watch.
+    World.listUpstream(fmt::format("r{}", round), false);
+    co_await sleepFor(World.Loop,
+                      milliseconds(30 + static_cast<int>(random() % 50)));
+    for (int n = 0; n < DomainCount; ++n)
+      begin(faults[n], fmt::format("d{}", n), cutOff, excused);
+    co_await sleepFor(World.Loop, milliseconds(30));
+    const std::array<UpstreamId, 2> leaving{
+        UpstreamId(fmt::format("i-{}", 2 * round)),
+        UpstreamId(fmt::format("i-{}", 2 * round + 1))};
+    World.listUpstream(leaving[0].Value, true);
+    World.Store.remove("servers/" + leaving[1].Value);
+    if (std::ranges::count(faults, Fault::HistoryGone) > 0)
+      World.Store.compact();
+    const Time changedAt = bootNow();
+    const StoreRevision revision = World.Store.revision();
+    const Time loseAt =
+        changedAt + milliseconds(100 + static_cast<int>(random() % 750));
+    const Time healAt = changedAt + seconds(3);
+    bool isLost = false;
+    bool isHealed = false;
+    std::set<int> hanging;
+    std::map<int, Drop> drops;
+    while (bootNow() < changedAt + seconds(3) + ContactTime) {
+      if (!isLost && bootNow() >= loseAt) {
+        isLost = true;
+        for (int n = 0; n < DomainCount; ++n)
+          loseReader(n, faults[n], excused);
+      }
+      updateHanging(faults, bootNow() - loseAt, hanging);
+      if (!isHealed && bootNow() >= healAt) {
+        isHealed = true;
+        for (int n = 0; n < VmCount; ++n)
+          World.heal(n);
+      }
+      observe(leaving, revision, changedAt, faults, drops);
+      co_await sleepFor(World.Loop, milliseconds(10));
+    }
+    for (int n = 0; n < VmCount; ++n) {
+      if (excused.contains(n))
+        continue;
+      Drop &drop = drops[n];
+      drop.Bound =
+          cutOff.contains(n) ? healAt - changedAt + ContactTime : DrainBound;
+      if (drop.UntilDropped == Duration())
+        drop.UntilDropped = bootNow() - changedAt;
+      Drops.push_back(drop);
+    }
+    for (auto &vm : World.Vms)
+      if (vm->Proxy.ToCaller.Delay == milliseconds(400))
+        vm->Proxy.ToCaller.Delay = Duration();
+  }
+
+  void begin(Fault fault, const std::string &domain, std::set<int> &cutOff,
+             std::set<int> &excused) {
+    const auto readers = World.readers(domain);
+    for (const int n : readers) {
+      FaultProxy &proxy = World.Vms[n]->Proxy;
+      if (fault == Fault::ReadersReset || fault == Fault::HistoryGone)
+        proxy.reset();
+      else if (fault == Fault::ReadersSilent)
+        proxy.silenceWaiting();
+      else if (fault == Fault::ReadersSlow)
+        proxy.ToCaller.Delay = milliseconds(400);
+      if (fault == Fault::ReadersReset || fault == Fault::HistoryGone ||
+          fault == Fault::ReadersSilent)
+        excused.insert(n);
+    }
+    if (fault != Fault::VmsCutOff && fault != Fault::VmsWithoutStore)
+      return;
+    int left = 3;
+    for (int n = 0; n < VmCount && left > 0; ++n) {
+      FleetVm &vm = *World.Vms[n];
+      if (vm.Settings.Vm.text("domain") != domain ||
+          vm.Replica.cluster().isReader() || vm.Replica.cluster().isLeader())
+        continue;
+      World.cut(n, fault == Fault::VmsCutOff);
+      cutOff.insert(n);
+      --left;
+    }
+  }
+
+  void loseReader(int domain, Fault fault, std::set<int> &excused) {
+    const auto readers = World.readers(fmt::format("d{}", domain));
+    if ((fault != Fault::ReaderLost && fault != Fault::ReaderLostSlow) ||
+        readers.empty())
+      return;
+    World.cut(readers.front(), true);
+    excused.insert(readers.front());
+  }
+
+  /// Lets connections hang for 0.45 s, three times until the VMs that have lost
+  /// their reader must have opened one.
+  void updateHanging(const std::array<Fault, DomainCount> &faults,
+                     Duration sinceLoss, std::set<int> &hanging) {
+    constexpr Duration period = milliseconds(500);
+    const bool isHanging =
+        sinceLoss > milliseconds(200) && sinceLoss < milliseconds(1700) &&
+        (sinceLoss - milliseconds(200)) % period < milliseconds(450);
+    for (int n = 0; n < VmCount; ++n) {
+      if (faults[n % DomainCount] != Fault::ReaderLostSlow ||
+          World.Vms[n]->Replica.cluster().isReader() ||
+          isHanging == hanging.contains(n))
+        continue;
+      if (isHanging) {
+        hanging.insert(n);
+        World.Vms[n]->Proxy.hang();
+      } else {
+        hanging.erase(n);
+        World.Vms[n]->Proxy.open();
+      }
+    }
+  }
+
+  /// Records which VMs have learned of the change, and which have dropped both.
+  void observe(const std::array<UpstreamId, 2> &leaving, StoreRevision revision,
+               Time changedAt, const std::array<Fault, DomainCount> &faults,
+               std::map<int, Drop> &drops) {
+    const Duration age = bootNow() - changedAt;
+    for (int n = 0; n < VmCount; ++n) {
+      FleetVm &vm = *World.Vms[n];
+      Drop &drop = drops[n];
+      const StoreFeed &feed = vm.Replica.upstreamFeed();
+      if (drop.UntilKnown == Duration() &&
+          counterOf(feed.revision()) >= revision) {
+        drop.Vm = n;
+        drop.DomainFault = faults[n % DomainCount];
+        drop.Path = changePathName(feed.source().Path);
+        if (feed.source().Path != ChangePath::Reader)
+          drop.UntilCall = std::max(feed.completeAt() - changedAt, Duration());
+        drop.UntilKnown = age;
+      }
+      if (drop.UntilDropped == Duration() && !vm.uses(leaving[0]) &&
+          !vm.uses(leaving[1]))
+        drop.UntilDropped = age;
+    }
+  }
+
+  void print() const {
+    std::map<std::string, std::vector<Duration>> byPath;
+    for (const Drop &drop : Drops)
+      if (drop.Bound == DrainBound)
+        byPath[std::string(drop.Path)].push_back(drop.UntilDropped);
+    for (auto &[path, ages] : byPath) {
+      std::ranges::sort(ages);
+      fmt::print("{:7} {:5} changes, half within {} ms, all within {} ms\n",
+                 path, ages.size(), toMilliseconds(ages[ages.size() / 2]),
+                 toMilliseconds(ages.back()));
+    }
+    const auto slowest =
+        std::ranges::max_element(Drops, {}, [](const Drop &drop) {
+          return drop.UntilDropped - drop.Bound;
+        });
+    struct Stage {
+      std::string_view Name;
+      Duration Length;
+    };
+    const std::array<Stage, 3> stages{
+        Stage{"wait for a reader or the next call", slowest->UntilCall},
+        Stage{"call or datagram", slowest->UntilKnown - slowest->UntilCall},
+        Stage{"removal put off", slowest->UntilDropped - slowest->UntilKnown}};
+    fmt::print("nearest to its bound: vm{:02}, {} ms of {} ms, path {}, fault "
+               "{}\n",
+               slowest->Vm, toMilliseconds(slowest->UntilDropped),
+               toMilliseconds(slowest->Bound), slowest->Path,
+               FaultNames[static_cast<std::size_t>(slowest->DomainFault)]);
+    for (const Stage &stage : stages)
+      fmt::print("  {}: {} ms\n", stage.Name, toMilliseconds(stage.Length));
+    fmt::print("slowest stage: {}\n",
+               std::ranges::max_element(stages, {}, &Stage::Length)->Name);
+  }
+
+  static constexpr int RoundCount = 10;
+  FleetWorld World{VmCount, DomainCount, 1};
+  std::uint64_t NextFault = 0;
+  std::vector<Drop> Drops;
+};
+
+// DRAIN: VMs in touch with the store used upstreams that had left for longer
+// than the bound while a reader, a connection or a link failed.
+TEST_F(LeavingAtSizeTest, UpstreamsThatLeaveAreDroppedInTime) {
+  spdlog::set_level(spdlog::level::off);
+  const char *seed = std::getenv("WAXWING_FLEET_SEED");
+  for (int n = 0; n < 2 * RoundCount; ++n)
+    World.listUpstream(fmt::format("i-{}", n), false);
+  World.start();
+  spawnTask(World.Loop, play(seed == nullptr ? 1 : std::stoull(seed)));
+  World.Loop.run();
+  print();
+  int late = 0;
+  for (const Drop &drop : Drops) {
+    late += drop.UntilDropped > drop.Bound ? 1 : 0;
+    if (drop.UntilDropped > drop.Bound && late <= 10)
+      ADD_FAILURE() << fmt::format(
+          "vm{:02} dropped an upstream after {} ms of {} ms, path {}, fault "
+          "{}, "
+          "own call after {} ms, known after {} ms",
+          drop.Vm, toMilliseconds(drop.UntilDropped),
+          toMilliseconds(drop.Bound), drop.Path,
+          FaultNames[static_cast<std::size_t>(drop.DomainFault)],
+          toMilliseconds(drop.UntilCall), toMilliseconds(drop.UntilKnown));
+  }
+  EXPECT_EQ(late, 0) << "of " << Drops.size();
+}
+
+} // namespace
+} // namespace waxwing
