Fix: [Node] Removals waited for outages in which the store served all others

Cause: a VM whose link was cut or slow concluded that the store was away, and put the removal of upstreams off until 2.2 s after it was served again. Each further failed connection put it off again, on a link where packets wait. Callers saw: requests sent to upstreams that had left 3.0 s before, some cut. Change: hellos and replies state in which time the store answered the sender, or those that it heard of, without an outage. An outage of this VM alone within that time is withdrawn, and the removals apply at once. Replies name the time of their hello, so that a late datagram makes no service look younger. Outages of all VMs, and restorations, still put removals off. Conclusion: the VMs together tell the store's outages from their own.

--- a/src/node/cluster.cpp
+++ b/src/node/cluster.cpp
@@ -438,6 +438,8 @@
   hello.CrashDigest = Crashes.digest(now);
   hello.Limits = Upstreams.limits().newest(MaxReportedLimits, now);
   hello.NewestChanges = NewestChanges;
+  hello.SentAtUs = now.time_since_epoch().count();
+  hello.StoreService = describeStoreService(now);
   if (Parent.isReader()) {
     hello.Report.emplace();
     hello.Report->StoreAge = now - Health.lastResponseAt();
@@ -447,6 +449,13 @@
   sendTo(toUdp(parent), hello);
 }
 
+/// The others tell whether the store was away, or only this VM's link to it.
+void Cluster::onStoreRegained() {
+  const Time now = bootNow();
+  if (now >= EarliestExtraHelloAt)
+    sendHello(now);
+}
+
 void Cluster::requestRangeMapUpdate() {
   if (!isLeader())
     sendHello(bootNow());
--- a/src/node/cluster.h
+++ b/src/node/cluster.h
@@ -57,6 +57,8 @@
   /// earlier epoch have ended, and a reader is not relied on until it has read
   /// the restored store.
   void beginStoreEpoch();
+  /// Called when the store serves this VM again.
+  void onStoreRegained();
   /// Ends this VM's leadership, if any, and its participation in elections.
   void resign();
   /// Passes on what this VM has learned about crashes. Needs neither a leader
@@ -145,6 +147,9 @@
   void followReader(Time now);
   ReaderAssignment assignmentFor(const Candidate &vm) const;
   PeerReply makeReply(Time now) const;
+  std::optional<StoreServiceReport> describeStoreService(Time now) const;
+  void onStoreService(const std::optional<StoreServiceReport> &service,
+                      Time sentAt, Time now);
   void planReaders(const std::map<VmId, ReaderCandidate> &vms);
   void sendMissingChanges(const FeedRevisions &known,
                           const boost::asio::ip::udp::endpoint &address);
--- a/src/node/cluster_messages.cpp
+++ b/src/node/cluster_messages.cpp
@@ -17,6 +17,9 @@
 /// Least time between lines on unexpected datagrams, of which a former reader
 /// or leader may send many.
 constexpr Duration UnexpectedLogInterval = seconds(1);
+/// Longest time that a datagram takes, unless it replies to one whose time is
+/// known.
+constexpr Duration MaxTransitTime = milliseconds(500);
 
 } // namespace
 
@@ -108,10 +111,12 @@
     OnLeavingReported(process);
   Limits.onNotices(hello.Limits, now);
   noteNewestChanges(hello.NewestChanges, now);
+  onStoreService(hello.StoreService, now - MaxTransitTime, now);
   // Before the report, so that the VM is complete when that arrives.
   if (Parent.isReader())
     sendMissingChanges(hello.StoreRevisions, sender);
   PeerReply reply = makeReply(now);
+  reply.HelloSentAtUs = hello.SentAtUs;
   if (hello.ListHash != hashVmList(List))
     reply.List = List;
   if (isLeader() && now >= NextPlanAt - PlanInterval && Plan.size() > 0)
@@ -134,6 +139,7 @@
   reply.Leader = Leader;
   reply.Limits = Upstreams.limits().newest(MaxReportedLimits, now);
   reply.NewestChanges = NewestChanges;
+  reply.StoreService = describeStoreService(now);
   const bool isCurrent = std::ranges::all_of(Feeds, &StoreFeed::isCurrent) &&
                          !Health.isUnavailable();
   if (!Parent.isReader() || !isCurrent)
@@ -148,6 +154,22 @@
   return reply;
 }
 
+std::optional<StoreServiceReport>
+Cluster::describeStoreService(Time now) const {
+  const auto service = Health.knownService();
+  if (!service)
+    return std::nullopt;
+  return StoreServiceReport{now - service->Since, now - service->Until};
+}
+
+/// @param sentAt the report was not sent before
+void Cluster::onStoreService(const std::optional<StoreServiceReport> &service,
+                             Time sentAt, Time now) {
+  if (service)
+    Health.recordPeerService(
+        {sentAt - service->SinceAge, sentAt - service->UntilAge}, now);
+}
+
 void Cluster::sendMissingChanges(const FeedRevisions &known,
                                  const udp::endpoint &address) {
   for (std::size_t n = 0; n < FeedCount; ++n) {
@@ -227,8 +249,13 @@
   if (isLeader() || (reply.Leader.Term < Leader.Term && !isFromOwnReader))
     return;
   const Time now = bootNow();
+  // The reply was sent later than the hello, so ages count from there.
+  const Time sentAt = reply.HelloSentAtUs > 0
+                          ? Time(Duration(reply.HelloSentAtUs))
+                          : now - MaxTransitTime;
   Limits.onNotices(reply.Limits, now);
   noteNewestChanges(reply.NewestChanges, now);
+  onStoreService(reply.StoreService, std::min(sentAt, now), now);
   if (reply.Leader.Term != 0)
     Store.noteEpoch(epochOf(reply.Leader.Term), now);
   if (isFromOwnReader) {
--- a/src/node/routing_replica.cpp
+++ b/src/node/routing_replica.cpp
@@ -108,8 +108,10 @@
     if (hasResponse) {
       OperatorFeed.reloadIfWatching();
       UpstreamFeed.reloadIfWatching();
+      VmCluster.onStoreRegained();
     }
   };
+  Health.OnOutageWithdrawn = [this] { DueChangesTimer.scheduleBy(bootNow()); };
   Health.OnConnectionSilent = [this] {
     OperatorFeed.restartWatch();
     UpstreamFeed.restartWatch();
@@ -277,6 +279,9 @@
   page.addCounter("waxwing_store_outages_total",
                   "Times at which the store stopped serving this VM.",
                   Health.outageCount());
+  page.addCounter("waxwing_store_outages_own_total",
+                  "Those in which the store served other VMs.",
+                  Health.ownOutageCount());
   page.addCounter("waxwing_store_connections_lost_total",
                   "Calls to the store that failed with their connection alone.",
                   Health.lostCallCount());
--- a/src/node/store_health.cpp
+++ b/src/node/store_health.cpp
@@ -21,6 +21,12 @@
 /// How far two statements of the same time by another VM differ, since
 /// datagrams take different times.
 constexpr Duration RelayedTimeTolerance = milliseconds(200);
+/// An outage that begins within this time after another one continues it: what
+/// waits for the end of the former still waits.
+constexpr Duration OutageSeparation = seconds(10);
+/// The store is not away for less than this time; others were answered last
+/// within it before the outage of this VM ended.
+constexpr Duration PeerServiceTolerance = milliseconds(500);
 
 } // namespace
 
@@ -78,7 +84,10 @@
   }
   if (state == StoreState::Away) {
     OwnAnswersSince = Time();
-    Outages += State != StoreState::Away ? 1 : 0;
+    if (State != StoreState::Away) {
+      ++Outages;
+      beginOutage(LastResponseAt);
+    }
   }
   if (state <= State)
     return;
@@ -110,10 +119,68 @@
   logLine(LogPriority::StateChange, now, "store_regained",
           "state={} after_ms={}", storeStateName(state),
           toMilliseconds(now - previous));
+  withdrawOwnOutage(now);
   if (OnChange)
     OnChange(true);
 }
 
+void StoreHealth::beginOutage(Time lastAnswerAt) {
+  const bool isContinued =
+      OutageBegunAt != Time() && lastAnswerAt < RecoveredAt + OutageSeparation;
+  if (!isContinued) {
+    OutageBegunAt = lastAnswerAt;
+    RecoveredBefore = RecoveredAt;
+  }
+}
+
+void StoreHealth::recordPeerService(const StoreService &service, Time now) {
+  const bool isOverlapping = PeerService &&
+                             service.Since <= PeerService->Until &&
+                             PeerService->Since <= service.Until;
+  if (isOverlapping)
+    PeerService = {std::min(PeerService->Since, service.Since),
+                   std::max(PeerService->Until, service.Until)};
+  else if (!PeerService || PeerService->Until < service.Until)
+    PeerService = service;
+  withdrawOwnOutage(now);
+}
+
+std::optional<StoreService> StoreHealth::knownService() const {
+  if (OwnAnswersSince == Time())
+    return PeerService;
+  const StoreService own{OwnAnswersSince,
+                         std::max(OwnAnswersSince, LastAnsweredCallAt)};
+  if (!PeerService || PeerService->Until < own.Since)
+    return own;
+  return StoreService{std::min(own.Since, PeerService->Since),
+                      std::max(own.Until, PeerService->Until)};
+}
+
+/// Entries cannot have expired in an outage in which the store answered others.
+void StoreHealth::withdrawOwnOutage(Time now) {
+  const bool isOwn = State != StoreState::Away && OutageBegunAt != Time() &&
+                     PeerService && PeerService->Since <= OutageBegunAt &&
+                     PeerService->Until >= RecoveredAt - PeerServiceTolerance;
+  if (!isOwn)
+    return;
+  ++OwnOutages;
+  logLine(LogPriority::StateChange, now, "store_outage_own",
+          "ended_ms={} others_answered_ms={}",
+          toMilliseconds(now - RecoveredAt),
+          toMilliseconds(now - PeerService->Until));
+  RecoveredAt = RecoveredBefore;
+  OutageBegunAt = Time();
+  if (OnOutageWithdrawn)
+    OnOutageWithdrawn();
+}
+
+void StoreHealth::noteRestored(Time now) {
+  RestoredAt = now;
+  PeerService.reset();
+  OutageBegunAt = Time();
+  OwnAnswersSince = Time();
+}
+
 void StoreHealth::recordRelayedAnswer(Time answeredAt, Time recoveredAt,
                                       Time now) {
   if (answeredAt > LastResponseAt)
@@ -125,8 +192,13 @@
     const Time servedAgainAt = OwnAnswersSince == Time()
                                    ? recoveredAt
                                    : std::min(recoveredAt, OwnAnswersSince);
-    RecoveredAt = std::max(RecoveredAt, servedAgainAt);
+    if (servedAgainAt > RecoveredAt) {
+      beginOutage(RelayedAnswerAt);
+      RecoveredAt = servedAgainAt;
+      withdrawOwnOutage(now);
+    }
   }
+  RelayedAnswerAt = std::max(RelayedAnswerAt, answeredAt);
   OwnAnswersSince = Time();
 }
 
--- a/src/node/store_health.h
+++ b/src/node/store_health.h
@@ -10,6 +10,7 @@
 #include "node/call_client.h"
 
 #include <functional>
+#include <optional>
 #include <string_view>
 
 namespace waxwing {
@@ -27,6 +28,12 @@
   Away,     ///< it may serve nobody, so that entries expire
 };
 
+/// A time in which the store answered calls without an outage.
+struct StoreService {
+  Time Since; ///< when it answered first
+  Time Until; ///< begin of the last call that it answered
+};
+
 /// @return name of @p state in the log
 std::string_view storeStateName(StoreState state);
 
@@ -49,9 +56,13 @@
   ///   have lost only its own link; Time() if there was none
   void recordRelayedAnswer(Time answeredAt, Time recoveredAt, Time now);
 
+  /// Records that the store answered other VMs during all of @p service. An
+  /// outage that this VM noticed meanwhile was that of its own links.
+  void recordPeerService(const StoreService &service, Time now);
+
   /// Records that the store was restored from an older copy, which ends an
   /// outage that this VM may not have noticed.
-  void noteRestored(Time now) { RecoveredAt = now; }
+  void noteRestored(Time now);
 
   /// @return true if the store does not serve this VM
   bool isUnavailable() const { return State != StoreState::Serving; }
@@ -60,16 +71,25 @@
   Time lastResponseAt() const { return LastResponseAt; }
   /// @return when the latest of the calls with a response was begun
   Time lastAnsweredCallAt() const { return LastAnsweredCallAt; }
-  /// @return end of the store's last outage; Time() if there was none
-  Time recoveredAt() const { return RecoveredAt; }
+  /// @return end of the store's last outage or restoration; Time() if there was
+  ///   none
+  Time recoveredAt() const { return std::max(RecoveredAt, RestoredAt); }
+  /// @return the last time in which the store is known to have answered this VM
+  ///   or others without an outage; nullopt if there is none
+  std::optional<StoreService> knownService() const;
   /// @return number of calls that failed with their connection alone
   std::uint64_t lostCallCount() const { return LostCalls; }
-  /// @return number of outages of the store
+  /// @return number of outages that this VM noticed
   std::uint64_t outageCount() const { return Outages; }
+  /// @return number of those that were not the store's
+  std::uint64_t ownOutageCount() const { return OwnOutages; }
 
   /// Called with false when the store becomes unavailable and with true when
   /// the store recovers.
   std::function<void(bool)> OnChange;
+  /// Called when an outage proves to be that of this VM's links, so that
+  /// recoveredAt() is that of an earlier one.
+  std::function<void()> OnOutageWithdrawn;
   /// Called when a connection to the store has become silent while the store
   /// serves; other connections may be silent too.
   std::function<void()> OnConnectionSilent;
@@ -77,18 +97,30 @@
 private:
   StoreState interpretFailure(const HttpCallResult &result, StoreCallKind kind);
   void setServing(Time now);
+  /// Records the begin of an outage, or of one that continues another.
+  void beginOutage(Time lastAnswerAt);
+  void withdrawOwnOutage(Time now);
 
   StoreState State = StoreState::Serving;
   Time LastResponseAt;
   Time LastAnsweredCallAt;
-  Time RecoveredAt;
+  Time RecoveredAt; ///< end of the last outage
+  Time RestoredAt;  ///< last restoration
+  /// The last outage, with those before it that followed each other closely:
+  /// last answer before it, and the end of the outage before it. Time() if
+  /// there was none.
+  Time OutageBegunAt;
+  Time RecoveredBefore;
+  std::optional<StoreService> PeerService; ///< as last recorded
   /// First answer to an own call since another VM last relayed one; Time() if
   /// there was none, or if the store was away since.
   Time OwnAnswersSince;
   Time RelayedRecoveredAt; ///< as last stated by another VM
+  Time RelayedAnswerAt;    ///< the same
   int EndedFirstCalls = 0; ///< on new connections, without an answer between
   std::uint64_t LostCalls = 0;
   std::uint64_t Outages = 0;
+  std::uint64_t OwnOutages = 0;
 };
 
 } // namespace waxwing
--- a/src/peers/peer_message.cpp
+++ b/src/peers/peer_message.cpp
@@ -102,6 +102,21 @@
   return limits;
 }
 
+Json encodeService(const std::optional<StoreServiceReport> &service) {
+  if (!service)
+    return {};
+  return {encodeDuration(service->SinceAge), encodeDuration(service->UntilAge)};
+}
+
+/// @return the report at @p index; nullopt if the message ends before
+std::optional<StoreServiceReport> decodeService(const Json &json,
+                                                std::size_t index) {
+  if (json.size() <= index || json.at(index).is_null())
+    return std::nullopt;
+  return StoreServiceReport{decodeDuration(json.at(index).at(0)),
+                            decodeDuration(json.at(index).at(1))};
+}
+
 /// Encodes each type of message as an array that begins with its tag.
 struct Encoder {
   Json operator()(const PeerHello &hello) const {
@@ -133,7 +148,9 @@
             leaving,
             crashDigest,
             encodeLimits(hello.Limits),
-            hello.NewestChanges};
+            hello.NewestChanges,
+            hello.SentAtUs,
+            encodeService(hello.StoreService)};
   }
   Json operator()(const PeerReply &reply) const {
     Json list;
@@ -161,7 +178,9 @@
             assignment,
             store,
             encodeLimits(reply.Limits),
-            reply.NewestChanges};
+            reply.NewestChanges,
+            reply.HelloSentAtUs,
+            encodeService(reply.StoreService)};
   }
   Json operator()(const PeerStoreUpdate &update) const {
     Json changes = Json::array();
@@ -238,6 +257,9 @@
   hello.Limits = decodeLimits(json, 10);
   if (json.size() > 11)
     hello.NewestChanges = json.at(11).get<FeedRevisions>();
+  if (json.size() > 12)
+    hello.SentAtUs = json.at(12).get<std::int64_t>();
+  hello.StoreService = decodeService(json, 13);
   return hello;
 }
 
@@ -262,6 +284,9 @@
   reply.Limits = decodeLimits(json, 8);
   if (json.size() > 9)
     reply.NewestChanges = json.at(9).get<FeedRevisions>();
+  if (json.size() > 10)
+    reply.HelloSentAtUs = json.at(10).get<std::int64_t>();
+  reply.StoreService = decodeService(json, 11);
   return reply;
 }
 
--- a/src/peers/peer_message_type.h
+++ b/src/peers/peer_message_type.h
@@ -52,6 +52,13 @@
   std::vector<VmInfo> Followers; ///< VMs that report to it, by name
 };
 
+/// A time in which the store answered the sender or VMs that it heard of,
+/// without an outage.
+struct StoreServiceReport {
+  Duration SinceAge{}; ///< time since its begin
+  Duration UntilAge{}; ///< time since its end
+};
+
 /// Maximum number of leaving upstreams in a hello.
 inline constexpr std::size_t MaxReportedLeaving = 256;
 
@@ -78,6 +85,9 @@
   std::vector<LimitNotice> Limits; ///< at most MaxReportedLimits
   /// Revisions of the newest changes that the sender knows to exist.
   FeedRevisions NewestChanges{};
+  /// Sender's time of sending, µs on its own clock; 0 from earlier versions.
+  std::int64_t SentAtUs = 0;
+  std::optional<StoreServiceReport> StoreService;
 };
 
 /// The VMs known to the leader.
@@ -122,6 +132,9 @@
   std::vector<LimitNotice> Limits;            ///< at most MaxReportedLimits
   /// Revisions of the newest changes that the sender knows to exist.
   FeedRevisions NewestChanges{};
+  /// PeerHello::SentAtUs of the hello that this replies to; 0 if there is none.
+  std::int64_t HelloSentAtUs = 0;
+  std::optional<StoreServiceReport> StoreService;
 };
 
 /// Changes of the store, from a reader.
--- a/tests/store_health_test.cpp
+++ b/tests/store_health_test.cpp
@@ -37,6 +37,70 @@
   Time Now = Time(seconds(1000));
 };
 
+// DRAIN: a VM whose link was cut or slow put off the removal of upstreams by
+// 2.2 s, although the store had served all other VMs.
+TEST_F(StoreHealthTest, OutageInWhichOthersWereAnsweredIsWithdrawn) {
+  answer();
+  const Time before = Now;
+  fail(CallLoss::NotConnected, true, 0, StoreCallKind::Prompt, seconds(1));
+  EXPECT_TRUE(Health.isUnavailable());
+  answer();
+  EXPECT_EQ(Health.recoveredAt(), Now);
+  int withdrawn = 0;
+  Health.OnOutageWithdrawn = [&] { ++withdrawn; };
+  Health.recordPeerService({before - seconds(9), Now - milliseconds(100)}, Now);
+  EXPECT_EQ(withdrawn, 1);
+  EXPECT_EQ(Health.recoveredAt(), Time());
+  // Known before the link is back: the outage is not noticed at all.
+  fail(CallLoss::NotConnected, true, 0, StoreCallKind::Prompt, seconds(1));
+  Health.recordPeerService({before, Now}, Now);
+  answer();
+  EXPECT_EQ(Health.recoveredAt(), Time());
+  EXPECT_EQ(Health.ownOutageCount(), 2U);
+}
+
+// DRAIN: outages that came one after the other put the removals off each time.
+TEST_F(StoreHealthTest, ConsecutiveOwnOutagesAreWithdrawnTogether) {
+  answer();
+  const Time before = Now;
+  for (int n = 0; n < 3; ++n) {
+    fail(CallLoss::NotConnected, true, 0, StoreCallKind::Prompt, seconds(1));
+    answer();
+  }
+  Health.recordPeerService({before, Now}, Now);
+  EXPECT_EQ(Health.recoveredAt(), Time());
+}
+
+// Guards against removals of entries that expired while the store was away,
+// since others were answered before and after.
+TEST_F(StoreHealthTest, OutageOfAllVmsIsNotWithdrawn) {
+  answer();
+  const Time before = Now;
+  Health.recordPeerService({before - seconds(9), Now}, Now);
+  fail(CallLoss::NotConnected, true, 0, StoreCallKind::Prompt,
+       milliseconds(700));
+  answer();
+  const Time recoveredAt = Now;
+  Health.recordPeerService({before - seconds(9), before + milliseconds(10)},
+                           Now);
+  Health.recordPeerService({recoveredAt - milliseconds(20), Now}, Now);
+  Now += seconds(1);
+  Health.recordPeerService({recoveredAt - milliseconds(20), Now}, Now);
+  EXPECT_EQ(Health.recoveredAt(), recoveredAt);
+}
+
+// Guards against the removal of entries that a restored store lacks.
+TEST_F(StoreHealthTest, RestorationIsNotWithdrawn) {
+  answer();
+  const Time before = Now;
+  fail(CallLoss::NotConnected, true, 0, StoreCallKind::Prompt, seconds(1));
+  answer();
+  Health.noteRestored(Now);
+  const Time restoredAt = Now;
+  Health.recordPeerService({before - seconds(9), Now}, Now);
+  EXPECT_EQ(Health.recoveredAt(), restoredAt);
+}
+
 // DRAIN: each watch that the store cut counted as an outage, which put off the
 // removal of upstreams that had left.
 TEST_F(StoreHealthTest, CutWatchesAreNoOutage) {
