Fix: [Node] Connections to the store failed on links on which packets wait

Cause: each connection had to be established within 0.4 s. Machines on whose links packets wait for up to half a second count as in touch; there, calls to the store failed, and each failure was taken for an outage of the store. Callers saw: requests to upstreams that had left, from VMs with congested links. Change: a connection to the store may take 1.2 s. Further opening packets are sent after each 0.3 s on sockets of their own, so that a lost one costs no more than before; the first socket that is connected is used. Upstreams keep 0.4 s, after which another one is tried. Conclusion: a slow link costs its own delay, not a retry.

--- a/src/node/call_client.cpp
+++ b/src/node/call_client.cpp
@@ -154,10 +154,13 @@
                         : nullptr;
   const bool isFirstCall = connection == nullptr;
   if (isFirstCall)
-    connection = Pool.open(peer, [this, target, now](ConnectOutcome outcome) {
-      if (!target.empty() && OnTargetConnectEnd)
-        OnTargetConnectEnd(target, now, outcome);
-    });
+    connection = Pool.open(
+        peer,
+        [this, target, now](ConnectOutcome outcome) {
+          if (!target.empty() && OnTargetConnectEnd)
+            OnTargetConnectEnd(target, now, outcome);
+        },
+        target.empty() ? StoreConnectLimits : UpstreamConnectLimits);
   std::make_shared<PendingCall>(
       Loop, Pool, std::move(connection),
       CallIdentity{!target.empty(), call.ResponseHeader, isFirstCall},
--- a/src/node/client_connection.cpp
+++ b/src/node/client_connection.cpp
@@ -20,9 +20,6 @@
 using boost::system::error_code;
 
 constexpr std::size_t ReadBufferSize = 65536;
-/// The kernel retransmits a lost SYN after 1 s. Failing earlier allows a retry
-/// before that, with a new choice of the upstream.
-constexpr Duration ConnectTimeout = milliseconds(400);
 /// Effectively unlimited: responses of upstreams may have any length.
 constexpr std::uint64_t MaxResponseBytes = 1ULL << 40;
 constexpr std::uint32_t MaxResponseHeaderBytes = 65536;
@@ -38,40 +35,67 @@
 
 } // namespace
 
-ClientConnection::ClientConnection(asio::io_context &loop, Endpoint peer)
-    : Socket(loop), ConnectTimer(loop), Peer(std::move(peer)) {}
+ClientConnection::ClientConnection(asio::io_context &loop, Endpoint peer,
+                                   const ConnectLimits &limits)
+    : Socket(loop), ConnectTimer(loop), Limits(limits), Peer(std::move(peer)) {}
 
 ClientConnection::~ClientConnection() { close(); }
 
 void ClientConnection::open(ConnectCallback onConnectEnd) {
   OnConnectEnd = std::move(onConnectEnd);
+  ConnectUntil = bootNow() + Limits.Timeout;
   error_code ec;
   const auto address = asio::ip::make_address(Peer.Address, ec);
-  if (!ec)
-    Socket.open(tcp::v4(), ec);
   if (ec) {
     OnConnectEnd = nullptr; // says nothing about the link
-    asio::post(Socket.get_executor(),
-               [self = shared_from_this(), ec] { self->onConnected(ec); });
+    asio::post(Socket.get_executor(), [self = shared_from_this(), ec] {
+      self->onConnected(nullptr, ec);
+    });
     return;
   }
-  setOptions();
-  ConnectTimer.expires_after(ConnectTimeout);
-  ConnectTimer.async_wait([weak = weak_from_this()](const error_code &result) {
-    const auto self = weak.lock();
-    if (!result && self && !self->IsOpen && !self->IsClosed)
-      self->fail("connect: timed out");
-  });
-  Socket.async_connect(tcp::endpoint(address, Peer.Port),
-                       [self = shared_from_this()](const error_code &result) {
-                         self->onConnected(result);
-                       });
+  connect({address, Peer.Port});
 }
 
-void ClientConnection::setOptions() { setStreamOptions(Socket); }
+void ClientConnection::connect(const tcp::endpoint &address) {
+  const auto socket = std::make_shared<tcp::socket>(Socket.get_executor());
+  error_code ec;
+  socket->open(tcp::v4(), ec);
+  if (ec) {
+    OnConnectEnd = nullptr; // says nothing about the link
+    asio::post(Socket.get_executor(), [self = shared_from_this(), ec] {
+      self->onConnected(nullptr, ec);
+    });
+    return;
+  }
+  setStreamOptions(*socket);
+  Connecting.push_back(socket);
+  const Duration left = std::max(ConnectUntil - bootNow(), Duration());
+  ConnectTimer.expires_after(Limits.RepeatInterval == Duration()
+                                 ? left
+                                 : std::min(left, Limits.RepeatInterval));
+  ConnectTimer.async_wait(
+      [weak = weak_from_this(), address](const error_code &result) {
+        if (const auto self = weak.lock(); !result && self)
+          self->onConnectTimer(address);
+      });
+  socket->async_connect(
+      address, [self = shared_from_this(), socket](const error_code &result) {
+        self->onConnected(socket, result);
+      });
+}
 
-void ClientConnection::onConnected(const error_code &ec) {
-  if (IsClosed)
+void ClientConnection::onConnectTimer(const tcp::endpoint &address) {
+  if (IsOpen || IsClosed)
+    return;
+  if (bootNow() >= ConnectUntil)
+    fail("connect: timed out");
+  else
+    connect(address);
+}
+
+void ClientConnection::onConnected(const std::shared_ptr<tcp::socket> &socket,
+                                   const error_code &ec) {
+  if (IsClosed || IsOpen)
     return;
   if (ec) {
     fail("connect: " + ec.message(), ec == asio::error::connection_refused
@@ -79,6 +103,11 @@
                                          : ConnectOutcome::Failed);
     return;
   }
+  error_code ignored;
+  for (const auto &other : std::exchange(Connecting, {}))
+    if (other != socket)
+      other->close(ignored);
+  Socket = std::move(*socket);
   IsOpen = true;
   IdleSince = bootNow();
   ConnectTimer.cancel();
@@ -308,6 +337,8 @@
   error_code ec;
   Socket.set_option(asio::socket_base::linger(true, 0), ec);
   Socket.close(ec); // the descriptor is released even on error
+  for (const auto &socket : std::exchange(Connecting, {}))
+    socket->close(ec);
 }
 
 } // namespace waxwing
--- a/src/node/client_connection.h
+++ b/src/node/client_connection.h
@@ -17,6 +17,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <vector>
 
 namespace waxwing {
 
@@ -28,6 +29,22 @@
 };
 using ConnectCallback = std::function<void(ConnectOutcome)>;
 
+/// How long a connection may take to be established.
+struct ConnectLimits {
+  Duration Timeout{};
+  /// Another opening packet is sent at this interval, so that a lost one costs
+  /// no more, while a late answer to an earlier one still counts; 0: none.
+  Duration RepeatInterval{};
+};
+
+/// For upstreams: a failure allows a retry with another choice of the upstream
+/// before the kernel would repeat the opening packet, 1 s after the first.
+inline constexpr ConnectLimits UpstreamConnectLimits{milliseconds(400)};
+/// For the store: there is no other choice. Links on which packets wait for up
+/// to half a second still work.
+inline constexpr ConnectLimits StoreConnectLimits{milliseconds(1200),
+                                                  milliseconds(300)};
+
 /// Receives the events of one request. Not called after onResponseEnd() or
 /// onConnectionLost().
 class ResponseObserver {
@@ -53,7 +70,8 @@
 /// Connection that carries one request after another.
 class ClientConnection : public std::enable_shared_from_this<ClientConnection> {
 public:
-  ClientConnection(boost::asio::io_context &loop, Endpoint peer);
+  ClientConnection(boost::asio::io_context &loop, Endpoint peer,
+                   const ConnectLimits &limits = UpstreamConnectLimits);
   ~ClientConnection();
 
   /// Starts to connect; a request may be started before the connection is
@@ -98,8 +116,11 @@
   Time IdleUntil = Time::max();
 
 private:
-  void onConnected(const boost::system::error_code &ec);
-  void setOptions();
+  void connect(const boost::asio::ip::tcp::endpoint &address);
+  void onConnectTimer(const boost::asio::ip::tcp::endpoint &address);
+  /// @param socket that was connected, unless @p ec is set
+  void onConnected(const std::shared_ptr<boost::asio::ip::tcp::socket> &socket,
+                   const boost::system::error_code &ec);
   void flush();
   /// @return false if the connection failed or the request is not needed
   bool mayStartRequest();
@@ -116,6 +137,10 @@
 
   boost::asio::ip::tcp::socket Socket;
   boost::asio::steady_timer ConnectTimer;
+  ConnectLimits Limits;
+  Time ConnectUntil; ///< the connection fails unless it is established by then
+  /// Sockets that are being connected; the first one to succeed is used.
+  std::vector<std::shared_ptr<boost::asio::ip::tcp::socket>> Connecting;
   Endpoint Peer;
   ConnectCallback OnConnectEnd;         ///< empty once it was called
   ResponseObserver *Observer = nullptr; ///< nullptr while idle
--- a/src/node/connection_pool.cpp
+++ b/src/node/connection_pool.cpp
@@ -65,8 +65,9 @@
 }
 
 std::shared_ptr<ClientConnection>
-ConnectionPool::open(const Endpoint &peer, ConnectCallback onConnectEnd) {
-  auto connection = std::make_shared<ClientConnection>(Loop, peer);
+ConnectionPool::open(const Endpoint &peer, ConnectCallback onConnectEnd,
+                     const ConnectLimits &limits) {
+  auto connection = std::make_shared<ClientConnection>(Loop, peer, limits);
   connection->open(std::move(onConnectEnd));
   return connection;
 }
--- a/src/node/connection_pool.h
+++ b/src/node/connection_pool.h
@@ -29,8 +29,9 @@
           const UsedConnections &excluded = {});
   /// @param onConnectEnd as for ClientConnection::open()
   /// @return a new connection that is being established
-  std::shared_ptr<ClientConnection> open(const Endpoint &peer,
-                                         ConnectCallback onConnectEnd = {});
+  std::shared_ptr<ClientConnection>
+  open(const Endpoint &peer, ConnectCallback onConnectEnd = {},
+       const ConnectLimits &limits = UpstreamConnectLimits);
   /// @return true if there is an idle connection to @p peer, even one that
   ///   has been idle too long for acquire()
   bool hasIdle(const Endpoint &peer) const;
--- a/tests/leaving_at_size_process_test.cpp
+++ b/tests/leaving_at_size_process_test.cpp
@@ -254,6 +254,32 @@
   std::vector<Drop> Drops;
 };
 
+// DRAIN: a VM could not call the store over a link on which packets wait, since
+// each connection had to be established within 0.4 s.
+TEST(StoreConnectionTest, IsEstablishedOnASlowLink) {
+  asio::io_context loop;
+  const Endpoint storeAddress = FleetWorld::address(0);
+  const Endpoint proxyAddress = FleetWorld::address(1);
+  StandinPlatformStore store(loop, storeAddress);
+  FaultProxy proxy(loop, proxyAddress, storeAddress);
+  HttpCallClient calls(loop);
+  proxy.hang();
+  asio::steady_timer openTimer(loop, milliseconds(450));
+  openTimer.async_wait([&](const auto &) { proxy.open(); });
+  std::optional<HttpCallResult> result;
+  const Time begunAt = bootNow();
+  calls.call(proxyAddress, platform::buildStaleListRequest("op/"), "",
+             begunAt + seconds(2), [&](const HttpCallResult &end) {
+               result = end;
+               loop.stop();
+             });
+  loop.run_for(std::chrono::seconds(3));
+  ASSERT_TRUE(result);
+  EXPECT_EQ(result->Loss, CallLoss::None) << result->Error;
+  EXPECT_EQ(result->Status, 200);
+  EXPECT_LT(bootNow() - begunAt, seconds(1));
+}
+
 // DRAIN: VMs in touch with the store used upstreams that had left for longer
 // than the bound while a reader, a connection or a link failed.
 TEST_F(LeavingAtSizeTest, UpstreamsThatLeaveAreDroppedInTime) {
