Fix: [Distribution] Readers vouched for lists that they had not read

Cause: a reader's report stated the time since any answer of the store, and a follower relied on the reader for 1.2 s more. In the delay before its next watch (0.86 s at 60 VMs, 0.95 s from 75 on), or with a watch that had just begun, a reader so vouched for a list without the newest changes; if it was lost then, its followers read the store up to 2.4 s after a change, plus their own call. A new reader passed on what its former reader had said. Callers saw: requests to upstreams that had left, from followers in touch whose reader was lost, slow or frozen. Change: each feed knows the time up to which its list is complete: the begin of the read that it rests on, or of a later call that the store answered after a pending watch had reached it. Reports carry that age; a follower counts it from the hello that the report replies to, so that late datagrams age with it. The reader's delay between watches is 0.5 s at all sizes, since only VMs that read for themselves become more with the fleet, and it probes the store as soon as a watch has begun. A follower reads the store itself when its list is 1.2 s old, by a timer. Conclusion: the age of the list is bounded, whatever a reader does.

--- a/src/distribution/feed_freshness.h
+++ b/src/distribution/feed_freshness.h
@@ -14,17 +14,19 @@
 /// when its state may be older than MaxAge.
 class FeedFreshness {
 public:
-  /// With the time until the store has answered, this stays below the shortest
-  /// bound (2 s) within which a change must be acted on.
+  /// A report comes every 400 ms; the reader's list is up to 550 ms old.
   static constexpr Duration MaxAge = milliseconds(1200);
 
   /// Records a report of the reader.
-  /// @param age time since the reader last heard from the store
+  /// @param age time since the reader's state was known to be complete
   /// @param isComplete this VM has all changes that the reader has
-  void onReport(Duration age, bool isComplete, Time now) {
+  /// @param sentAt the report was not sent before
+  void onReport(Duration age, bool isComplete, Time sentAt) {
     if (isComplete)
-      FreshUntil = std::max(FreshUntil, now - age + MaxAge);
+      FreshUntil = std::max(FreshUntil, sentAt - age + MaxAge);
   }
+  /// @return until when the state is fresh without another report
+  Time freshUntil() const { return FreshUntil; }
   /// The reader is not relied on any more.
   void clear() { FreshUntil = Time(); }
   bool isFresh(Time now) const { return now < FreshUntil; }
--- a/src/node/cluster.cpp
+++ b/src/node/cluster.cpp
@@ -10,6 +10,7 @@
 
 #include <algorithm>
 #include <iterator>
+#include <ranges>
 
 namespace waxwing {
 namespace {
@@ -76,6 +77,7 @@
            settings.Vm.decimal("processor_share")},
       PeerAddress(parseEndpoint(settings.Listen.text("peers"))),
       PeriodicWorkTimer(loop, [this] { runPeriodicWork(); }),
+      FreshnessTimer(loop, [this] { followReader(bootNow()); }),
       OwnLeadership(loop, settings, calls, store, health, upstreams, RangeMaps),
       Feeds(feeds), List{{describeSelf()}, {}} {
   OwnLeadership.OnRangeMapChanged = [this](const ServiceId &service,
@@ -90,6 +92,7 @@
     setLeader({Self.Vm, PeerAddress, term});
     const Time now = bootNow();
     Parent.clear();
+    OnAssigned();
     followReader(now);
     Peers.clear();
     NextHandoverCheckAt = now + HandoverCheckInterval;
@@ -134,7 +137,12 @@
   }
   followReader(now);
   const bool isRelayed = Parent.hasReader() && Freshness.isFresh(now);
-  if (now >= NextLeaderKeyProbeAt && !IsReadingLeaderKey && !isRelayed)
+  // Followers rely on a watch only when the store has answered after its begin.
+  const bool isUnproven =
+      Parent.isReader() &&
+      std::ranges::any_of(Feeds, &StoreFeed::isWatchUnproven);
+  if ((now >= NextLeaderKeyProbeAt || isUnproven) && !IsReadingLeaderKey &&
+      !isRelayed)
     probeLeaderKey();
   if (now >= NextHelloAt)
     sendHello(now);
@@ -172,6 +180,14 @@
   const bool isRelayed = Parent.hasReader() && Freshness.isFresh(now);
   for (StoreFeed *feed : Feeds)
     feed->setRelayed(isRelayed);
+  if (isRelayed)
+    FreshnessTimer.scheduleBy(Freshness.freshUntil());
+}
+
+Time Cluster::completeAt() const {
+  return std::ranges::min(Feeds | std::views::transform([](auto *feed) {
+                            return feed->completeAt();
+                          }));
 }
 
 void Cluster::noteNewestChange(std::size_t feed, StoreRevision change,
@@ -442,7 +458,7 @@
   hello.StoreService = describeStoreService(now);
   if (Parent.isReader()) {
     hello.Report.emplace();
-    hello.Report->StoreAge = now - Health.lastResponseAt();
+    hello.Report->StoreAge = now - completeAt();
     for (const auto &[vm, peer] : Peers)
       hello.Report->Followers.push_back(describe(peer));
   }
--- a/src/node/cluster.h
+++ b/src/node/cluster.h
@@ -94,6 +94,8 @@
   /// Called when another VM, or the response to an order, reported that an
   /// upstream process leaves.
   std::function<void(const UpstreamProcess &)> OnLeavingReported;
+  /// Called when isReader() may have changed.
+  std::function<void()> OnAssigned;
   /// Called when the list of VMs has changed.
   std::function<void(const std::vector<VmInfo> &)> OnVmListChanged;
 
@@ -131,7 +133,9 @@
                const boost::asio::ip::udp::endpoint &sender);
   void onRangeUpdate(const PeerRangeUpdate &ranges);
   void onStoreUpdate(const PeerStoreUpdate &update);
-  void onStoreReport(const StoreReport &report, Time now);
+  void onStoreReport(const StoreReport &report, Time sentAt, Time now);
+  /// @return time up to which the state of all feeds is complete
+  Time completeAt() const;
   void noteNewestChange(std::size_t feed, StoreRevision change, Time now);
   void noteNewestChanges(const FeedRevisions &changes, Time now);
   void restartSilentWatches(Time now);
@@ -181,6 +185,8 @@
   Candidate Self;
   Endpoint PeerAddress;
   DeadlineTimer PeriodicWorkTimer;
+  DeadlineTimer
+      FreshnessTimer;     ///< due when the reader's last report is too old
   Time PeriodicWorkDueAt; ///< Time() before the first one
   LatencyStats LoopDelays;
   std::uint64_t UnexpectedDatagrams = 0;
--- a/src/node/cluster_messages.cpp
+++ b/src/node/cluster_messages.cpp
@@ -145,7 +145,7 @@
   if (!Parent.isReader() || !isCurrent)
     return reply;
   reply.Store.emplace();
-  reply.Store->Age = now - Health.lastResponseAt();
+  reply.Store->Age = now - completeAt();
   if (Health.recoveredAt() != Time())
     reply.Store->RecoveredAge = now - Health.recoveredAt();
   std::ranges::transform(
@@ -209,22 +209,22 @@
     sendHello(now); // an earlier update was lost; request it again
 }
 
-void Cluster::onStoreReport(const StoreReport &report, Time now) {
+void Cluster::onStoreReport(const StoreReport &report, Time sentAt, Time now) {
   const StoreEpoch epoch = epochOf(*std::ranges::max_element(report.Revisions));
   Store.noteEpoch(epoch, now);
   if (epoch < Store.epoch())
     return; // the reader does not know of the restoration yet
   Health.recordRelayedAnswer(
-      now - report.Age,
+      sentAt - report.Age,
       report.RecoveredAge ? now - *report.RecoveredAge : Time(), now);
   bool isComplete = true;
   for (std::size_t n = 0; n < FeedCount; ++n)
     isComplete &=
         Feeds[n]->isLoaded() && Feeds[n]->revision() >= report.Revisions[n];
-  Freshness.onReport(report.Age, isComplete, now);
+  Freshness.onReport(report.Age, isComplete, sentAt);
   if (isComplete)
     for (StoreFeed *feed : Feeds)
-      feed->noteCompleteAt(now - report.Age);
+      feed->noteCompleteAt(sentAt - report.Age);
   followReader(now);
 }
 
@@ -240,6 +240,7 @@
               ? "-"
               : sanitizeForLog(assignment.Reader.Value),
           counterOf(Leader.Term));
+  OnAssigned();
   followReader(now);
   NextHelloAt = now;
 }
@@ -261,7 +262,7 @@
   if (isFromOwnReader) {
     Parent.onReaderReply(now);
     if (reply.Store)
-      onStoreReport(*reply.Store, now);
+      onStoreReport(*reply.Store, std::min(sentAt, now), now);
     if (reply.Leader.Term > std::max(Leader.Term, LastEndedTerm))
       setLeader(reply.Leader);
     if (reply.Leader.Term < Leader.Term)
--- a/src/node/routing_replica.cpp
+++ b/src/node/routing_replica.cpp
@@ -81,11 +81,9 @@
   };
   VmCluster.OnVmListChanged = [this](const std::vector<VmInfo> &vms) {
     RequestGateway.setVms(vms);
-    UpstreamFeed.setBatchDelay(
-        UpstreamBatchDelay +
-        std::min(MaxBatchDelayForVms,
-                 BatchDelayPerVm * static_cast<int>(vms.size())));
+    updateBatchDelay();
   };
+  VmCluster.OnAssigned = [this] { updateBatchDelay(); };
   OperatorFeed.OnBatchRead = [this](const ChangeBatch &batch) {
     VmCluster.onStoreBatch(FeedId::Operators, batch);
   };
@@ -102,8 +100,6 @@
       feed->beginEpoch();
     VmCluster.beginStoreEpoch();
   };
-  // After an outage of the store, a pending watch may never return, so both
-  // feeds reload everything.
   Health.OnChange = [this](bool hasResponse) {
     if (hasResponse) {
       OperatorFeed.reloadIfWatching();
@@ -257,6 +253,17 @@
           isEvacuated, changeResultName(result));
 }
 
+/// Readers are few, and all that they read late is late on their followers.
+void RoutingReplica::updateBatchDelay() {
+  UpstreamFeed.setBatchDelay(
+      VmCluster.isReader()
+          ? UpstreamBatchDelay
+          : UpstreamBatchDelay +
+                std::min(MaxBatchDelayForVms,
+                         BatchDelayPerVm *
+                             static_cast<int>(VmCluster.vmCount())));
+}
+
 void RoutingReplica::onBatchEnd() {
   if (const int count = std::exchange(ChangedUpstreams, 0); count > 0)
     logLine(LogPriority::StateChange, bootNow(), "upstreams",
--- a/src/node/routing_replica.h
+++ b/src/node/routing_replica.h
@@ -41,6 +41,7 @@
   void onConfigChange(const platform::StoreChange &change);
   void onEvacuationChange(const std::string &domain, bool isEvacuated);
   void onBatchEnd();
+  void updateBatchDelay();
   /// Applies the changes that State deferred.
   void applyDueChanges();
   /// @return how a change that @p feed reports now has become known
--- a/src/node/store_feed.cpp
+++ b/src/node/store_feed.cpp
@@ -28,7 +28,7 @@
 constexpr int MaxRetryDoublings = 3;
 /// Calls begin at a random time within this delay when the VM that read for
 /// this one and others is lost.
-constexpr Duration MaxResumeDelay = milliseconds(150);
+constexpr Duration MaxResumeDelay = milliseconds(100);
 
 /// Names of the paths, by value.
 constexpr std::array<std::string_view, ChangePathCount> ChangePathNames{
@@ -290,9 +290,9 @@
   }
   Failures = 0;
   beginChanges(ChangePath::Watch);
-  // The store was answering other calls while this one waited for a change.
-  noteCompleteAt(std::max(result.BegunAt, Health.lastAnsweredCallAt()));
-  Health.recordAnswer(result.BegunAt, bootNow());
+  // The store may have answered other calls while this one waited for a change.
+  noteCompleteAt(std::max(result.BegunAt, watchedUntil()));
+  Health.recordAnswer(result.BegunAt, bootNow(), StoreCallKind::Waiting);
   ChangeBatch batch{Revision, std::max(Revision, changes->StoreAt), {}};
   std::ranges::copy_if(changes->Changes, std::back_inserter(batch.Changes),
                        [this](const platform::StoreChange &change) {
--- a/src/node/store_feed.h
+++ b/src/node/store_feed.h
@@ -87,8 +87,12 @@
   /// @return time up to which the state has all changes that the store has
   ///   acknowledged, if a pending watch returns a change at once
   Time completeAt() const {
-    return isWatching() ? std::max(CompleteAt, Health.lastAnsweredCallAt())
-                        : CompleteAt;
+    return isWatching() ? std::max(CompleteAt, watchedUntil()) : CompleteAt;
+  }
+  /// @return true if nothing shows yet that the pending watch has reached the
+  ///   store
+  bool isWatchUnproven() const {
+    return isWatching() && watchedUntil() < WatchBegunAt;
   }
   /// @return origin of the change that is being applied; valid within the
   ///   handlers of start()
@@ -102,6 +106,10 @@
   std::uint64_t callCount() const { return CallCount; }
 
 private:
+  /// A change that precedes a watch is returned within this time and two round
+  /// trips.
+  static constexpr Duration MinWatchDelivery = milliseconds(50);
+
   void load(const std::string &after);
   void onPage(const HttpCallResult &result);
   void finishLoad();
@@ -114,6 +122,15 @@
   /// Schedules the next call, unless the feed is relayed.
   void scheduleCall(Time at);
   void beginChanges(ChangePath path);
+  /// @return begin of the last call that the store answered after the present
+  ///   watch had reached it; Time() if there is none
+  Time watchedUntil() const {
+    const Time reachedAt =
+        WatchBegunAt + std::max(2 * Health.lastRoundTrip(), MinWatchDelivery);
+    return Health.lastAnsweredCallAt() >= reachedAt
+               ? Health.lastAnsweredCallAt()
+               : Time();
+  }
 
   NodeStoreClient &Store;
   StoreHealth &Health;
--- a/src/node/store_health.cpp
+++ b/src/node/store_health.cpp
@@ -101,7 +101,9 @@
     OnChange(false);
 }
 
-void StoreHealth::recordAnswer(Time begunAt, Time now) {
+void StoreHealth::recordAnswer(Time begunAt, Time now, StoreCallKind kind) {
+  if (kind == StoreCallKind::Prompt)
+    LastRoundTrip = now - begunAt;
   EndedFirstCalls = 0;
   LastAnsweredCallAt = std::max(LastAnsweredCallAt, begunAt);
   if (OwnAnswersSince == Time())
--- a/src/node/store_health.h
+++ b/src/node/store_health.h
@@ -45,7 +45,8 @@
   void recordCall(const HttpCallResult &result, bool isUsable, Time now);
   /// Records a usable response.
   /// @param begunAt when its call was begun
-  void recordAnswer(Time begunAt, Time now);
+  void recordAnswer(Time begunAt, Time now,
+                    StoreCallKind kind = StoreCallKind::Prompt);
   /// Records a call without a usable response.
   /// @param why the reason, for the log
   void recordFailure(const HttpCallResult &result, StoreCallKind kind,
@@ -74,6 +75,8 @@
   /// @return end of the store's last outage or restoration; Time() if there was
   ///   none
   Time recoveredAt() const { return std::max(RecoveredAt, RestoredAt); }
+  /// @return duration of the last call of kind Prompt that was answered
+  Duration lastRoundTrip() const { return LastRoundTrip; }
   /// @return the last time in which the store is known to have answered this VM
   ///   or others without an outage; nullopt if there is none
   std::optional<StoreService> knownService() const;
@@ -104,6 +107,7 @@
   StoreState State = StoreState::Serving;
   Time LastResponseAt;
   Time LastAnsweredCallAt;
+  Duration LastRoundTrip{};
   Time RecoveredAt; ///< end of the last outage
   Time RestoredAt;  ///< last restoration
   /// The last outage, with those before it that followed each other closely:
--- a/src/peers/peer_message_type.h
+++ b/src/peers/peer_message_type.h
@@ -48,7 +48,7 @@
 
 /// Additional report of a reader to the leader.
 struct ReaderReport {
-  Duration StoreAge{}; ///< time since the store last answered the reader
+  Duration StoreAge{};           ///< as StoreReport::Age
   std::vector<VmInfo> Followers; ///< VMs that report to it, by name
 };
 
@@ -114,7 +114,9 @@
 
 /// State of the store as known to a reader.
 struct StoreReport {
-  Duration Age{}; ///< time since the store last answered the reader
+  /// Time since the reader's state was known to be complete. Earlier versions
+  /// send the time since the store last answered them.
+  Duration Age{};
   /// Time since the end of the store's last outage that the reader noticed;
   /// nullopt if there was none.
   std::optional<Duration> RecoveredAge;
--- a/tests/leaving_at_size_process_test.cpp
+++ b/tests/leaving_at_size_process_test.cpp
@@ -19,6 +19,9 @@
 /// had its links back for this time.
 constexpr Duration ContactTime = seconds(3);
 
+/// The stand-in store returns changes to watches within this time.
+constexpr Duration StandinDelay = milliseconds(50);
+
 /// What happens to the VMs of one domain while upstreams leave.
 enum class Fault : std::uint8_t {
   None,
@@ -199,6 +202,11 @@
       FleetVm &vm = *World.Vms[n];
       Drop &drop = drops[n];
       const StoreFeed &feed = vm.Replica.upstreamFeed();
+      // Silent watches are found by what other VMs have read.
+      if (faults[n % DomainCount] != Fault::ReadersSilent &&
+          counterOf(feed.revision()) < revision &&
+          feed.completeAt() > changedAt + StandinDelay)
+        noteWrongAge(n, revision, changedAt, faults[n % DomainCount]);
       if (drop.UntilKnown == Duration() &&
           counterOf(feed.revision()) >= revision) {
         drop.Vm = n;
@@ -214,6 +222,21 @@
     }
   }
 
+  void noteWrongAge(int n, StoreRevision revision, Time changedAt,
+                    Fault fault) {
+    if (!WrongAges.insert({n, revision}).second)
+      return;
+    const StoreFeed &feed = World.Vms[n]->Replica.upstreamFeed();
+    fmt::print(
+        "vm{:02} without a change takes its list for complete {} ms after "
+        "it, fault {}, reader {}, watching {}, watch begun {} ms after "
+        "it\n",
+        n, toMilliseconds(feed.completeAt() - changedAt),
+        FaultNames[static_cast<std::size_t>(fault)],
+        World.Vms[n]->Replica.cluster().isReader(), feed.isWatching(),
+        toMilliseconds(feed.watchBegunAt() - changedAt));
+  }
+
   void print() const {
     std::map<std::string, std::vector<Duration>> byPath;
     for (const Drop &drop : Drops)
@@ -252,6 +275,8 @@
   FleetWorld World{VmCount, DomainCount, 1};
   std::uint64_t NextFault = 0;
   std::vector<Drop> Drops;
+  /// VMs that took their list for complete without a change, and that change.
+  std::set<std::pair<int, StoreRevision>> WrongAges;
 };
 
 // DRAIN: a VM could not call the store over a link on which packets wait, since
@@ -304,6 +329,7 @@
           FaultNames[static_cast<std::size_t>(drop.DomainFault)],
           toMilliseconds(drop.UntilCall), toMilliseconds(drop.UntilKnown));
   }
+  EXPECT_EQ(WrongAges.size(), 0U);
   EXPECT_EQ(late, 0) << "of " << Drops.size();
 }
 
