Fix: [Node] A watch whose connection was not established vouched for the list

Cause: an answer to another call showed that the store serves, and counted for a pending watch that had not been sent yet. Conclusion: what a VM knows of its list is not ahead of its reads.

--- a/src/node/call_client.cpp
+++ b/src/node/call_client.cpp
@@ -48,10 +48,12 @@
   PendingCall(boost::asio::io_context &loop, ConnectionPool &pool,
               std::shared_ptr<ClientConnection> connection,
               CallIdentity identity, std::size_t maxResponse,
-              HttpCallClient::Callback callback)
+              HttpCallClient::Callback callback,
+              std::function<void()> onSending)
       : Pool(pool), Connection(std::move(connection)),
         Identity(std::move(identity)), MaxResponse(maxResponse),
-        Callback(std::move(callback)), Timer(loop, [this] {
+        Callback(std::move(callback)), OnSending(std::move(onSending)),
+        Timer(loop, [this] {
           abandon("no response before the deadline", CallLoss::Silent);
         }) {}
 
@@ -63,6 +65,11 @@
     Connection->beginRequest(this, request, true, false);
   }
 
+  bool isStillNeeded() override {
+    if (OnSending)
+      OnSending();
+    return true;
+  }
   bool onResponseHead(http::ResponseHead &head) override {
     if (!Identity.isOwnResponse(head)) {
       logLine(LogPriority::Failure, bootNow(), "response_of_another_call",
@@ -122,6 +129,7 @@
   CallIdentity Identity;
   std::size_t MaxResponse;
   HttpCallClient::Callback Callback;
+  std::function<void()> OnSending;
   DeadlineTimer Timer;
   HttpCallResult Result;
   std::shared_ptr<PendingCall>
@@ -137,7 +145,8 @@
 void HttpCallClient::call(const Endpoint &peer,
                           const platform::PlatformRequest &call,
                           const std::string &target, Time deadline,
-                          Callback callback, ConnectionReuse reuse) {
+                          Callback callback, ConnectionReuse reuse,
+                          std::function<void()> onSending) {
   std::string request =
       fmt::format("{} {} HTTP/1.1\r\nHost: {}\r\n", call.Method, call.Target,
                   formatEndpoint(peer));
@@ -164,7 +173,8 @@
   std::make_shared<PendingCall>(
       Loop, Pool, std::move(connection),
       CallIdentity{!target.empty(), call.ResponseHeader, isFirstCall},
-      target.empty() ? MaxStoreResponse : MaxOrderResponse, std::move(callback))
+      target.empty() ? MaxStoreResponse : MaxOrderResponse, std::move(callback),
+      std::move(onSending))
       ->start(request, deadline);
 }
 
--- a/src/node/call_client.h
+++ b/src/node/call_client.h
@@ -57,9 +57,11 @@
   ///   A response that exceeds MaxOrderResponse or MaxStoreResponse counts as
   ///   lost
   /// @param deadline the connection is reset if there is no response by then
+  /// @param onSending called before the first byte is written
   void call(const Endpoint &peer, const platform::PlatformRequest &call,
             const std::string &target, Time deadline, Callback callback,
-            ConnectionReuse reuse = ConnectionReuse::Allowed);
+            ConnectionReuse reuse = ConnectionReuse::Allowed,
+            std::function<void()> onSending = {});
   /// Called with the outcome of a new connection for a call with a target, the
   /// target and the time when the connection was begun.
   std::function<void(const std::string &, Time, ConnectOutcome)>
--- a/src/node/store_client.cpp
+++ b/src/node/store_client.cpp
@@ -31,19 +31,22 @@
 
 void NodeStoreClient::call(const platform::PlatformRequest &request,
                            Time deadline, HttpCallClient::Callback callback,
-                           StoreCallKind kind) {
+                           StoreCallKind kind,
+                           std::function<void()> onSending) {
   const Time now = bootNow();
   if (kind == StoreCallKind::Prompt) {
     PendingSince.insert(now);
     scheduleCheck();
   }
-  Calls.call(Store, request, "", deadline,
-             [this, kind, now,
-              callback = std::move(callback)](const HttpCallResult &result) {
-               if (kind == StoreCallKind::Prompt)
-                 PendingSince.erase(PendingSince.find(now));
-               onResponse(result, callback);
-             });
+  Calls.call(
+      Store, request, "", deadline,
+      [this, kind, now,
+       callback = std::move(callback)](const HttpCallResult &result) {
+        if (kind == StoreCallKind::Prompt)
+          PendingSince.erase(PendingSince.find(now));
+        onResponse(result, callback);
+      },
+      ConnectionReuse::Allowed, std::move(onSending));
 }
 
 void NodeStoreClient::onResponse(const HttpCallResult &result,
--- a/src/node/store_client.h
+++ b/src/node/store_client.h
@@ -29,9 +29,11 @@
   /// @param callback gets the response; one of an earlier epoch than epoch()
   ///   counts as lost, since the state that it describes is gone
   /// @param kind calls of kind Waiting are not checked
+  /// @param onSending called before the first byte is written
   void call(const platform::PlatformRequest &request, Time deadline,
             HttpCallClient::Callback callback,
-            StoreCallKind kind = StoreCallKind::Prompt);
+            StoreCallKind kind = StoreCallKind::Prompt,
+            std::function<void()> onSending = {});
   /// Lets the next calls use new connections.
   void closeIdle() { Calls.closeIdle(Store); }
   /// Records an epoch of the store, stated by a response or by another VM.
--- a/src/node/store_feed.cpp
+++ b/src/node/store_feed.cpp
@@ -249,17 +249,23 @@
     return;
   IsCallPending = true;
   WatchBegunAt = bootNow();
+  WatchSentAt = Time::max();
   ++CallCount;
+  const std::uint64_t callId = ++CurrentCallId;
   Store.call(
       platform::buildWatchRequest(Options.Prefix, Revision, WatchWait),
       bootNow() + WatchWait + WatchResponseMargin,
-      [this, callId = ++CurrentCallId](const HttpCallResult &result) {
+      [this, callId](const HttpCallResult &result) {
         if (callId != CurrentCallId)
           return;
         IsCallPending = false;
         onWatch(result);
       },
-      StoreCallKind::Waiting);
+      StoreCallKind::Waiting,
+      [this, callId] {
+        if (callId == CurrentCallId)
+          WatchSentAt = bootNow();
+      });
 }
 
 void StoreFeed::onWatch(const HttpCallResult &result) {
--- a/src/node/store_feed.h
+++ b/src/node/store_feed.h
@@ -125,8 +125,10 @@
   /// @return begin of the last call that the store answered after the present
   ///   watch had reached it; Time() if there is none
   Time watchedUntil() const {
+    if (WatchSentAt == Time::max())
+      return {};
     const Time reachedAt =
-        WatchBegunAt + std::max(2 * Health.lastRoundTrip(), MinWatchDelivery);
+        WatchSentAt + std::max(2 * Health.lastRoundTrip(), MinWatchDelivery);
     return Health.lastAnsweredCallAt() >= reachedAt
                ? Health.lastAnsweredCallAt()
                : Time();
@@ -151,6 +153,7 @@
   Time CompleteAt; ///< as returned by completeAt() while no watch is pending
   Time LoadBegunAt;
   Time WatchBegunAt;
+  Time WatchSentAt = Time::max(); ///< not before its connection was established
   ChangeSource Source; ///< as returned by source()
   std::uint64_t CallCount = 0;
   std::uint64_t CurrentCallId = 0; ///< responses to earlier calls are ignored
