Fix: [Node] A failed watch was followed by a load of all keys

Cause: after a watch that failed, and after an outage, a VM loaded all keys page by page over the link that had just failed, hundreds of entries at size, before it watched again; retries took up to 0.8 s. A watch lasted 25 s, longer than the history of the store (20 s), so that calm VMs loaded op/ again after each. Callers saw: requests to upstreams that had left, from VMs whose watch was cut or whose link was slow. Change: a watch continues at its revision; the store tells (410) if its history begins later, and only then all keys are loaded, as after a malformed change or a restoration. Retries come after 0.1 and 0.2 s, up to 0.4 s if the store answers without serving; when it serves again both feeds call it at once. Watches last 15 s. Conclusion: a failed call costs its retry alone.

--- a/src/node/routing_replica.cpp
+++ b/src/node/routing_replica.cpp
@@ -102,8 +102,8 @@
   };
   Health.OnChange = [this](bool hasResponse) {
     if (hasResponse) {
-      OperatorFeed.reloadIfWatching();
-      UpstreamFeed.reloadIfWatching();
+      OperatorFeed.resume();
+      UpstreamFeed.resume();
       VmCluster.onStoreRegained();
     }
   };
--- a/src/node/store_feed.cpp
+++ b/src/node/store_feed.cpp
@@ -14,18 +14,22 @@
 namespace waxwing {
 namespace {
 
-/// Time after which the store ends a watch without changes. A failure of the
-/// store is detected by the probes of Cluster, not by the watch.
-constexpr Duration WatchWait = seconds(25);
+/// Time after which the store ends a watch without changes; shorter than the
+/// history of the store, which the next watch continues. A failure of the store
+/// is detected by the probes of Cluster, not by the watch.
+constexpr Duration WatchWait = seconds(15);
 /// Additional time for the response of a slow store.
 constexpr Duration WatchResponseMargin = milliseconds(1500);
 constexpr Duration LoadTimeout = milliseconds(2000);
 /// Delay of the first watch after a load. A VM that has just started usually
 /// gets a reader meanwhile, and changes need not be acted on sooner.
 constexpr Duration DelayAfterLoad = milliseconds(600);
-/// Delay after a failed call; doubled up to MaxRetryDoublings times.
+/// Delay after a failed call, doubled with each further one up to a limit. A
+/// store that answers, but does not serve, is called less often than one that
+/// cannot be reached.
 constexpr Duration InitialRetryDelay = milliseconds(100);
-constexpr int MaxRetryDoublings = 3;
+constexpr int MaxRetryDoublings = 1;
+constexpr int MaxRefusedRetryDoublings = 2;
 /// Calls begin at a random time within this delay when the VM that read for
 /// this one and others is lost.
 constexpr Duration MaxResumeDelay = milliseconds(100);
@@ -108,13 +112,11 @@
     NextCallTimer.scheduleBy(at);
 }
 
-void StoreFeed::reloadIfWatching() {
-  if (!IsCallPending || NeedsReload || IsRelayed)
-    return;
-  ++CurrentCallId;
-  IsCallPending = false;
-  NeedsReload = true;
-  NextCallTimer.scheduleBy(bootNow());
+void StoreFeed::resume() {
+  if (isWatching())
+    restartWatch();
+  else if (!IsCallPending && Failures > 0)
+    scheduleCall(bootNow());
 }
 
 void StoreFeed::restartWatch() {
@@ -134,8 +136,11 @@
   logLine(LogPriority::Failure, now, "store_call_failed",
           "prefix={} why={} failures={}", Options.Prefix, sanitizeForLog(why),
           Failures);
-  scheduleCall(now + InitialRetryDelay *
-                         (1 << std::min(Failures, MaxRetryDoublings)));
+  const int maxDoublings = result.Loss == CallLoss::None
+                               ? MaxRefusedRetryDoublings
+                               : MaxRetryDoublings;
+  scheduleCall(now +
+               InitialRetryDelay * (1 << std::min(Failures - 1, maxDoublings)));
 }
 
 void StoreFeed::load(const std::string &after) {
@@ -277,9 +282,8 @@
     return;
   }
   if (result.Status != platform::StatusOk) {
-    // After a failed watch, the store's history may no longer contain all
-    // missed changes; a full load returns the current state in any case.
-    NeedsReload = true;
+    // The next watch continues from the same revision; the store tells if its
+    // history begins later.
     retry(result, StoreCallKind::Waiting,
           result.Status == 0 ? result.Error
                              : fmt::format("watch: status {}", result.Status));
--- a/src/node/store_feed.h
+++ b/src/node/store_feed.h
@@ -67,8 +67,9 @@
   /// Continues a pending watch on a new connection, since its own may be
   /// silent.
   void restartWatch();
-  /// Reloads all keys if a watch is pending, since that watch may never return.
-  void reloadIfWatching();
+  /// Makes the next call at once, since the store serves this VM again. A
+  /// pending watch may never return.
+  void resume();
   /// Loads all keys of a restored store. Until then the state of the earlier
   /// epoch stays in force.
   void beginEpoch();
--- a/tests/store_feed_test.cpp
+++ b/tests/store_feed_test.cpp
@@ -6,6 +6,7 @@
 #include "scripted_upstream_fixture.h"
 
 #include <gtest/gtest.h>
+#include <mutex>
 
 namespace waxwing {
 namespace {
@@ -79,5 +80,58 @@
   EXPECT_EQ(batches[1].Changes[0].Key, "s/a");
 }
 
+// DRAIN: after a watch that failed, a VM loaded all keys over the link that had
+// just failed, before it learned that an upstream leaves.
+TEST(StoreFeed, WatchThatWasCutContinuesAtItsRevision) {
+  const std::uint16_t port = findFreePort();
+  std::vector<std::string> calls;
+  std::mutex mutex;
+  ThreadedTcpServer server(port, [&](auto &socket) {
+    Peer peer(socket);
+    const auto answer = [&peer](int status, const std::string &body) {
+      peer.write(fmt::format("HTTP/1.1 {} X\r\nStore-Era: 1\r\n"
+                             "Content-Length: {}\r\n\r\n{}",
+                             status, body.size(), body));
+    };
+    for (std::string head; !(head = peer.readHead()).empty();) {
+      const bool isWatch = head.find("kv-watch") != std::string::npos;
+      std::size_t count = 0;
+      {
+        const std::scoped_lock lock(mutex);
+        calls.push_back(isWatch ? "watch" : "load");
+        count = calls.size();
+      }
+      if (!isWatch)
+        answer(200, makePage("s/a", "QQ==", 5, false, 10));
+      else if (count == 2)
+        peer.end(); // the first watch is cut
+      else if (count == 3)
+        answer(200, R"({"events":[{"key":"s/a","revision":12,"removed":true}],)"
+                    R"("store_revision":12})");
+      else
+        answer(410, "{}"); // the history is gone
+    }
+  });
+  boost::asio::io_context loop;
+  HttpCallClient client(loop);
+  StoreHealth health;
+  NodeStoreClient store(loop, client, health, {"127.0.0.1", port}, true);
+  StoreFeed feed(loop, store, health, {"s/", Duration()});
+  Time removedAt;
+  int loads = 0;
+  feed.OnBatchRead = [&](const ChangeBatch &batch) {
+    if (counterOf(batch.To) == 12 && removedAt == Time())
+      removedAt = bootNow();
+    if (feed.source().Path == ChangePath::Load && ++loads == 2)
+      loop.stop();
+  };
+  feed.start([](const platform::StoreChange &) {}, [] {});
+  loop.run_for(std::chrono::seconds(6));
+  const std::scoped_lock lock(mutex);
+  EXPECT_EQ(calls, (std::vector<std::string>{"load", "watch", "watch", "watch",
+                                             "load"}));
+  EXPECT_NE(removedAt, Time());
+}
+
 } // namespace
 } // namespace waxwing
