Fix: [Gateway] A request that waited for its connection reached an upstream that had left

Cause: the upstream is chosen when a request is sent, and a connection may take 0.4 s to be established; meanwhile the list may show that the upstream leaves. Callers saw: with the longest age of the list, requests up to 0.4 s later. Change: before the first byte is written, an attempt asks whether its upstream has left. Conclusion: the time of the decision is that of the first byte.

--- a/src/node/attempt.cpp
+++ b/src/node/attempt.cpp
@@ -171,7 +171,13 @@
   const auto exchange = ParentExchange.lock();
   if (exchange && exchange->CheckCallerConnected)
     exchange->CheckCallerConnected();
-  return exchange && !exchange->IsCallerDisconnected && !HasEnded;
+  if (!exchange || exchange->IsCallerDisconnected || HasEnded)
+    return false;
+  if (upstream() == nullptr || !Handler.hasLeft(upstreamProcess()))
+    return true;
+  Connection->close();
+  onConnectionLost("upstream has left", false);
+  return false;
 }
 
 /// @return false if the response belongs to another request
--- a/src/node/attempt.h
+++ b/src/node/attempt.h
@@ -46,6 +46,9 @@
   /// forwarded to the caller.
   virtual void onAttemptEnd(const std::shared_ptr<Exchange> &exchange,
                             Attempt &attempt, const AttemptResult &result) = 0;
+  /// @return true if @p process may get no more requests, since its entry says
+  ///   that it leaves or was removed
+  virtual bool hasLeft(const UpstreamProcess &process) const = 0;
   /// A response header reported the upstream's load.
   virtual void onLoadReport(const UpstreamId &upstream,
                             const platform::LoadReport &report) = 0;
--- a/src/node/gateway.h
+++ b/src/node/gateway.h
@@ -153,6 +153,9 @@
   void onCallerClosed(const void *connection) override;
   void onAttemptEnd(const std::shared_ptr<Exchange> &exchange, Attempt &attempt,
                     const AttemptResult &result) override;
+  bool hasLeft(const UpstreamProcess &process) const override {
+    return Upstreams.hasLeft(process);
+  }
   void onLoadReport(const UpstreamId &upstream,
                     const platform::LoadReport &report) override;
   void onLeavingAnnounced(const UpstreamProcess &process) override;
--- a/src/routing/upstream_table.cpp
+++ b/src/routing/upstream_table.cpp
@@ -163,6 +163,13 @@
          Leaving.mayServeLastRequests(upstream.Entry.Id, now);
 }
 
+bool UpstreamTable::hasLeft(const UpstreamProcess &process) const {
+  const Upstream *upstream = find(process.Id);
+  return upstream == nullptr ||
+         (upstream->Entry.StartedAtMs == process.StartedAtMs &&
+          (!upstream->IsListed || upstream->Entry.IsDraining));
+}
+
 bool UpstreamTable::isInService(const Upstream &upstream) const {
   return upstream.IsListed && !upstream.Entry.IsDraining &&
          !upstream.IsMisaddressed && !Evacuated.contains(upstream.Entry.Domain);
--- a/src/routing/upstream_table.h
+++ b/src/routing/upstream_table.h
@@ -136,6 +136,8 @@
   bool isUsable(const Upstream &upstream) const {
     return isInService(upstream) && !isLeaving(upstream);
   }
+  /// @return true if the entry of @p process was removed or says that it leaves
+  bool hasLeft(const UpstreamProcess &process) const;
   /// @return true if the keys of owner @p id, which is not usable, may get
   ///   another owner soon. An owner that has been gone for longer may hold its
   ///   keys until its grants expire.
