Codechange: [Distribution] The stages of a change have their longest times in one table

Cause: the delays, ages and retries by which a change reaches a VM stood in six files, and nothing showed that their sums stay below the bound. Change: table/change_stages.h has them, with the sum of each way: with a reader, without one, with a lost datagram, reader or connection, and after a cut. Conclusion: a change of one stage that breaks the bound fails a test.

--- a/src/distribution/feed_freshness.h
+++ b/src/distribution/feed_freshness.h
@@ -5,7 +5,7 @@
 #ifndef WAXWING_DISTRIBUTION_FEED_FRESHNESS_H
 #define WAXWING_DISTRIBUTION_FEED_FRESHNESS_H
 
-#include "core/time_type.h"
+#include "table/change_stages.h"
 
 namespace waxwing {
 
@@ -14,8 +14,7 @@
 /// when its state may be older than MaxAge.
 class FeedFreshness {
 public:
-  /// A report comes every 400 ms; the reader's list is up to 550 ms old.
-  static constexpr Duration MaxAge = milliseconds(1200);
+  static constexpr Duration MaxAge = MaxListAge;
 
   /// Records a report of the reader.
   /// @param age time since the reader's state was known to be complete
--- a/src/node/client_connection.h
+++ b/src/node/client_connection.h
@@ -9,6 +9,7 @@
 #include "core/endpoint_type.h"
 #include "core/time_type.h"
 #include "http/parser.h"
+#include "table/change_stages.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -43,7 +44,7 @@
 /// For the store: there is no other choice. Links on which packets wait for up
 /// to half a second still work.
 inline constexpr ConnectLimits StoreConnectLimits{milliseconds(1200),
-                                                  milliseconds(300)};
+                                                  StoreConnectInterval};
 
 /// Receives the events of one request. Not called after onResponseEnd() or
 /// onConnectionLost().
--- a/src/node/cluster.cpp
+++ b/src/node/cluster.cpp
@@ -7,6 +7,7 @@
 #include "core/hash_func.h"
 #include "node/node_log.h"
 #include "node/store_keys.h"
+#include "table/change_stages.h"
 
 #include <algorithm>
 #include <iterator>
@@ -26,9 +27,6 @@
 /// replaced by another VM.
 constexpr Duration UrgentLeaderKeyProbeInterval = milliseconds(400);
 constexpr Duration ProbeTimeout = milliseconds(1200);
-constexpr Duration HelloInterval = milliseconds(400);
-/// Readers pass on what they gather more often.
-constexpr Duration ReaderHelloInterval = milliseconds(200);
 /// Least time between hellos that ask for lost updates.
 constexpr Duration MinHelloInterval = milliseconds(50);
 /// Interval of a reader's probes, by which it knows how old its state may be.
@@ -46,11 +44,8 @@
 /// The leader checks at this interval whether a VM with much more processor
 /// time should lead.
 constexpr Duration HandoverCheckInterval = seconds(5);
-constexpr Duration WorkInterval = milliseconds(100);
 /// Periodic work that is this late gets a line in the log.
 constexpr Duration LoggedLoopDelay = milliseconds(200);
-/// A pending watch returns a change within this time after another VM has it.
-constexpr Duration WatchDeliveryTimeout = milliseconds(300);
 /// Least time between two restarts of a watch, within which a slow response can
 /// arrive.
 constexpr Duration MinWatchRestartInterval = milliseconds(2000);
--- a/src/node/routing_replica.cpp
+++ b/src/node/routing_replica.cpp
@@ -7,20 +7,14 @@
 
 #include "documents.h"
 #include "node/node_log.h"
+#include "table/change_stages.h"
 
 namespace waxwing {
 namespace {
 
-/// Delays between watches. Configurations change one at a time and must be in
-/// force within 2 s. Upstreams change in large numbers, and stop 2 s after they
-/// announce draining.
+/// Delay between watches of the operators' keys. Configurations change one at a
+/// time and must be in force within 2 s.
 constexpr Duration OperatorBatchDelay = milliseconds(150);
-constexpr Duration UpstreamBatchDelay = milliseconds(500);
-/// VMs without a reader read each change of the upstream list themselves, so
-/// the delay grows with the number of VMs to limit the load on the store. Until
-/// that number is known, the largest delay applies.
-constexpr Duration BatchDelayPerVm = milliseconds(6);
-constexpr Duration MaxBatchDelayForVms = milliseconds(450);
 /// Upstreams are kept for this time after their removal, so that their keys can
 /// be released.
 constexpr Duration RemovedUpstreamRetention = seconds(15);
@@ -258,10 +252,7 @@
   UpstreamFeed.setBatchDelay(
       VmCluster.isReader()
           ? UpstreamBatchDelay
-          : UpstreamBatchDelay +
-                std::min(MaxBatchDelayForVms,
-                         BatchDelayPerVm *
-                             static_cast<int>(VmCluster.vmCount())));
+          : ownBatchDelay(static_cast<int>(VmCluster.vmCount())));
 }
 
 void RoutingReplica::onBatchEnd() {
--- a/src/node/store_feed.cpp
+++ b/src/node/store_feed.cpp
@@ -7,6 +7,7 @@
 
 #include "core/random_func.h"
 #include "node/node_log.h"
+#include "table/change_stages.h"
 
 #include <algorithm>
 #include <array>
@@ -24,16 +25,10 @@
 /// Delay of the first watch after a load. A VM that has just started usually
 /// gets a reader meanwhile, and changes need not be acted on sooner.
 constexpr Duration DelayAfterLoad = milliseconds(600);
-/// Delay after a failed call, doubled with each further one up to a limit. A
-/// store that answers, but does not serve, is called less often than one that
-/// cannot be reached.
-constexpr Duration InitialRetryDelay = milliseconds(100);
+/// Limits on the doublings of InitialRetryDelay. A store that answers, but does
+/// not serve, is called less often than one that cannot be reached.
 constexpr int MaxRetryDoublings = 1;
 constexpr int MaxRefusedRetryDoublings = 2;
-/// Calls begin at a random time within this delay when the VM that read for
-/// this one and others is lost.
-constexpr Duration MaxResumeDelay = milliseconds(100);
-
 /// Names of the paths, by value.
 constexpr std::array<std::string_view, ChangePathCount> ChangePathNames{
     "load", "watch", "reader"};
--- a/src/node/store_feed.h
+++ b/src/node/store_feed.h
@@ -155,7 +155,7 @@
   Time LoadBegunAt;
   Time WatchBegunAt;
   Time WatchSentAt = Time::max(); ///< not before its connection was established
-  ChangeSource Source; ///< as returned by source()
+  ChangeSource Source;            ///< as returned by source()
   std::uint64_t CallCount = 0;
   std::uint64_t CurrentCallId = 0; ///< responses to earlier calls are ignored
   bool IsLoaded = false;
--- a/src/routing/routing_state.h
+++ b/src/routing/routing_state.h
@@ -11,6 +11,7 @@
 #include "core/store_revision_type.h"
 #include "routing/route_table.h"
 #include "routing/upstream_table.h"
+#include "table/change_stages.h"
 
 #include <memory>
 #include <optional>
@@ -18,11 +19,6 @@
 
 namespace waxwing {
 
-/// Upstream entries that expired while the store was unavailable reappear
-/// within 2 s after the store's return. An entry that is still missing then
-/// belongs to a lost upstream.
-inline constexpr Duration EntryReappearTimeout = milliseconds(2200);
-
 /// How a change of the store's state reached this VM.
 enum class ChangeOrigin : std::uint8_t {
   FirstLoad, ///< first load of this process; it knows nothing older
--- a/tests/leaving_at_size_process_test.cpp
+++ b/tests/leaving_at_size_process_test.cpp
@@ -100,7 +100,7 @@
     const Time healAt = changedAt + seconds(3);
     bool isLost = false;
     bool isHealed = false;
-    std::set<int> hanging;
+    std::map<int, bool> isHanging;
     std::map<int, Drop> drops;
     while (bootNow() < changedAt + seconds(3) + ContactTime) {
       if (!isLost && bootNow() >= loseAt) {
@@ -108,7 +108,7 @@
         for (int n = 0; n < DomainCount; ++n)
           loseReader(n, faults[n], excused);
       }
-      updateHanging(faults, bootNow() - loseAt, hanging);
+      updateHanging(faults, loseAt, isHanging);
       if (!isHealed && bootNow() >= healAt) {
         isHealed = true;
         for (int n = 0; n < VmCount; ++n)
@@ -170,25 +170,26 @@
     excused.insert(readers.front());
   }
 
-  /// Lets connections hang for 0.45 s, three times until the VMs that have lost
-  /// their reader must have opened one.
-  void updateHanging(const std::array<Fault, DomainCount> &faults,
-                     Duration sinceLoss, std::set<int> &hanging) {
-    constexpr Duration period = milliseconds(500);
-    const bool isHanging =
-        sinceLoss > milliseconds(200) && sinceLoss < milliseconds(1700) &&
-        (sinceLoss - milliseconds(200)) % period < milliseconds(450);
+  /// Lets the connections of VMs that have lost their reader hang until 0.45 s
+  /// after the VM began to open one.
+  void updateHanging(const std::array<Fault, DomainCount> &faults, Time lostAt,
+                     std::map<int, bool> &isHanging) {
+    if (bootNow() < lostAt + milliseconds(200))
+      return;
     for (int n = 0; n < VmCount; ++n) {
+      FleetVm &vm = *World.Vms[n];
       if (faults[n % DomainCount] != Fault::ReaderLostSlow ||
-          World.Vms[n]->Replica.cluster().isReader() ||
-          isHanging == hanging.contains(n))
+          vm.Replica.cluster().isReader())
         continue;
-      if (isHanging) {
-        hanging.insert(n);
-        World.Vms[n]->Proxy.hang();
-      } else {
-        hanging.erase(n);
-        World.Vms[n]->Proxy.open();
+      const auto [it, isFirst] = isHanging.try_emplace(n, true);
+      if (isFirst)
+        vm.Proxy.hang();
+      const StoreFeed &feed = vm.Replica.upstreamFeed();
+      const bool isOver = feed.isWatching() && feed.watchBegunAt() > lostAt &&
+                          bootNow() >= feed.watchBegunAt() + milliseconds(450);
+      if (it->second && isOver) {
+        it->second = false;
+        vm.Proxy.open();
       }
     }
   }
