Fix: [Node] Kept connections applied limits that were not in force any more

Callers saw: after max_header_bytes was raised, the first request of each kept connection got 431. Change: the parser is made when the first byte of a request arrives, so that limits hold from the next request on, raised or lowered. Figures: CallerConnectionTest.ChangedLimitsHoldFromTheNextRequestOn fails before (431 for a head within the limit) and passes after.

--- a/src/node/caller_connection.cpp
+++ b/src/node/caller_connection.cpp
@@ -116,8 +116,11 @@
 bool CallerConnection::parseRequest() {
   if (IncomingExchange == nullptr && !canAcceptRequest())
     return false;
-  if (HeadStartedAt == Time() && IncomingExchange == nullptr)
+  if (HeadStartedAt == Time() && IncomingExchange == nullptr) {
     HeadStartedAt = bootNow();
+    Parser = http::RequestParser(
+        {Handler.callerLimits().HeaderBytes, Handler.callerLimits().BodyBytes});
+  }
   std::size_t consumed = 0;
   const http::ParseState state = Parser.put(UnparsedInput, consumed);
   UnparsedInput.erase(0, consumed);
@@ -138,8 +141,6 @@
   if (isWhole) {
     exchange->Body.markWhole();
     IncomingExchange.reset();
-    Parser = http::RequestParser(
-        {Handler.callerLimits().HeaderBytes, Handler.callerLimits().BodyBytes});
     HeadStartedAt = Time();
     if (!exchange->Head.IsKeepAlive)
       IsLastRequest = true;
--- a/tests/caller_connection_test.cpp
+++ b/tests/caller_connection_test.cpp
@@ -98,5 +98,24 @@
   EXPECT_FALSE(Handler.IsClosed);
 }
 
+// DENIED: the first request of each kept connection was checked against the
+// limits that were in force when the one before it ended.
+TEST_F(CallerConnectionTest, ChangedLimitsHoldFromTheNextRequestOn) {
+  const auto requestOf = [](std::size_t size) {
+    return "GET /a HTTP/1.1\r\nHost: h\r\nX: " + std::string(size, 'x') +
+           "\r\n\r\n";
+  };
+  Handler.Limits.HeaderBytes = 1000;
+  send(requestOf(500));
+  ASSERT_EQ(Handler.Begun.size(), 1U);
+  Handler.Limits.HeaderBytes = 4000;
+  send(requestOf(2000));
+  ASSERT_EQ(Handler.Begun.size(), 2U);
+  EXPECT_FALSE(isEnded());
+  Handler.Limits.HeaderBytes = 1000;
+  send(requestOf(2000));
+  EXPECT_EQ(Handler.Begun.size(), 2U);
+}
+
 } // namespace
 } // namespace waxwing
