Fix: [Node] A late response without a length ended the next request as answered

Callers saw: 'HTTP/1.1 0' instead of a response or a 502. Change: the end of a connection completes no discarded response; an attempt without a response head is lost. So a request that may be repeated goes to another upstream, and others get 502. Figures: ClientConnection.ResponseOfAnotherRequestEndsNoRequest, cut at each byte, fails before at the whole response and passes after.

--- a/src/node/attempt.cpp
+++ b/src/node/attempt.cpp
@@ -391,6 +391,10 @@
 
 void Attempt::onResponseEnd() {
   const auto self = shared_from_this();
+  if (!HasResponseHead) {
+    onConnectionLost("response without a head", true);
+    return;
+  }
   const AttemptResult result = classifyResponse();
   const auto exchange = ParentExchange.lock();
   if (exchange && (IsForwarding || isForCaller(*exchange, result)))
--- a/src/node/client_connection.cpp
+++ b/src/node/client_connection.cpp
@@ -217,7 +217,8 @@
     return;
   if (ec) {
     const bool isComplete = ec == asio::error::eof && Observer != nullptr &&
-                            IsHeadDelivered && Parser != nullptr &&
+                            IsHeadDelivered && !IsDiscardingResponse &&
+                            Parser != nullptr &&
                             Parser->finishAtEof() == http::ParseState::Done;
     if (isComplete) {
       IsReuseForbidden = true;
--- a/tests/client_connection_test.cpp
+++ b/tests/client_connection_test.cpp
@@ -190,6 +190,38 @@
 
 /// REFUSED, OWNER: a response that was sent again on an idle connection, and
 /// was not read before the next request, was taken for the response to that.
+/// MIXED: a late response to another request, without a length, ended the
+/// request as if it had got a response; the caller got a message with status 0.
+TEST(ClientConnection, ResponseOfAnotherRequestEndsNoRequest) {
+  const std::string all = "HTTP/1.1 599 X\r\nA: b\r\n\r\nhello";
+  std::string bytes;
+  std::mutex mutex;
+  const ThreadedTcpServer server(Port, [&](tcp::socket &socket) {
+    readRequest(socket);
+    {
+      const std::scoped_lock lock(mutex);
+      write(socket, bytes);
+    }
+    end(socket, ConnectionClose::Orderly);
+  });
+  for (std::size_t cut = 0; cut <= all.size(); ++cut) {
+    {
+      const std::scoped_lock lock(mutex);
+      bytes = all.substr(0, cut);
+    }
+    asio::io_context loop;
+    Recorder recorder;
+    const auto connection =
+        std::make_shared<ClientConnection>(loop, serverAddress());
+    connection->open();
+    connection->beginRequest(&recorder, Request, true, false);
+    runUntilEnd(loop, recorder);
+    EXPECT_TRUE(recorder.IsLost) << cut;
+    EXPECT_FALSE(recorder.IsWhole) << cut;
+    connection->close();
+  }
+}
+
 TEST(ClientConnection, BytesBeforeTheRequestAreNotItsResponse) {
   const std::string refusal =
       "HTTP/1.1 503 X\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n";
