Fix: [Node] A watch after a cut could wait in vain for a history that is gone

Cause: since a watch that failed is continued at its revision, a store that tells only at the end of a watch that its history begins later would leave the VM without changes for 15 s. Change: the first watch after a failed or restarted one waits for 0.3 s only.

--- a/src/node/store_feed.cpp
+++ b/src/node/store_feed.cpp
@@ -19,6 +19,9 @@
 /// history of the store, which the next watch continues. A failure of the store
 /// is detected by the probes of Cluster, not by the watch.
 constexpr Duration WatchWait = seconds(15);
+/// The same for a watch that continues one that failed: a store whose history
+/// begins later may say so only at the end of the watch.
+constexpr Duration ContinuedWatchWait = milliseconds(300);
 /// Additional time for the response of a slow store.
 constexpr Duration WatchResponseMargin = milliseconds(1500);
 constexpr Duration LoadTimeout = milliseconds(2000);
@@ -119,6 +122,7 @@
     return;
   ++CurrentCallId;
   IsCallPending = false;
+  IsHistoryDoubtful = true;
   Store.closeIdle();
   NextCallTimer.scheduleBy(bootNow());
 }
@@ -216,6 +220,7 @@
   Revision = std::max(Revision, LoadRevision);
   noteCompleteAt(LoadBegunAt);
   NeedsReload = false;
+  IsHistoryDoubtful = false;
   IsLoaded = true;
   logLine(LogPriority::StateChange, bootNow(), "store_loaded",
           "prefix={} keys={} epoch={} revision={}", Options.Prefix,
@@ -252,9 +257,10 @@
   WatchSentAt = Time::max();
   ++CallCount;
   const std::uint64_t callId = ++CurrentCallId;
+  const Duration wait = IsHistoryDoubtful ? ContinuedWatchWait : WatchWait;
   Store.call(
-      platform::buildWatchRequest(Options.Prefix, Revision, WatchWait),
-      bootNow() + WatchWait + WatchResponseMargin,
+      platform::buildWatchRequest(Options.Prefix, Revision, wait),
+      bootNow() + wait + WatchResponseMargin,
       [this, callId](const HttpCallResult &result) {
         if (callId != CurrentCallId)
           return;
@@ -277,8 +283,8 @@
     return;
   }
   if (result.Status != platform::StatusOk) {
-    // The next watch continues from the same revision; the store tells if its
-    // history begins later.
+    // The next watch continues from the same revision.
+    IsHistoryDoubtful = true;
     retry(result, StoreCallKind::Waiting,
           result.Status == 0 ? result.Error
                              : fmt::format("watch: status {}", result.Status));
@@ -294,6 +300,7 @@
     return;
   }
   Failures = 0;
+  IsHistoryDoubtful = false;
   beginChanges(ChangePath::Watch);
   // The store may have answered other calls while this one waited for a change.
   noteCompleteAt(std::max(result.BegunAt, watchedUntil()));
--- a/src/node/store_feed.h
+++ b/src/node/store_feed.h
@@ -160,6 +160,9 @@
   std::uint64_t CurrentCallId = 0; ///< responses to earlier calls are ignored
   bool IsLoaded = false;
   bool NeedsReload = true; ///< the next call loads all keys
+  /// The last watch failed, and the store's history may no longer reach back to
+  /// Revision.
+  bool IsHistoryDoubtful = false;
   bool IsCallPending = false;
   bool IsRelayed = false; ///< another VM reads the store for this one
   int Failures = 0;       ///< consecutive failed calls
--- a/tests/store_feed_test.cpp
+++ b/tests/store_feed_test.cpp
@@ -105,10 +105,13 @@
         answer(200, makePage("s/a", "QQ==", 5, false, 10));
       else if (count == 2)
         peer.end(); // the first watch is cut
-      else if (count == 3)
+      else if (count == 3) {
+        // The store may tell only at the end of a watch that its history is
+        // gone.
+        EXPECT_NE(head.find("wait_ms=300"), std::string::npos) << head;
         answer(200, R"({"events":[{"key":"s/a","revision":12,"removed":true}],)"
                     R"("store_revision":12})");
-      else
+      } else
         answer(410, "{}"); // the history is gone
     }
   });
