Fix: [Test] A pending watch kept the test of endless bytes from ending

Cause: the view of the store forwards each call on a thread that waits for the response. With watches that continue after a failure, one is pending when the test ends, and the thread is joined for ever: all cases had passed, then the test hung (seen in a run of all tests, stack of the process). Before, feeds loaded all keys after a failure and were in the delay before a watch. Change: the store ends its watches before the view is destroyed. No check has changed. Conclusion: the hang was the test's.

--- a/src/node/cluster.cpp
+++ b/src/node/cluster.cpp
@@ -108,7 +108,7 @@
 }
 
 absl::Status Cluster::start() {
-  const absl::Status status =
+  absl::Status status =
       Port.open(PeerAddress, [this](const std::string &bytes,
                                     const PeerPort::Address &sender) {
         onDatagram(bytes, sender);
--- a/tests/endless_bytes_process_test.cpp
+++ b/tests/endless_bytes_process_test.cpp
@@ -179,6 +179,10 @@
         });
   }
   void TearDown() override {
+    // A watch that the view has forwarded waits until the store ends it.
+    Nodes.clear();
+    runOnPlatform([this] { Store->setDown(true); });
+    std::this_thread::sleep_for(milliseconds(200));
     EndlessBytesTest::TearDown();
     View.reset();
   }
