Fix: [Distribution] Followers on congested links read the store more often than the bound needs

Cause: a list of 1.2 s counted as too old everywhere. Where changes must be acted on within 3 s, followers with congested links left their readers at each burst. Change: the greatest age is the bound less the time of the VM's own read on a slow link (1.3 s), at least 1.2 s: 1.2 s for bounds of 2 and 2.5 s, 1.7 s for 3 s. The bound is the lower one of drain and of the new setting configuration.

--- a/src/distribution/feed_freshness.h
+++ b/src/distribution/feed_freshness.h
@@ -11,10 +11,11 @@
 
 /// A VM with a path to the store must act on its changes in time even if its
 /// reader is silent, behind or cut off. It therefore reads the store itself
-/// when its state may be older than MaxAge.
+/// when its state may be older than maxAge().
 class FeedFreshness {
 public:
-  static constexpr Duration MaxAge = MaxListAge;
+  /// @param bound within which a change must be acted on
+  explicit FeedFreshness(Duration bound) : MaxAge(maxListAge(bound)) {}
 
   /// Records a report of the reader.
   /// @param age time since the reader's state was known to be complete
@@ -29,8 +30,10 @@
   /// The reader is not relied on any more.
   void clear() { FreshUntil = Time(); }
   bool isFresh(Time now) const { return now < FreshUntil; }
+  Duration maxAge() const { return MaxAge; }
 
 private:
+  Duration MaxAge;
   Time FreshUntil;
 };
 
--- a/src/node/cluster.cpp
+++ b/src/node/cluster.cpp
@@ -73,6 +73,8 @@
       PeerAddress(parseEndpoint(settings.Listen.text("peers"))),
       PeriodicWorkTimer(loop, [this] { runPeriodicWork(); }),
       FreshnessTimer(loop, [this] { followReader(bootNow()); }),
+      Freshness(std::min(settings.Bounds.seconds("drain"),
+                         settings.Bounds.seconds("configuration"))),
       OwnLeadership(loop, settings, calls, store, health, upstreams, RangeMaps),
       Feeds(feeds), List{{describeSelf()}, {}} {
   OwnLeadership.OnRangeMapChanged = [this](const ServiceId &service,
--- a/src/node/cluster.h
+++ b/src/node/cluster.h
@@ -192,6 +192,7 @@
   std::uint64_t UnexpectedDatagrams = 0;
   Time NextUnexpectedLogAt; ///< no line on unexpected datagrams before
   RangeMapReplica RangeMaps;
+  FeedFreshness Freshness; ///< of the feeds, while this VM has a reader
   Leadership OwnLeadership;
 
   std::array<StoreFeed *, FeedCount> Feeds;
@@ -205,7 +206,6 @@
   FeedRevisions RestartedFor{};
   std::array<Time, FeedCount> RestartedAt{}; ///< the last restart of each watch
   std::uint64_t SilentWatches = 0;
-  FeedFreshness Freshness; ///< of the feeds, while this VM has a reader
   std::array<ChangeHistory, FeedCount> Histories; ///< used on readers only
   ReaderPlan Plan;                                ///< used on the leader only
   Time NextPlanAt;                                ///< used on the leader only
--- a/src/node/cluster_list.cpp
+++ b/src/node/cluster_list.cpp
@@ -42,7 +42,7 @@
   for (const auto &[vm, peer] : Peers) {
     const bool isFresh =
         now < peer.LastMessageAt + ReaderSuspicionTimeout &&
-        (!peer.Report || peer.Report->StoreAge < FeedFreshness::MaxAge);
+        (!peer.Report || peer.Report->StoreAge < Freshness.maxAge());
     vms[vm] = {peer.CandidateInfo, peer.Report.has_value(), isFresh};
     infos[vm] = describe(peer);
   }
--- a/src/table/change_stages.h
+++ b/src/table/change_stages.h
@@ -21,10 +21,13 @@
 /// the number of VMs to limit the load on the store, up to a limit.
 inline constexpr Duration BatchDelayPerVm = milliseconds(6);
 inline constexpr Duration MaxBatchDelayForVms = milliseconds(450);
-/// A VM reads the store itself when the list that it has from a reader is
-/// older. The list of a reader is up to 0.65 s old, and reports come every 0.4
-/// s.
-inline constexpr Duration MaxListAge = milliseconds(1200);
+/// Limits on the age at which a VM reads the store itself rather than rely on
+/// its reader. The list of a reader is up to 0.65 s old, and reports come every
+/// 0.4 s.
+inline constexpr Duration LeastMaxListAge = milliseconds(1200);
+inline constexpr Duration GreatestMaxListAge = milliseconds(2000);
+/// Time that is left for the VM's own read, over a link on which packets wait.
+inline constexpr Duration OwnReadTime = milliseconds(1300);
 /// Own calls begin at a random time within this delay when the VM that read for
 /// this one and others is lost.
 inline constexpr Duration MaxResumeDelay = milliseconds(100);
@@ -44,6 +47,12 @@
 /// belongs to a lost upstream.
 inline constexpr Duration EntryReappearTimeout = milliseconds(2200);
 
+/// @param bound within which a change must be acted on
+/// @return age at which a VM reads the store itself
+constexpr Duration maxListAge(Duration bound) {
+  return std::clamp(bound - OwnReadTime, LeastMaxListAge, GreatestMaxListAge);
+}
+
 /// @return delay between two watches of a VM that reads for itself only
 constexpr Duration ownBatchDelay(int vmCount) {
   return UpstreamBatchDelay +
@@ -64,10 +73,11 @@
 inline constexpr std::size_t ChangeWayCount = 8;
 
 /// @return the longest time of @p way
+/// @param bound within which a change must be acted on
 /// @param roundTrip to the store, and to other VMs
 /// @param isPacketLost a packet that opens a connection is lost as well
-constexpr Duration longestTime(ChangeWay way, int vmCount, Duration roundTrip,
-                               bool isPacketLost) {
+constexpr Duration longestTime(ChangeWay way, int vmCount, Duration bound,
+                               Duration roundTrip, bool isPacketLost) {
   const Duration call =
       2 * roundTrip + (isPacketLost ? StoreConnectInterval : Duration());
   const Duration regain =
@@ -80,7 +90,7 @@
   case ChangeWay::LostUpdate:
     return UpstreamBatchDelay + call + HelloInterval + roundTrip;
   case ChangeWay::LostReader:
-    return MaxListAge + MaxResumeDelay + call;
+    return maxListAge(bound) + MaxResumeDelay + call;
   case ChangeWay::CutWatch:
     return ownBatchDelay(vmCount) + InitialRetryDelay + call;
   case ChangeWay::SilentWatch:
--- a/src/table/node_settings.h
+++ b/src/table/node_settings.h
@@ -38,6 +38,8 @@
      "minimum lease duration that the store grants"},
     {"bounds", "drain", SettingType::Decimal, "s", "2", 0, 600,
      "a draining upstream gets no new requests after this time"},
+    {"bounds", "configuration", SettingType::Decimal, "s", "2", 0, 600,
+     "a new configuration is in force after this time"},
     {"bounds", "grace", SettingType::Decimal, "s", "6", 0, 600,
      "time between SIGTERM and the kill of the process"},
     {"bounds", "longest_hold", SettingType::Decimal, "s", "10", 1, 600,
