Fix: [Node] A VM that had been stopped vouched for the store's service meanwhile

Cause: the time in which the store answered a VM's own calls was taken to have no gaps, and was joined with what others said even if the two did not touch. Change: a gap of 2 s between answered calls begins a new time of service; only times that overlap are joined. Conclusion: an outage is withdrawn only where answers span it.

--- a/src/node/store_health.cpp
+++ b/src/node/store_health.cpp
@@ -27,6 +27,18 @@
 /// The store is not away for less than this time; others were answered last
 /// within it before the outage of this VM ended.
 constexpr Duration PeerServiceTolerance = milliseconds(500);
+/// Longest time between two answered calls in which the store is taken to have
+/// answered all the while. VMs probe the store more often; one that was stopped
+/// does not know.
+constexpr Duration MaxServiceGap = seconds(2);
+
+bool areOverlapping(const StoreService &one, const StoreService &other) {
+  return one.Since <= other.Until && other.Since <= one.Until;
+}
+
+StoreService unite(const StoreService &one, const StoreService &other) {
+  return {std::min(one.Since, other.Since), std::max(one.Until, other.Until)};
+}
 
 } // namespace
 
@@ -84,6 +96,7 @@
   }
   if (state == StoreState::Away) {
     OwnAnswersSince = Time();
+    OwnService.reset();
     if (State != StoreState::Away) {
       ++Outages;
       beginOutage(LastResponseAt);
@@ -105,6 +118,9 @@
   if (kind == StoreCallKind::Prompt)
     LastRoundTrip = now - begunAt;
   EndedFirstCalls = 0;
+  if (!OwnService || begunAt > OwnService->Until + MaxServiceGap)
+    OwnService = {begunAt, begunAt};
+  OwnService->Until = std::max(OwnService->Until, begunAt);
   LastAnsweredCallAt = std::max(LastAnsweredCallAt, begunAt);
   if (OwnAnswersSince == Time())
     OwnAnswersSince = now;
@@ -136,26 +152,19 @@
 }
 
 void StoreHealth::recordPeerService(const StoreService &service, Time now) {
-  const bool isOverlapping = PeerService &&
-                             service.Since <= PeerService->Until &&
-                             PeerService->Since <= service.Until;
-  if (isOverlapping)
-    PeerService = {std::min(PeerService->Since, service.Since),
-                   std::max(PeerService->Until, service.Until)};
+  if (PeerService && areOverlapping(*PeerService, service))
+    PeerService = unite(*PeerService, service);
   else if (!PeerService || PeerService->Until < service.Until)
     PeerService = service;
   withdrawOwnOutage(now);
 }
 
 std::optional<StoreService> StoreHealth::knownService() const {
-  if (OwnAnswersSince == Time())
-    return PeerService;
-  const StoreService own{OwnAnswersSince,
-                         std::max(OwnAnswersSince, LastAnsweredCallAt)};
-  if (!PeerService || PeerService->Until < own.Since)
-    return own;
-  return StoreService{std::min(own.Since, PeerService->Since),
-                      std::max(own.Until, PeerService->Until)};
+  if (!OwnService || !PeerService)
+    return OwnService ? OwnService : PeerService;
+  if (areOverlapping(*OwnService, *PeerService))
+    return unite(*OwnService, *PeerService);
+  return OwnService->Until < PeerService->Until ? PeerService : OwnService;
 }
 
 /// Entries cannot have expired in an outage in which the store answered others.
@@ -178,6 +187,7 @@
 
 void StoreHealth::noteRestored(Time now) {
   RestoredAt = now;
+  OwnService.reset();
   PeerService.reset();
   OutageBegunAt = Time();
   OwnAnswersSince = Time();
--- a/src/node/store_health.h
+++ b/src/node/store_health.h
@@ -115,6 +115,7 @@
   /// there was none.
   Time OutageBegunAt;
   Time RecoveredBefore;
+  std::optional<StoreService> OwnService;  ///< of calls of this VM
   std::optional<StoreService> PeerService; ///< as last recorded
   /// First answer to an own call since another VM last relayed one; Time() if
   /// there was none, or if the store was away since.
--- a/tests/store_health_test.cpp
+++ b/tests/store_health_test.cpp
@@ -89,6 +89,22 @@
   EXPECT_EQ(Health.recoveredAt(), recoveredAt);
 }
 
+// Guards against a VM that was stopped while the store was away, and would tell
+// the others that it served all the while.
+TEST_F(StoreHealthTest, StoppedVmDoesNotKnowOfTheStoreMeanwhile) {
+  answer();
+  Now += seconds(1);
+  answer();
+  ASSERT_TRUE(Health.knownService());
+  EXPECT_EQ(Health.knownService()->Since, Time(seconds(1000)));
+  Now += seconds(8);
+  const Time continuedAt = Now;
+  Health.recordPeerService({Now - seconds(3), Now}, Now);
+  EXPECT_EQ(Health.knownService()->Since, continuedAt - seconds(3));
+  answer();
+  EXPECT_EQ(Health.knownService()->Since, continuedAt - seconds(3));
+}
+
 // Guards against the removal of entries that a restored store lacks.
 TEST_F(StoreHealthTest, RestorationIsNotWithdrawn) {
   answer();
