Fix: [Node] The time for which VMs say that the store served grew while it was passed on

Cause: the time in a hello was taken to begin 0.5 s earlier than it may have, since a datagram takes up to that long. Callers saw: 503 after an outage of 1 s, until the upstreams had registered again. Change: the begin counts from the arrival and the end from the sending, so that the time can only shrink on its way. StoreServiceTest.OutageOfTheStoreIsNotWithdrawn guards the same with 16 VMs; it passes without the change too.

--- a/src/node/cluster_messages.cpp
+++ b/src/node/cluster_messages.cpp
@@ -162,12 +162,17 @@
   return StoreServiceReport{now - service->Since, now - service->Until};
 }
 
-/// @param sentAt the report was not sent before
+/// The report was sent at an unknown time from @p sentAt on, so that the time
+/// which it surely means is shorter. Times that grow while they are passed on
+/// would span outages in the end.
 void Cluster::onStoreService(const std::optional<StoreServiceReport> &service,
                              Time sentAt, Time now) {
-  if (service)
-    Health.recordPeerService(
-        {sentAt - service->SinceAge, sentAt - service->UntilAge}, now);
+  if (!service)
+    return;
+  const StoreService certain{now - service->SinceAge,
+                             sentAt - service->UntilAge};
+  if (certain.Since <= certain.Until)
+    Health.recordPeerService(certain, now);
 }
 
 void Cluster::sendMissingChanges(const FeedRevisions &known,
--- a/tests/leaving_at_size_process_test.cpp
+++ b/tests/leaving_at_size_process_test.cpp
@@ -309,6 +309,28 @@
   EXPECT_LT(bootNow() - begunAt, seconds(1));
 }
 
+// Guards against removals of entries that expired while the store was away: the
+// time for which VMs tell each other that it served must not grow on the way.
+TEST(StoreServiceTest, OutageOfTheStoreIsNotWithdrawn) {
+  spdlog::set_level(spdlog::level::off);
+  FleetWorld world(16, 2, 1);
+  world.Network.MaxDelay = milliseconds(100);
+  world.start();
+  spawnTask(world.Loop, [](FleetWorld &fleet) -> Task {
+    co_await sleepFor(fleet.Loop, seconds(6));
+    fleet.Store.setDown(true);
+    co_await sleepFor(fleet.Loop, milliseconds(1500));
+    fleet.Store.setDown(false);
+    co_await sleepFor(fleet.Loop, milliseconds(2200));
+    fleet.Loop.stop();
+  }(world));
+  world.Loop.run();
+  for (const auto &vm : world.Vms) {
+    EXPECT_NE(vm->Replica.storeHealth().recoveredAt(), Time());
+    EXPECT_EQ(vm->Replica.storeHealth().ownOutageCount(), 0U);
+  }
+}
+
 // DRAIN: VMs in touch with the store used upstreams that had left for longer
 // than the bound while a reader, a connection or a link failed.
 TEST_F(LeavingAtSizeTest, UpstreamsThatLeaveAreDroppedInTime) {
